Cell ledger, keeper and scenarios on virtual time

Cause: nothing exists yet; the promises hardest to keep decide the rest. Change: record types and the fold that judges them, keeper decisions (epochs, leases on the worker's own clock, claims, evictions, quarantine), a small scenario language with invariants checked after every event. Before: nothing.

--- /dev/null
+++ b/scenarios/language/scenario_error.ts
@@ -0,0 +1,7 @@
+/** A scenario that cannot be read, or whose expectation does not hold. */
+export class ScenarioError extends Error {
+  constructor(file: string, line: number, text: string) {
+    super(`${file}:${line}: ${text}`);
+    this.name = "ScenarioError";
+  }
+}
--- /dev/null
+++ b/scenarios/world/sim_log.ts
@@ -0,0 +1,76 @@
+import { applyRecord } from "../../src/core/fold/apply_record.ts";
+import { CellLedger } from "../../src/core/fold/cell_ledger.ts";
+import type { CellRecord } from "../../src/core/fold/cell_record.ts";
+import type { LogPage } from "../../src/core/log/log_page.ts";
+import { LogModel } from "../../stand_ins/log/log_model.ts";
+import type { Network } from "./network.ts";
+
+/** The log behind the network, with an observer that folds every append. */
+export class SimLog {
+  readonly model = new LogModel();
+  /** What all records appended so far add up to. */
+  readonly truth = new CellLedger();
+  readonly voids = new Map<string, number>();
+  readonly kinds = new Map<string, number>();
+  readonly finishedAtMs = new Map<string, number>();
+  readonly claimedAtMs = new Map<string, number>();
+  readonly releases = new Map<string, number>();
+
+  constructor(readonly network: Network) {}
+
+  /** Appends for the party; the callback hears an offset, a refusal or nothing. */
+  append(
+    party: string,
+    records: readonly CellRecord[],
+    done: (first: number | "refused") => void,
+  ): void {
+    this.network.send(party, "log", () => {
+      if (this.model.isDown) {
+        this.network.send("log", party, () => done("refused"));
+        return;
+      }
+      const nowMs = this.network.scheduler.nowMs;
+      const copy = structuredClone(records);
+      const first = this.model.append("cell", copy, nowMs);
+      for (const record of copy) this.#observe(record);
+      if (this.model.losesAnswer()) return;
+      this.network.send("log", party, () => done(first));
+    });
+  }
+
+  /** Reads for the party; the callback hears a page, a refusal or nothing. */
+  read(
+    party: string,
+    from: number,
+    done: (page: LogPage | "refused") => void,
+  ): void {
+    this.network.send(party, "log", () => {
+      const nowMs = this.network.scheduler.nowMs;
+      const page = this.model.isDown
+        ? "refused"
+        : this.model.read("cell", from, 500, nowMs);
+      this.network.send("log", party, () => done(page));
+    });
+  }
+
+  #observe(record: CellRecord): void {
+    const verdict = applyRecord(this.truth, record);
+    count(this.kinds, record.kind);
+    if (!verdict.accepted) {
+      count(this.voids, verdict.reason);
+      return;
+    }
+    const nowMs = this.network.scheduler.nowMs;
+    if (record.kind === "claimed" && record.attempt === 1) {
+      this.claimedAtMs.set(record.task, nowMs);
+    }
+    if (record.kind === "released") count(this.releases, record.reason);
+    if (record.kind === "finished") {
+      this.finishedAtMs.set(record.task, nowMs);
+    }
+  }
+}
+
+function count(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
--- /dev/null
+++ b/scenarios/world/sim_worker.ts
@@ -0,0 +1,48 @@
+import type { Labels } from "../../src/schema/labels.ts";
+import type { Resources } from "../../src/schema/resources.ts";
+import type { WorkerId } from "../../src/schema/worker_id.ts";
+import type { WorkerOrder } from "../../src/core/worker/worker_order.ts";
+import type { WorkerReport } from "../../src/core/worker/worker_report.ts";
+import { WorkerModel } from "../../stand_ins/worker/worker_model.ts";
+import type { SimClock } from "./sim_clock.ts";
+
+/** A worker on virtual time that can be killed, replaced, paused and resumed. */
+export class SimWorker {
+  model: WorkerModel;
+  isAlive = true;
+  isPaused = false;
+  #boots = 1;
+
+  constructor(
+    readonly id: WorkerId,
+    readonly capacity: Resources,
+    readonly labels: Labels,
+    readonly clock: SimClock,
+  ) {
+    this.model = new WorkerModel(id, "b1", capacity);
+  }
+
+  /** Takes an order, unless the worker is dead or paused. */
+  apply(
+    order: WorkerOrder | undefined,
+    nowMs: number,
+  ): WorkerReport | undefined {
+    if (!this.isAlive || this.isPaused) return undefined;
+    return this.model.apply(order, this.clock.at(nowMs));
+  }
+
+  /** Lets the worker notice that time has passed. */
+  advance(nowMs: number): void {
+    if (this.isAlive && !this.isPaused) {
+      this.model.advance(this.clock.at(nowMs));
+    }
+  }
+
+  /** Starts the worker anew, with nothing kept. */
+  restart(): void {
+    this.#boots += 1;
+    this.model = new WorkerModel(this.id, `b${this.#boots}`, this.capacity);
+    this.isAlive = true;
+    this.isPaused = false;
+  }
+}
--- /dev/null
+++ b/scenarios/world/world.ts
@@ -0,0 +1,208 @@
+import type { Labels } from "../../src/schema/labels.ts";
+import type { PeerId } from "../../src/schema/peer_id.ts";
+import type { WorkerId } from "../../src/schema/worker_id.ts";
+import type { JobId } from "../../src/schema/job_id.ts";
+import type { Job } from "../../src/schema/job.ts";
+import { defaultKeeperOptions } from "../../src/core/keep/default_keeper_options.ts";
+import type { KeeperEffect } from "../../src/core/keep/keeper_effect.ts";
+import { FirstFit } from "../../src/core/place/first_fit.ts";
+import type { Placer } from "../../src/core/place/placer.ts";
+import { RandomFit } from "../../src/core/place/random_fit.ts";
+import { SpreadFit } from "../../src/core/place/spread_fit.ts";
+import type { WorkerOrder } from "../../src/core/worker/worker_order.ts";
+import type { WorkerReport } from "../../src/core/worker/worker_report.ts";
+import { Invariants } from "./invariants.ts";
+import { Network } from "./network.ts";
+import { Scheduler } from "./scheduler.ts";
+import { SeededRandom } from "./seeded_random.ts";
+import { SimClock } from "./sim_clock.ts";
+import { SimLog } from "./sim_log.ts";
+import { SimPeer } from "./sim_peer.ts";
+import { SimWorker } from "./sim_worker.ts";
+import type { WorldOptions } from "./world_options.ts";
+
+const bytesPerGb = 2 ** 30;
+const retryEveryMs = 500;
+const largestDrift = 0.005;
+
+/** One cell on virtual time: a log, workers, and processes that may keep it. */
+export class World {
+  readonly scheduler = new Scheduler();
+  readonly random: SeededRandom;
+  readonly network: Network;
+  readonly log: SimLog;
+  readonly workers = new Map<string, SimWorker>();
+  readonly peers = new Map<string, SimPeer>();
+  readonly invariants: Invariants;
+  /** Jobs whose acceptance was confirmed to their caller. */
+  readonly accepted = new Set<JobId>();
+  readonly submittedAtMs = new Map<JobId, number>();
+  /** Lines of what happened, for a failed run. */
+  readonly notes: string[] = [];
+
+  constructor(readonly options: WorldOptions) {
+    this.random = new SeededRandom(options.seed);
+    this.network = new Network(this.scheduler, this.random);
+    this.log = new SimLog(this.network);
+    for (let n = 1; n <= options.workers; n++) this.#addWorker(n);
+    for (let n = 1; n <= options.peers; n++) this.#addPeer(n);
+    this.invariants = new Invariants(this);
+    this.#tick();
+  }
+
+  /** The process that keeps the cell by the newest epoch record. */
+  get keeper(): SimPeer | undefined {
+    const { epoch } = this.log.truth;
+    return epoch && this.peers.get(epoch.keeper);
+  }
+
+  /** Lets virtual time pass, checking the invariants after every event. */
+  runUntil(atMs: number): void {
+    while (this.scheduler.step(atMs)) this.invariants.check();
+    this.invariants.check();
+  }
+
+  /** Submits a job as an entry does: until its record is known to stand. */
+  submit(job: Job): void {
+    this.submittedAtMs.set(job.id, this.scheduler.nowMs);
+    this.#trySubmit(job);
+  }
+
+  /** Cancels a job as an entry does. */
+  cancel(job: JobId): void {
+    const atMs = Math.floor(this.scheduler.nowMs);
+    const by = "entry" as PeerId;
+    this.log.append(
+      "entry",
+      [{ kind: "cancelled", job, atMs, by }],
+      (first) => {
+        if (first === "refused") {
+          this.scheduler.after(retryEveryMs, () => this.cancel(job));
+        }
+      },
+    );
+  }
+
+  /** Carries an order to a worker and its report back. */
+  callWorker(
+    from: string,
+    to: WorkerId,
+    order: WorkerOrder | undefined,
+    done: (report: WorkerReport, labels: Labels) => void,
+  ): void {
+    this.network.send(from, to, () => {
+      const worker = this.workers.get(to);
+      const copy = order && structuredClone(order);
+      const report = worker?.apply(copy, this.scheduler.nowMs);
+      if (worker === undefined || report === undefined) return;
+      this.network.send(to, from, () => done(report, worker.labels));
+    });
+  }
+
+  /** Carries a keep-alive to a candidate and its pledge back. */
+  callPeer(
+    from: string,
+    to: PeerId,
+    epoch: number,
+    done: (pledgeMs: number) => void,
+  ): void {
+    this.network.send(from, to, () => {
+      const peer = this.peers.get(to);
+      if (!peer?.isAlive || peer.isPaused) return;
+      const pledgeMs = peer.keeper.hearKeepAlive(epoch, peer.nowMs());
+      this.network.send(to, from, () => done(pledgeMs));
+    });
+  }
+
+  /** Keeps a line of what a process decided. */
+  note(peer: PeerId, effect: KeeperEffect): void {
+    if (effect.kind === "state") this.#write(peer, `state=${effect.state}`);
+  }
+
+  #write(who: string, text: string): void {
+    this.notes.push(`${Math.round(this.scheduler.nowMs)} ${who} ${text}`);
+  }
+
+  #trySubmit(job: Job): void {
+    const atMs = Math.floor(this.scheduler.nowMs);
+    const record = {
+      kind: "submitted",
+      job,
+      atMs,
+      by: "entry" as PeerId,
+    } as const;
+    this.log.append("entry", [record], (first) => {
+      if (first !== "refused") {
+        this.accepted.add(job.id);
+        this.keeper?.hear({ kind: "woken" });
+      }
+    });
+    this.scheduler.after(retryEveryMs, () => {
+      if (!this.accepted.has(job.id)) this.#trySubmit(job);
+    });
+  }
+
+  #addWorker(n: number): void {
+    const { cores, memoryGb, accelerators, racks } = this.options;
+    const capacity = {
+      cpuMilli: cores * 1_000,
+      memoryBytes: memoryGb * bytesPerGb,
+      accelerators,
+    };
+    const rack = `r${1 + (n - 1) % racks}`;
+    const labels = { rack, worker: `w${n}` };
+    const worker = new SimWorker(
+      `w${n}` as WorkerId,
+      capacity,
+      labels,
+      this.#newClock(),
+    );
+    this.workers.set(worker.id, worker);
+  }
+
+  #addPeer(n: number): void {
+    const options = {
+      ...defaultKeeperOptions,
+      recordsPerSnapshot: this.options.recordsPerSnapshot,
+      claimsPerSecond: this.options.claimsPerSecond,
+    };
+    const id = `p${n}` as PeerId;
+    const peer = new SimPeer(
+      id,
+      this,
+      this.#newClock(),
+      options,
+      this.#placer(),
+    );
+    this.peers.set(id, peer);
+  }
+
+  #placer(): Placer {
+    switch (this.options.placer) {
+      case "first-fit":
+        return new FirstFit();
+      case "random-fit":
+        return new RandomFit(this.random);
+      case "spread-fit":
+        return new SpreadFit(this.random);
+    }
+  }
+
+  #newClock(): SimClock {
+    const drift = (this.random.next() * 2 - 1) * largestDrift;
+    return new SimClock(this.random.next() * 1e6, 1 + drift);
+  }
+
+  #tick(): void {
+    const peers = [...this.peers.values()].filter((peer) => peer.isAlive);
+    const ids = peers.map(({ id }) => id);
+    const workers = [...this.workers.values()].map(({ id }) => id);
+    for (const peer of peers) {
+      peer.hear({ kind: "peers", peers: ids, workers });
+    }
+    for (const worker of this.workers.values()) {
+      worker.advance(this.scheduler.nowMs);
+    }
+    this.scheduler.after(this.options.tickMs, () => this.#tick());
+  }
+}
--- /dev/null
+++ b/src/core/evict/find_victims.ts
@@ -0,0 +1,83 @@
+import type { Resources } from "../../schema/resources.ts";
+import type { CellLedger } from "../fold/cell_ledger.ts";
+import type { TaskRow } from "../fold/task_row.ts";
+import type { WorkerRow } from "../fold/worker_row.ts";
+import { fits } from "../resources/fits.ts";
+import { subtractResources } from "../resources/subtract_resources.ts";
+import { addResources } from "../resources/add_resources.ts";
+import type { EvictionView } from "./eviction_view.ts";
+import type { Victims } from "./victims.ts";
+
+const evictedBeforeCost = 4;
+const longHeldCost = 1;
+const longHeldMs = 60_000;
+
+/** The cheapest set of batch tasks whose eviction makes room for the need. */
+export function findVictims(
+  ledger: CellLedger,
+  workers: readonly WorkerRow[],
+  need: Resources,
+  eviction: EvictionView,
+  nowMs: number,
+): Victims | undefined {
+  let best: Victims | undefined;
+  for (const worker of workers) {
+    const victims = onWorker(ledger, worker, need, eviction, nowMs);
+    if (victims === undefined) continue;
+    if (best === undefined || victims.cost < best.cost) best = victims;
+  }
+  return best;
+}
+
+function onWorker(
+  ledger: CellLedger,
+  worker: WorkerRow,
+  need: Resources,
+  eviction: EvictionView,
+  nowMs: number,
+): Victims | undefined {
+  const candidates = [...worker.tasks]
+    .map((id) => ledger.tasks.get(id))
+    .filter((task) => task !== undefined)
+    .filter((task) => isEvictable(ledger, task) && !eviction.isLeaving(task))
+    .sort((a, b) => costOf(a, nowMs) - costOf(b, nowMs));
+  const chosen: TaskRow[] = [];
+  let cost = 0;
+  let room = roomAfterwards(ledger, worker, eviction);
+  for (const task of candidates) {
+    if (fits(need, room)) break;
+    if (task.reserved === undefined) continue;
+    room = addResources(room, task.reserved);
+    cost += costOf(task, nowMs);
+    chosen.push(task);
+  }
+  if (!fits(need, room)) return undefined;
+  return { worker, tasks: chosen, cost };
+}
+
+/** The room there will be once all that leave are gone and promises are kept. */
+function roomAfterwards(
+  ledger: CellLedger,
+  worker: WorkerRow,
+  { isLeaving, promised }: EvictionView,
+): Resources {
+  let room = subtractResources(worker.capacity, worker.used);
+  for (const id of worker.tasks) {
+    const task = ledger.tasks.get(id);
+    if (task?.reserved === undefined || !isLeaving(task)) continue;
+    room = addResources(room, task.reserved);
+  }
+  return subtractResources(room, promised(worker));
+}
+
+function isEvictable(ledger: CellLedger, task: TaskRow): boolean {
+  const job = ledger.jobs.get(task.job);
+  if (job === undefined || job.job.urgent) return false;
+  return task.state === "claimed" && task.evictions < job.job.maxEvictions;
+}
+
+function costOf(task: TaskRow, nowMs: number): number {
+  const heldMs = nowMs - (task.claimedAtMs ?? nowMs);
+  return 1 + task.evictions * evictedBeforeCost +
+    Math.min(heldMs / longHeldMs, 1) * longHeldCost;
+}
--- /dev/null
+++ b/src/core/fold/accepted.ts
@@ -0,0 +1,4 @@
+import type { Verdict } from "./verdict.ts";
+
+/** The verdict that lets a record stand. */
+export const accepted: Verdict = { accepted: true };
--- /dev/null
+++ b/src/core/fold/account_row.ts
@@ -0,0 +1,13 @@
+import type { MemberId } from "../../schema/member_id.ts";
+
+/** What one member used of one pool in one term. */
+export interface AccountRow {
+  readonly member: MemberId;
+  readonly pool: string;
+  readonly term: string;
+  cpuMilliSeconds: number;
+  memoryByteSeconds: number;
+  acceleratorSeconds: number;
+  finishedTasks: number;
+  evictions: number;
+}
--- /dev/null
+++ b/src/core/fold/find_attempt.ts
@@ -0,0 +1,18 @@
+import type { TaskId } from "../../schema/task_id.ts";
+import type { CellLedger } from "./cell_ledger.ts";
+import type { TaskRow } from "./task_row.ts";
+import type { Verdict } from "./verdict.ts";
+import { voidRecord } from "./void_record.ts";
+
+/** Finds the running attempt that a record speaks of. */
+export function findAttempt(
+  ledger: CellLedger,
+  id: TaskId,
+  attempt: number,
+): TaskRow | Verdict {
+  const task = ledger.tasks.get(id);
+  if (task === undefined) return voidRecord("unknown_task");
+  if (task.attempt !== attempt) return voidRecord("wrong_attempt");
+  if (task.worker === undefined) return voidRecord("not_allowed_now");
+  return task;
+}
--- /dev/null
+++ b/src/core/fold/judge_cancelled.ts
@@ -0,0 +1,20 @@
+import { accepted } from "./accepted.ts";
+import type { Judge } from "./judge.ts";
+import { taskChart } from "./task_chart.ts";
+import { tasksOf } from "./tasks_of.ts";
+import { voidRecord } from "./void_record.ts";
+
+/** Waiting tasks end at once; running ones when their worker is free. */
+export const judgeCancelled: Judge<"cancelled"> = (ledger, record) => {
+  const row = ledger.jobs.get(record.job);
+  if (row === undefined) return voidRecord("unknown_job");
+  if (row.cancelled || row.unfinished === 0) return voidRecord("duplicate");
+  if (row.movedTo !== undefined) return voidRecord("not_allowed_now");
+  row.cancelled = true;
+  for (const task of tasksOf(ledger, row)) {
+    if (taskChart.isFinal(task.state)) continue;
+    ledger.step(task, "CANCEL");
+    if (taskChart.isFinal(task.state)) ledger.end(task, record.atMs);
+  }
+  return accepted;
+};
--- /dev/null
+++ b/src/core/fold/judge_failed.ts
@@ -0,0 +1,21 @@
+import { accepted } from "./accepted.ts";
+import { findAttempt } from "./find_attempt.ts";
+import type { Judge } from "./judge.ts";
+import { leaveWorker } from "./leave_worker.ts";
+
+/** The task failed by itself; its job's limit decides whether it runs again. */
+export const judgeFailed: Judge<"failed"> = (ledger, record) => {
+  const task = findAttempt(ledger, record.task, record.attempt);
+  if ("accepted" in task) return task;
+  const worker = task.worker && ledger.workers.get(task.worker);
+  if (worker) {
+    worker.failStreak += 1;
+    worker.lastFailureAtMs = record.atMs;
+  }
+  task.failures += 1;
+  task.detail = record.detail;
+  const limit = ledger.jobs.get(task.job)?.job.maxAttempts ?? 1;
+  const event = task.failures >= limit ? "GIVE_UP" : "FAIL";
+  leaveWorker(ledger, task, event, record.atMs);
+  return accepted;
+};
--- /dev/null
+++ b/src/core/fold/judge_released.ts
@@ -0,0 +1,20 @@
+import { accepted } from "./accepted.ts";
+import { findAttempt } from "./find_attempt.ts";
+import { isEviction } from "./is_eviction.ts";
+import type { Judge } from "./judge.ts";
+import { leaveWorker } from "./leave_worker.ts";
+
+/** The owner has stopped the task; the next attempt resumes from its checkpoint. */
+export const judgeReleased: Judge<"released"> = (ledger, record) => {
+  const task = findAttempt(ledger, record.task, record.attempt);
+  if ("accepted" in task) return task;
+  if (record.checkpoint !== undefined) task.checkpoint = record.checkpoint;
+  if (isEviction(record.reason)) {
+    task.evictions += 1;
+    ledger.accountOf(task).evictions += 1;
+    const job = ledger.jobs.get(task.job);
+    if (job !== undefined) job.evictions += 1;
+  }
+  leaveWorker(ledger, task, "RELEASE", record.atMs);
+  return accepted;
+};
--- /dev/null
+++ b/src/core/fold/judge_submitted.ts
@@ -0,0 +1,34 @@
+import type { TaskId } from "../../schema/task_id.ts";
+import { accepted } from "./accepted.ts";
+import type { Judge } from "./judge.ts";
+import { taskChart } from "./task_chart.ts";
+import type { TaskRow } from "./task_row.ts";
+import { voidRecord } from "./void_record.ts";
+
+/** A job is accepted once by its id, while its venture's term lasts. */
+export const judgeSubmitted: Judge<"submitted"> = (ledger, record) => {
+  const { job } = record;
+  if (ledger.jobs.has(job.id)) return voidRecord("duplicate");
+  if (record.atMs >= job.endsAtMs) return voidRecord("term_over");
+  ledger.jobs.set(job.id, {
+    job,
+    submittedAtMs: record.atMs,
+    offset: ledger.next,
+    unfinished: job.tasks,
+    evictions: 0,
+    cancelled: false,
+  });
+  for (let index = 0; index < job.tasks; index++) {
+    const task: TaskRow = {
+      id: `${job.id}/${index}` as TaskId,
+      job: job.id,
+      state: taskChart.initial,
+      attempt: 0,
+      failures: 0,
+      evictions: 0,
+    };
+    ledger.tasks.set(task.id, task);
+    ledger.enqueue(task);
+  }
+  return accepted;
+};
--- /dev/null
+++ b/src/core/fold/leave_worker.ts
@@ -0,0 +1,16 @@
+import type { CellLedger } from "./cell_ledger.ts";
+import { taskChart } from "./task_chart.ts";
+import type { TaskEvent } from "./task_event.ts";
+import type { TaskRow } from "./task_row.ts";
+
+/** Moves a running task on, off its worker. */
+export function leaveWorker(
+  ledger: CellLedger,
+  task: TaskRow,
+  event: TaskEvent,
+  atMs: number,
+): void {
+  ledger.step(task, event);
+  ledger.vacate(task, atMs);
+  if (taskChart.isFinal(task.state)) ledger.end(task, atMs);
+}
--- /dev/null
+++ b/src/core/fold/task_event.ts
@@ -0,0 +1,9 @@
+/** What can happen to a task; see task_life.json. */
+export type TaskEvent =
+  | "CLAIM"
+  | "RELEASE"
+  | "RECLAIM"
+  | "FAIL"
+  | "FINISH"
+  | "GIVE_UP"
+  | "CANCEL";
--- /dev/null
+++ b/src/core/hash/rendezvous.ts
@@ -0,0 +1,12 @@
+import { hashText } from "./hash_text.ts";
+
+/** The names in their order of preference for the key (rendezvous hashing). */
+export function rendezvous<T extends string>(
+  key: string,
+  names: readonly T[],
+): T[] {
+  return names
+    .map((name) => ({ name, weight: hashText(`${key} ${name}`) }))
+    .sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1))
+    .map(({ name }) => name);
+}
--- /dev/null
+++ b/src/core/keep/keeper_effect.ts
@@ -0,0 +1,28 @@
+import type { PeerId } from "../../schema/peer_id.ts";
+import type { WorkerId } from "../../schema/worker_id.ts";
+import type { CellRecord } from "../fold/cell_record.ts";
+import type { VoidReason } from "../fold/void_reason.ts";
+import type { WorkerOrder } from "../worker/worker_order.ts";
+
+/** What a keeper asks its surroundings to do. */
+export type KeeperEffect =
+  | { readonly kind: "append"; readonly records: readonly CellRecord[] }
+  | { readonly kind: "read"; readonly from: number }
+  | {
+    readonly kind: "apply";
+    readonly worker: WorkerId;
+    /** Without an order the worker only reports. */
+    readonly order?: WorkerOrder;
+  }
+  | {
+    readonly kind: "keep_alive";
+    readonly candidate: PeerId;
+    readonly epoch: number;
+  }
+  | {
+    readonly kind: "verdict";
+    readonly offset: number;
+    readonly record: CellRecord;
+    readonly void?: VoidReason;
+  }
+  | { readonly kind: "state"; readonly state: string };
--- /dev/null
+++ b/src/core/keep/keeper_event.ts
@@ -0,0 +1,46 @@
+import type { Labels } from "../../schema/labels.ts";
+import type { PeerId } from "../../schema/peer_id.ts";
+import type { WorkerId } from "../../schema/worker_id.ts";
+import type { CellLedger } from "../fold/cell_ledger.ts";
+import type { CellRecord } from "../fold/cell_record.ts";
+import type { WorkerReport } from "../worker/worker_report.ts";
+
+/** What a keeper hears of. */
+export type KeeperEvent =
+  | { readonly kind: "tick" }
+  | {
+    readonly kind: "read";
+    readonly startedAtMs: number;
+    readonly from: number;
+    readonly records: readonly CellRecord[];
+    readonly atEnd: boolean;
+    /** The oldest offset that the log still keeps. */
+    readonly oldest: number;
+  }
+  | { readonly kind: "read_failed" }
+  | { readonly kind: "reloaded"; readonly ledger: CellLedger }
+  | {
+    readonly kind: "appended";
+    readonly startedAtMs: number;
+    readonly first: number;
+    readonly records: readonly CellRecord[];
+  }
+  | { readonly kind: "append_failed"; readonly mayHaveTakenEffect: boolean }
+  | {
+    readonly kind: "report";
+    readonly report: WorkerReport;
+    readonly labels: Labels;
+  }
+  | { readonly kind: "unreachable"; readonly worker: WorkerId }
+  | {
+    readonly kind: "peers";
+    readonly peers: readonly PeerId[];
+    readonly workers: readonly WorkerId[];
+  }
+  | {
+    readonly kind: "pledged";
+    readonly candidate: PeerId;
+    readonly sentAtMs: number;
+    readonly pledgeMs: number;
+  }
+  | { readonly kind: "woken" };
--- /dev/null
+++ b/src/core/keep/worker_ops.ts
@@ -0,0 +1,72 @@
+import type { CellLedger } from "../fold/cell_ledger.ts";
+import { taskChart } from "../fold/task_chart.ts";
+import type { TaskRow } from "../fold/task_row.ts";
+import type { WorkerRow } from "../fold/worker_row.ts";
+import type { TaskReport } from "../worker/task_report.ts";
+import type { WorkerOp } from "../worker/worker_op.ts";
+import type { WorkerReport } from "../worker/worker_report.ts";
+
+/** Yields what a worker has to do so that it runs just what the ledger says. */
+export function* workerOps(
+  ledger: CellLedger,
+  worker: WorkerRow,
+  report: WorkerReport,
+  isStopping: (task: TaskRow) => boolean,
+): Generator<WorkerOp> {
+  const seen = new Map<string, TaskReport>();
+  for (const known of report.tasks) {
+    const task = ledger.tasks.get(known.task);
+    const isCurrent = task?.attempt === known.attempt &&
+      !taskChart.isFinal(task.state) &&
+      (task.worker === worker.id || task.state === "waiting");
+    if (isCurrent) seen.set(known.task, known);
+    else yield dismiss(known);
+  }
+  for (const id of worker.tasks) {
+    const task = ledger.tasks.get(id);
+    if (task === undefined) continue;
+    const op = opFor(ledger, task, seen.get(id), isStopping(task));
+    if (op !== undefined) yield op;
+  }
+  for (const [id, known] of seen) {
+    const task = ledger.tasks.get(known.task);
+    if (task?.state !== "waiting" || known.state === "finished") continue;
+    seen.delete(id);
+    yield dismiss(known);
+  }
+}
+
+function dismiss({ task, attempt, state }: TaskReport): WorkerOp {
+  const op = state === "running" ? "stop" : "forget";
+  return { op, task, attempt };
+}
+
+function opFor(
+  ledger: CellLedger,
+  task: TaskRow,
+  known: TaskReport | undefined,
+  stopping: boolean,
+): WorkerOp | undefined {
+  const { id, attempt } = task;
+  if (known === undefined) return startOp(ledger, task);
+  if (known.state !== "running") return undefined;
+  const op = stopping || task.state === "cancelling" ? "stop" : "renew";
+  return { op, task: id, attempt };
+}
+
+function startOp(ledger: CellLedger, task: TaskRow): WorkerOp | undefined {
+  const job = ledger.jobs.get(task.job)?.job;
+  if (job === undefined || task.reserved === undefined) return undefined;
+  const { id, attempt, reserved, checkpoint } = task;
+  if (task.state === "cancelling") return { op: "stop", task: id, attempt };
+  return {
+    op: "start",
+    task: id,
+    attempt,
+    template: job.template,
+    reserved,
+    runMs: job.runMs,
+    input: job.input,
+    ...(checkpoint === undefined ? {} : { checkpoint }),
+  };
+}
--- /dev/null
+++ b/src/core/log/log_page.ts
@@ -0,0 +1,9 @@
+/** Records read from a stream, in offset order without a gap. */
+export interface LogPage {
+  readonly from: number;
+  readonly records: readonly unknown[];
+  /** The offset that the next record appended to the stream would get. */
+  readonly end: number;
+  /** The oldest offset that is still kept. */
+  readonly oldest: number;
+}
--- /dev/null
+++ b/src/core/place/placer.ts
@@ -0,0 +1,8 @@
+import type { WorkerRow } from "../fold/worker_row.ts";
+import type { Placement } from "./placement.ts";
+
+/** Chooses one of the workers that have room for a task. */
+export interface Placer {
+  readonly name: string;
+  choose(placement: Placement): WorkerRow | undefined;
+}
--- /dev/null
+++ b/src/core/place/random_fit.ts
@@ -0,0 +1,15 @@
+import type { WorkerRow } from "../fold/worker_row.ts";
+import type { RandomSource } from "../random/random_source.ts";
+import type { Placement } from "./placement.ts";
+import type { Placer } from "./placer.ts";
+
+/** Takes any worker with room: a baseline. */
+export class RandomFit implements Placer {
+  readonly name = "random-fit";
+
+  constructor(readonly random: RandomSource) {}
+
+  choose({ room }: Placement): WorkerRow | undefined {
+    return room[Math.floor(this.random.next() * room.length)];
+  }
+}
