--- /dev/null
+++ b/demo/call_kind.ts
@@ -0,0 +1,2 @@
+/** The classes of calls that the demo counts. */
+export type CallKind = "check" | "order" | "watch";
--- /dev/null
+++ b/demo/report.ts
@@ -0,0 +1,67 @@
+import type { Caller } from "./caller.ts";
+import type { Findings } from "./findings.ts";
+import type { Tally } from "./tally.ts";
+import type { Watcher } from "./watcher.ts";
+
+interface Results {
+  readonly tally: Tally;
+  readonly caller: Caller;
+  readonly watcher: Watcher;
+  readonly accepted: readonly string[];
+  readonly found: Findings;
+  readonly memory: readonly { name: string; mb: number | undefined }[];
+}
+
+/** Prints the demo's table; gives the exit code. */
+export function report(results: Results): number {
+  const { tally, caller, watcher, accepted, found, memory } = results;
+  const falseRefusals = [...caller.saidNotRun].filter((m) => found.ran.has(m));
+  const ranTwice = [...caller.orders].filter((m) =>
+    (found.ran.get(m) ?? 0) > 1
+  );
+  console.log("\nclass    answered  refused   p50 ms   p99 ms  p99.9 ms");
+  for (const [kind, { ok, refused }] of tally.rows) {
+    const cells = [50, 99, 99.9].map((p) =>
+      tally.percentileMs(kind, p).toFixed(1).padStart(9)
+    );
+    const counts = `${String(ok).padStart(9)}${String(refused).padStart(9)}`;
+    console.log(`${kind.padEnd(8)}${counts}${cells.join("")}`);
+  }
+  const rows: [string, unknown][] = [
+    [
+      "refusals",
+      [...tally.refusals].map(([k, n]) => `${k}=${n}`).join(", ") || "none",
+    ],
+    ["wrong answers", caller.wrong.length],
+    ["false 'not run'", falseRefusals.length],
+    ["orders run twice", ranTwice.length],
+    ["watch events / gaps or repeats", `${watcher.events} / ${watcher.faults}`],
+    ["plans accepted", accepted.length],
+    [
+      "plans finished / lost / doubled",
+      `${found.finished} / ${found.lost.length} / ${found.doubled.length}`,
+    ],
+    [
+      "evictions, reclaims, epochs",
+      `${found.evictions}, ${found.reclaims}, ${found.epochs}`,
+    ],
+    [
+      "resident memory MB",
+      memory.map(({ name, mb }) => `${name}=${mb?.toFixed(0) ?? "gone"}`).join(
+        " ",
+      ),
+    ],
+  ];
+  for (const [name, value] of rows) console.log(`${name.padEnd(34)}${value}`);
+  const faults = [
+    caller.wrong.length,
+    falseRefusals.length,
+    ranTwice.length,
+    watcher.faults,
+    found.lost.length,
+    found.doubled.length,
+  ];
+  const isGood = accepted.length > 0 && faults.every((count) => count === 0);
+  console.log(isGood ? "demo: ok" : "demo: FAILED");
+  return isGood ? 0 : 1;
+}
--- a/scenarios/world/world.ts
+++ b/scenarios/world/world.ts
@@ -14,7 +14,7 @@
 import { Invariants } from "./invariants.ts";
 import { Network } from "./network.ts";
 import { Scheduler } from "./scheduler.ts";
-import { SeededRandom } from "./seeded_random.ts";
+import { SeededRandom } from "../../stand_ins/seeded_random.ts";
 import { SimClock } from "./sim_clock.ts";
 import { SimLog } from "./sim_log.ts";
 import { SimPeer } from "./sim_peer.ts";
--- /dev/null
+++ b/src/adapters/http_pools.ts
@@ -0,0 +1,61 @@
+import request from "undici/lib/api/api-request.js";
+import Pool from "undici/lib/dispatcher/pool.js";
+import type { Dispatcher, Pool as PoolType } from "undici";
+import type { Endpoint } from "../schema/endpoint.ts";
+
+const connectTimeoutMs = 1_000;
+const keepAliveMs = 10_000;
+
+/** Keeps one pool of connections for each endpoint. */
+export class HttpPools {
+  readonly #pools = new Map<string, PoolType>();
+
+  constructor(readonly connections: number) {}
+
+  /** Sends a JSON body and reads a JSON answer. */
+  async json(
+    endpoint: Endpoint,
+    method: "GET" | "POST",
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<{ statusCode: number; body: unknown }> {
+    const answer = await this.send(endpoint, {
+      method,
+      path,
+      headers: { "content-type": "application/json" },
+      ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    return { statusCode: answer.statusCode, body: await answer.body.json() };
+  }
+
+  /** Sends a request over one of the endpoint's connections. */
+  async send(
+    endpoint: Endpoint,
+    options: Dispatcher.RequestOptions,
+  ): Promise<Dispatcher.ResponseData> {
+    return await request.call(this.#pool(endpoint), options);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
+  }
+
+  #pool({ host, port }: Endpoint): Dispatcher {
+    const origin = `http://${host}:${port}`;
+    const known = this.#pools.get(origin);
+    if (known !== undefined) return known;
+    const pool = new Pool(origin, {
+      connections: this.connections,
+      connect: { timeout: connectTimeoutMs },
+      keepAliveTimeout: keepAliveMs,
+      pipelining: 1,
+    }) as PoolType;
+    this.#pools.set(origin, pool);
+    return pool;
+  }
+}
--- /dev/null
+++ b/src/adapters/logger.ts
@@ -0,0 +1,48 @@
+import loglevel from "loglevel";
+
+type Fields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes one line of key=value pairs for each event. */
+export class Logger {
+  readonly #log = loglevel.getLogger("gypsumpond");
+
+  constructor(level: loglevel.LogLevelDesc, readonly base: Fields) {
+    this.#log.methodFactory = () => (line: string) => {
+      process.stdout.write(`${line}\n`);
+    };
+    this.#log.setLevel(level, false);
+  }
+
+  /** Something that helps to follow what happens. */
+  debug(event: string, fields: Fields = {}): void {
+    this.#log.debug(this.#line("debug", event, fields));
+  }
+
+  /** Something that is worth knowing. */
+  info(event: string, fields: Fields = {}): void {
+    this.#log.info(this.#line("info", event, fields));
+  }
+
+  /** Something that is amiss but handled. */
+  warn(event: string, fields: Fields = {}): void {
+    this.#log.warn(this.#line("warn", event, fields));
+  }
+
+  /** Something that needs a person. */
+  error(event: string, fields: Fields = {}): void {
+    this.#log.error(this.#line("error", event, fields));
+  }
+
+  #line(level: string, event: string, fields: Fields): string {
+    const at = new Date().toISOString();
+    const all = { at, level, event, ...this.base, ...fields };
+    return Object.entries(all)
+      .filter(([, value]) => value !== undefined)
+      .map(([key, value]) => `${key}=${quoted(String(value))}`)
+      .join(" ");
+  }
+}
+
+function quoted(value: string): string {
+  return /^[^\s"=]+$/.test(value) ? value : JSON.stringify(value);
+}
--- /dev/null
+++ b/src/adapters/undici_parts.d.ts
@@ -0,0 +1,12 @@
+declare module "undici/lib/dispatcher/pool.js" {
+  import { Pool } from "undici";
+  export default Pool;
+}
+
+declare module "undici/lib/api/api-request.js" {
+  import type { Dispatcher } from "undici";
+  export default function request(
+    this: Dispatcher,
+    options: Dispatcher.RequestOptions,
+  ): Promise<Dispatcher.ResponseData>;
+}
--- /dev/null
+++ b/src/cli/explain_command.ts
@@ -0,0 +1,72 @@
+import type { CellRecord } from "../core/fold/cell_record.ts";
+import { explainWaiting } from "../core/repair/explain_waiting.ts";
+import { GpError } from "../core/errors/gp_error.ts";
+import type { CellId } from "../schema/cell_id.ts";
+import { readCell } from "../keeper/read_cell.ts";
+import type { JudgedRecord } from "../keeper/judged_record.ts";
+import { openLog } from "./open_log.ts";
+import { print } from "./print.ts";
+
+/** `gypsumpond explain`: the decisions about a job, worker or member. */
+export async function explainCommand(
+  what: string,
+  cell: string,
+  log: string,
+): Promise<void> {
+  const members = new Map<string, string>();
+  const lines: string[] = [];
+  const ledger = await openLog(
+    log,
+    (log) =>
+      readCell(log, cell as CellId, (judged) => {
+        const { record } = judged;
+        if (record.kind === "submitted") {
+          members.set(record.job.id, record.job.member);
+        }
+        if (concerns(record, what, members)) lines.push(lineOf(judged));
+      }),
+  );
+  for (const line of lines) print(line);
+  const reasons = [...explainWaiting(ledger, what)];
+  for (const reason of reasons) print(reason);
+  if (lines.length + reasons.length === 0) {
+    throw new GpError("not_found", `cell ${cell} has no record of ${what}`);
+  }
+}
+
+function concerns(
+  record: CellRecord,
+  what: string,
+  members: ReadonlyMap<string, string>,
+): boolean {
+  const job = jobOf(record);
+  if (job !== undefined && (job === what || members.get(job) === what)) {
+    return true;
+  }
+  if ("task" in record && record.task === what) return true;
+  if ("worker" in record && record.worker === what) return true;
+  return record.by === what;
+}
+
+function jobOf(record: CellRecord): string | undefined {
+  if ("task" in record) {
+    return record.task.slice(0, record.task.lastIndexOf("/"));
+  }
+  if (record.kind === "submitted") return record.job.id;
+  return "job" in record ? record.job : undefined;
+}
+
+function lineOf({ offset, record, verdict }: JudgedRecord): string {
+  const at = new Date(record.atMs).toISOString();
+  const fields: Record<string, unknown> = { ...record };
+  for (const key of ["kind", "atMs", "image", "job"]) delete fields[key];
+  const job = jobOf(record);
+  if (job !== undefined) fields.job = job;
+  const pairs = Object.entries(fields).map(([key, value]) =>
+    `${key}=${typeof value === "object" ? JSON.stringify(value) : value}`
+  );
+  const outcome = verdict.accepted ? "accepted" : `void=${verdict.reason}`;
+  return `offset=${offset} at=${at} ${record.kind} ${outcome} ${
+    pairs.join(" ")
+  }`;
+}
--- /dev/null
+++ b/src/cli/version.ts
@@ -0,0 +1,4 @@
+import manifest from "../../package.json" with { type: "json" };
+
+/** The version of this build. */
+export const version: string = manifest.version;
--- /dev/null
+++ b/src/core/admit/order_key.ts
@@ -0,0 +1,28 @@
+import type { PeerId } from "../../schema/peer_id.ts";
+
+const separator = "~";
+
+/** An idempotency key that names the only process that may run the order. */
+export class OrderKey {
+  constructor(
+    readonly home: PeerId,
+    readonly incarnation: string,
+    readonly mintedAtMs: number,
+    readonly nonce: string,
+  ) {}
+
+  /** Reads a key; undefined where it was not made by this class. */
+  static parse(text: string): OrderKey | undefined {
+    const parts = text.split(separator);
+    const [home, incarnation, minted, nonce] = parts;
+    const mintedAtMs = Number(minted);
+    const isWhole = parts.length === 4 && home && incarnation && nonce;
+    if (!isWhole || !Number.isSafeInteger(mintedAtMs)) return undefined;
+    return new OrderKey(home as PeerId, incarnation, mintedAtMs, nonce);
+  }
+
+  toString(): string {
+    const { home, incarnation, mintedAtMs, nonce } = this;
+    return [home, incarnation, mintedAtMs, nonce].join(separator);
+  }
+}
--- /dev/null
+++ b/src/core/config/config_row.ts
@@ -0,0 +1,8 @@
+import type { ConfigItem } from "./config_item.ts";
+
+/** An item in force, with the record that put it. */
+export interface ConfigRow {
+  readonly item: ConfigItem;
+  readonly revision: number;
+  readonly by: string;
+}
--- /dev/null
+++ b/src/core/config/config_state.ts
@@ -0,0 +1,115 @@
+import type { MemberId } from "../../schema/member_id.ts";
+import type { ConfigImage } from "./config_image.ts";
+import { configProblems } from "./config_problems.ts";
+import type { ConfigRecord } from "./config_record.ts";
+import type { ConfigRow } from "./config_row.ts";
+import type { ConfigVerdict } from "./config_verdict.ts";
+import type { ItemValues } from "./item_values.ts";
+import { itemKey } from "./item_key.ts";
+
+/** Nothing was published yet. */
+const noRevision = -1;
+
+/** The configuration that the records of its stream add up to. */
+export class ConfigState {
+  revision: number = noRevision;
+  readonly rows = new Map<string, ConfigRow>();
+  readonly removed = new Map<string, readonly [number, string]>();
+
+  /** Folds the record at the offset; its offset becomes the revision. */
+  apply(record: ConfigRecord, offset: number): ConfigVerdict {
+    if (record.kind === "restated") return this.#restate(record.image);
+    const conflict = this.#conflictOf(record);
+    if (conflict !== undefined) return conflict;
+    const problem = this.#problemOf(record);
+    if (problem !== undefined) {
+      return { accepted: false, reason: "invalid", problem };
+    }
+    const { by } = record;
+    for (const key of record.removes) {
+      this.rows.delete(key);
+      this.removed.set(key, [offset, by]);
+    }
+    for (const item of record.puts) {
+      this.rows.set(itemKey(item), { item, revision: offset, by });
+      this.removed.delete(itemKey(item));
+    }
+    this.revision = offset;
+    return { accepted: true, revision: offset };
+  }
+
+  /** Takes over a neighbour's newer configuration; an older one is ignored. */
+  install(image: ConfigImage): boolean {
+    if (image.revision <= this.revision) return false;
+    this.rows.clear();
+    this.removed.clear();
+    for (const row of image.rows) this.rows.set(itemKey(row.item), row);
+    for (const [key, revision, by] of image.removed) {
+      this.removed.set(key, [revision, by]);
+    }
+    this.revision = image.revision;
+    return true;
+  }
+
+  /** The whole configuration, to be handed on. */
+  image(): ConfigImage {
+    const removed = [...this.removed].map(([key, [revision, by]]) =>
+      [key, revision, by] as const
+    );
+    return { revision: this.revision, rows: [...this.rows.values()], removed };
+  }
+
+  /** Yields the values of one kind of item. */
+  *all<K extends keyof ItemValues>(kind: K): Generator<ItemValues[K]> {
+    for (const { item } of this.rows.values()) {
+      if (item.kind !== kind) continue;
+      yield item.value as ItemValues[K];
+    }
+  }
+
+  /** The value of one item. */
+  find<K extends keyof ItemValues>(
+    kind: K,
+    name: string,
+  ): ItemValues[K] | undefined {
+    const item = this.rows.get(`${kind}/${name}`)?.item;
+    return item?.value as ItemValues[K] | undefined;
+  }
+
+  /** A member's share of the instances. */
+  quotaOf(member: MemberId): number {
+    return this.find("member", member)?.quotaShare ?? 1;
+  }
+
+  #restate(image: ConfigImage): ConfigVerdict {
+    this.install(image);
+    return { accepted: true, revision: this.revision };
+  }
+
+  #conflictOf(
+    record: Extract<ConfigRecord, { kind: "published" }>,
+  ): ConfigVerdict | undefined {
+    const keys = [...record.removes, ...record.puts.map(itemKey)];
+    for (const key of keys) {
+      const row = this.rows.get(key);
+      const gone = this.removed.get(key);
+      const [revision, by] = row ? [row.revision, row.by] : gone ?? [-1, ""];
+      if (revision <= record.basedOn) continue;
+      return { accepted: false, reason: "conflict", key, by, revision };
+    }
+    return undefined;
+  }
+
+  #problemOf(
+    record: Extract<ConfigRecord, { kind: "published" }>,
+  ): string | undefined {
+    const next = new Map(this.rows);
+    for (const key of record.removes) next.delete(key);
+    for (const item of record.puts) {
+      next.set(itemKey(item), { item, revision: 0, by: "" });
+    }
+    const items = [...next.values()].map(({ item }) => item);
+    const [problem] = configProblems(items);
+    return problem;
+  }
+}
--- a/src/core/errors/error_kind.ts
+++ b/src/core/errors/error_kind.ts
@@ -13,6 +13,7 @@
   | "leaving"
   | "runner_unreachable"
   | "log_unavailable"
+  | "keeper_unreachable"
   | "timeout"
   | "truncated"
   | "mismatched"
--- a/src/core/errors/error_table.ts
+++ b/src/core/errors/error_table.ts
@@ -43,6 +43,13 @@
     "the runner refused the connection",
   ),
   log_unavailable: row(503, 5, "no", "always", "the log cannot be reached"),
+  keeper_unreachable: row(
+    503,
+    5,
+    "no",
+    "always",
+    "the cell has no keeper that answers",
+  ),
   timeout: row(504, 5, "unknown", "idempotent", "no answer came in time"),
   truncated: row(502, 5, "unknown", "idempotent", "the answer was cut short"),
   mismatched: row(
--- a/src/core/fold/apply_record.ts
+++ b/src/core/fold/apply_record.ts
@@ -1,43 +1,11 @@
-import { accepted } from "./accepted.ts";
 import type { CellLedger } from "./cell_ledger.ts";
 import type { CellRecord } from "./cell_record.ts";
 import { isKeepers } from "./is_keepers.ts";
 import type { Judge } from "./judge.ts";
-import { judgeArrived } from "./judge_arrived.ts";
-import { judgeCancelled } from "./judge_cancelled.ts";
-import { judgeCheckpointed } from "./judge_checkpointed.ts";
-import { judgeClaimed } from "./judge_claimed.ts";
-import { judgeEpoch } from "./judge_epoch.ts";
-import { judgeFailed } from "./judge_failed.ts";
-import { judgeFinished } from "./judge_finished.ts";
-import { judgeForgotten } from "./judge_forgotten.ts";
-import { judgeMoved } from "./judge_moved.ts";
-import { judgeReclaimed } from "./judge_reclaimed.ts";
-import { judgeReleased } from "./judge_released.ts";
-import { judgeSubmitted } from "./judge_submitted.ts";
-import { judgeWorker } from "./judge_worker.ts";
-import { judgeWorkerGone } from "./judge_worker_gone.ts";
+import { judges } from "./judges.ts";
 import type { Verdict } from "./verdict.ts";
 import { voidRecord } from "./void_record.ts";
 
-const judges: { readonly [K in CellRecord["kind"]]: Judge<K> } = {
-  epoch: judgeEpoch,
-  worker: judgeWorker,
-  worker_gone: judgeWorkerGone,
-  submitted: judgeSubmitted,
-  cancelled: judgeCancelled,
-  claimed: judgeClaimed,
-  released: judgeReleased,
-  reclaimed: judgeReclaimed,
-  checkpointed: judgeCheckpointed,
-  failed: judgeFailed,
-  finished: judgeFinished,
-  moved: judgeMoved,
-  arrived: judgeArrived,
-  forgotten: judgeForgotten,
-  snapshot: () => accepted,
-};
-
 /**
  * Folds the record at the ledger's next offset into it. Deterministic: every
  * reader of the same records reaches the same ledger and verdicts.
@@ -52,6 +20,8 @@
   if ("epoch" in record && !isKeepers(ledger, record)) {
     return voidRecord("stale_epoch");
   }
-  const byKind = judges[record.kind] as Judge<CellRecord["kind"]> | undefined;
-  return byKind?.(ledger, record) ?? voidRecord("not_allowed_now");
+  const judgeKind = judges[record.kind] as
+    | Judge<CellRecord["kind"]>
+    | undefined;
+  return judgeKind?.(ledger, record) ?? voidRecord("not_allowed_now");
 }
--- /dev/null
+++ b/src/core/members/members.ts
@@ -0,0 +1,101 @@
+import type { CellId } from "../../schema/cell_id.ts";
+import type { PeerId } from "../../schema/peer_id.ts";
+import type { PeerInfo } from "./peer_info.ts";
+import type { PeerRow } from "./peer_row.ts";
+
+/** How long a peer counts as live after it was last heard. */
+const liveMs = 4_000;
+
+/** The processes that announced themselves, with what they last said. */
+export class Members {
+  readonly #rows = new Map<PeerId, PeerRow>();
+  /** Raised whenever a peer joins, leaves or starts anew. */
+  version = 1;
+
+  constructor(readonly self: PeerId) {}
+
+  /** Takes in what a peer said of itself some time ago. */
+  hear(peer: PeerInfo, ageMs: number, nowMs: number): void {
+    if (peer.id === this.self) return;
+    const heardAtMs = nowMs - ageMs;
+    if (ageMs > liveMs) return;
+    const known = this.#rows.get(peer.id);
+    if (known !== undefined) {
+      if (peer.startedAtMs < known.peer.startedAtMs) return;
+      const sameLife = peer.incarnation === known.peer.incarnation;
+      if (sameLife && heardAtMs < known.heardAtMs) return;
+    }
+    if (known === undefined || isNews(known.peer, peer)) this.version += 1;
+    this.#rows.set(peer.id, { peer, heardAtMs });
+  }
+
+  /** The peer is still there, as another process confirms. */
+  confirm(id: PeerId, incarnation: string, nowMs: number): void {
+    const row = this.#rows.get(id);
+    if (row?.peer.incarnation !== incarnation) return;
+    const heardAtMs = Math.max(row.heardAtMs, nowMs);
+    this.#rows.set(id, { peer: row.peer, heardAtMs });
+  }
+
+  /** Drops peers that were not heard for long. */
+  expire(nowMs: number): void {
+    for (const [id, row] of this.#rows) {
+      if (nowMs - row.heardAtMs <= liveMs) continue;
+      this.#rows.delete(id);
+      this.version += 1;
+    }
+  }
+
+  /** What is known of one peer. */
+  find(id: PeerId): PeerInfo | undefined {
+    return this.#rows.get(id)?.peer;
+  }
+
+  /** Yields the live peers. */
+  *live(): Generator<PeerRow> {
+    yield* this.#rows.values();
+  }
+
+  /** Yields the live peers of one role. */
+  *withRole(role: PeerInfo["role"]): Generator<PeerInfo> {
+    for (const { peer } of this.#rows.values()) {
+      if (peer.role === role) yield peer;
+    }
+  }
+
+  /** Yields the live sidecars of a cell. */
+  *inCell(cell: CellId): Generator<PeerInfo> {
+    for (const peer of this.withRole("sidecar")) {
+      if (peer.cell === cell) yield peer;
+    }
+  }
+
+  /** The keeper of a cell by the highest epoch that was told of. */
+  keeperOf(cell: CellId): PeerInfo | undefined {
+    let best: PeerInfo | undefined;
+    for (const peer of this.inCell(cell)) {
+      if (peer.keeper === undefined) continue;
+      const bestEpoch = best?.keeper?.epoch ?? 0;
+      if (peer.keeper.epoch > bestEpoch) best = peer;
+    }
+    return best;
+  }
+
+  /** The cells that have a live sidecar, in order of their names. */
+  cells(): CellId[] {
+    const cells = new Set<CellId>();
+    for (const peer of this.withRole("sidecar")) {
+      if (peer.cell !== undefined) cells.add(peer.cell);
+    }
+    return [...cells].sort();
+  }
+}
+
+/** Whether a list without this change would mislead its reader. */
+function isNews(before: PeerInfo, after: PeerInfo): boolean {
+  return before.incarnation !== after.incarnation ||
+    before.state !== after.state ||
+    before.keeper?.epoch !== after.keeper?.epoch ||
+    before.runner?.service !== after.runner?.service ||
+    before.worker?.endpoint.port !== after.worker?.endpoint.port;
+}
--- /dev/null
+++ b/src/core/repair/explain_waiting.ts
@@ -0,0 +1,48 @@
+import type { Resources } from "../../schema/resources.ts";
+import type { CellLedger } from "../fold/cell_ledger.ts";
+import type { JobRow } from "../fold/job_row.ts";
+import type { WorkerRow } from "../fold/worker_row.ts";
+import { tasksOf } from "../fold/tasks_of.ts";
+import { fits } from "../resources/fits.ts";
+import { subtractResources } from "../resources/subtract_resources.ts";
+import { selects } from "../select/selects.ts";
+
+/** Why a worker cannot take a task now, or ever. */
+type Misfit = "not_selected" | "too_small" | "no_room_now" | "has_room";
+
+/** Yields, for a job whose tasks wait, how many workers stand in each way. */
+export function* explainWaiting(
+  ledger: CellLedger,
+  job: string,
+): Generator<string> {
+  for (const row of ledger.jobs.values()) {
+    if (row.job.id !== job && row.job.member !== job) continue;
+    const waiting = [...tasksOf(ledger, row)]
+      .filter(({ state }) => state === "waiting").length;
+    if (waiting === 0) continue;
+    const counts = countMisfits(ledger, row);
+    const possible = counts.no_room_now + counts.has_room > 0;
+    const pairs = Object.entries(counts).map(([k, n]) => `${k}=${n}`);
+    yield `waiting job=${row.job.id} tasks=${waiting} canEverRun=${possible} workers: ${
+      pairs.join(" ")
+    }`;
+  }
+}
+
+function countMisfits(
+  ledger: CellLedger,
+  row: JobRow,
+): Record<Misfit, number> {
+  const counts = { not_selected: 0, too_small: 0, no_room_now: 0, has_room: 0 };
+  for (const worker of ledger.workers.values()) {
+    counts[misfitOf(row, row.job.needs, worker)] += 1;
+  }
+  return counts;
+}
+
+function misfitOf(row: JobRow, needs: Resources, worker: WorkerRow): Misfit {
+  if (!selects(row.job.workers, worker.labels)) return "not_selected";
+  if (!fits(needs, worker.capacity)) return "too_small";
+  const room = subtractResources(worker.capacity, worker.used);
+  return fits(needs, room) ? "has_room" : "no_room_now";
+}
--- /dev/null
+++ b/src/core/retry/call_request.ts
@@ -0,0 +1,15 @@
+import type { MemberId } from "../../schema/member_id.ts";
+import type { PeerId } from "../../schema/peer_id.ts";
+
+/** A caller's request to a service. */
+export interface CallRequest {
+  readonly id: string;
+  readonly service: string;
+  readonly member: MemberId;
+  readonly kind: "check" | "order";
+  readonly deadlineAtMs: number;
+  readonly body: Uint8Array;
+  readonly idempotencyKey?: string;
+  /** The only process that may run an order, and in which life. */
+  readonly home?: { readonly peer: PeerId; readonly incarnation: string };
+}
--- /dev/null
+++ b/src/core/route/runner_stats.ts
@@ -0,0 +1,10 @@
+/** What an entry has measured and been told of one runner. */
+export interface RunnerStats {
+  inFlight: number;
+  /** Smoothed latency of its answers. */
+  latencyMs: number;
+  answeredAtMs: number;
+  failures: number;
+  ejectedUntilMs: number;
+  firstSeenAtMs: number;
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,105 @@
+import { createServer, type Server } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { HttpLog } from "../adapters/http_log.ts";
+import { HttpPools } from "../adapters/http_pools.ts";
+import type { Logger } from "../adapters/logger.ts";
+import type { Metrics } from "../adapters/metrics.ts";
+import { monotonicNowMs } from "../adapters/monotonic_now_ms.ts";
+import { SystemRandom } from "../adapters/system_random.ts";
+import { rendezvous } from "../core/hash/rendezvous.ts";
+import type { Log } from "../core/log/log.ts";
+import type { PeerInfo } from "../core/members/peer_info.ts";
+import { Router } from "../core/route/router.ts";
+import { TwoChoices } from "../core/route/two_choices.ts";
+import { listen } from "../peer/listen.ts";
+import { PeerNode } from "../peer/peer_node.ts";
+import type { PeerRole } from "../peer/peer_role.ts";
+import type { EntrySettings } from "../schema/entry_settings.ts";
+import { CallerApi } from "./caller_api.ts";
+
+const restateEveryMs = 300_000;
+const drainPollMs = 25;
+const connectionsPerTarget = 8;
+
+/** The process that takes callers' requests. */
+export class Entry implements PeerRole {
+  readonly role = "entry";
+  readonly readsLog = true;
+  readonly node: PeerNode;
+  readonly router: Router;
+  readonly log: Log;
+  readonly #api: CallerApi;
+  readonly #server: Server;
+  readonly #pools = new HttpPools(connectionsPerTarget);
+  #restatedAtMs = monotonicNowMs();
+
+  constructor(
+    readonly settings: EntrySettings,
+    readonly logger: Logger,
+    readonly metrics: Metrics,
+  ) {
+    this.log = new HttpLog(settings.log, this.#pools);
+    const { log } = this;
+    this.node = new PeerNode(settings, this, log, this.#pools, logger, metrics);
+    const picker = new TwoChoices(settings.dataCentre, new SystemRandom());
+    this.router = new Router(this.node.members, picker);
+    this.#api = new CallerApi(this);
+    this.#server = createServer((request, response) => {
+      void this.#api.handle(request, response);
+    });
+    this.#server.keepAliveTimeout = 30_000;
+  }
+
+  /** Starts to serve. */
+  async start(): Promise<void> {
+    await this.node.start();
+    const port = await listen(this.#server, this.settings.callers);
+    this.logger.info("ready", { port: this.node.port, callersPort: port });
+  }
+
+  /** Leaves: takes no new connection and cuts no request in flight. */
+  async drain(): Promise<void> {
+    await this.node.leave();
+    this.#server.close();
+    this.#api.leave();
+    while (this.#api.inFlight > 0) await delay(drainPollMs);
+    await this.stop();
+  }
+
+  /** Stops for good. */
+  async stop(): Promise<void> {
+    this.#server.close();
+    this.#server.closeAllConnections();
+    await this.node.stop();
+    await this.#pools.close();
+  }
+
+  describe(): Partial<PeerInfo> {
+    return {};
+  }
+
+  onTick(): void {
+    const nowMs = monotonicNowMs();
+    if (nowMs - this.#restatedAtMs < restateEveryMs) return;
+    this.#restatedAtMs = nowMs;
+    const entries = [...this.node.members.withRole("entry")];
+    const ids = [this.settings.id, ...entries.map(({ id }) => id)];
+    if (rendezvous("restate", ids)[0] !== this.settings.id) return;
+    this.node.config.restate(this.log, this.settings.id).catch(() => {
+      this.metrics.count("config.restate_failed");
+    });
+  }
+
+  keeperMethods(): ReturnType<PeerRole["keeperMethods"]> {
+    return {
+      keepAlive: () => ({ pledgeMs: 0 }),
+      wake: async () => {
+        await this.node.tick();
+        return {};
+      },
+      findJob: () => ({ found: false }),
+    };
+  }
+
+  addRoutes(): void {}
+}
--- /dev/null
+++ b/src/entry/send_attempt.ts
@@ -0,0 +1,66 @@
+import { type Client, Code, ConnectError } from "@connectrpc/connect";
+import { connectFailed } from "../adapters/connect_failed.ts";
+import type { Metrics } from "../adapters/metrics.ts";
+import { monotonicNowMs } from "../adapters/monotonic_now_ms.ts";
+import type { ErrorKind } from "../core/errors/error_kind.ts";
+import { errorTable } from "../core/errors/error_table.ts";
+import { GpError } from "../core/errors/gp_error.ts";
+import type { CallAttempt } from "../core/retry/call_attempt.ts";
+import type { CallOutcome } from "../core/retry/call_outcome.ts";
+import type { CallRequest } from "../core/retry/call_request.ts";
+import type {
+  CallReply,
+  RunnerService,
+} from "../rpc/gen/gypsumpond/v1/runner_pb.ts";
+
+/** Sends one attempt to a sidecar and tells how it ended; never throws. */
+export async function sendAttempt(
+  client: Client<typeof RunnerService>,
+  request: CallRequest,
+  { number, timeoutMs }: CallAttempt,
+  metrics: Metrics,
+): Promise<CallOutcome> {
+  const startedAtMs = monotonicNowMs();
+  const tookMs = (): number => monotonicNowMs() - startedAtMs;
+  try {
+    const reply = await client.call({
+      requestId: request.id,
+      attempt: number,
+      service: request.service,
+      member: request.member,
+      kind: request.kind,
+      timeoutMs,
+      body: request.body,
+      idempotencyKey: request.idempotencyKey ?? "",
+      homeIncarnation: request.home?.incarnation ?? "",
+    }, { timeoutMs });
+    const error = errorIn(reply, request, number);
+    if (error === undefined) {
+      return { ok: true, body: reply.body, tookMs: tookMs() };
+    }
+    if (error.kind === "mismatched") metrics.count("answer.crossed");
+    return { ok: false, error, tookMs: tookMs() };
+  } catch (cause) {
+    return { ok: false, error: faultOf(cause), tookMs: tookMs() };
+  }
+}
+
+function errorIn(
+  reply: CallReply,
+  request: CallRequest,
+  attempt: number,
+): GpError | undefined {
+  const isMine = reply.requestId === request.id && reply.attempt === attempt;
+  if (!isMine) return new GpError("mismatched");
+  if (reply.error === "") return undefined;
+  const isKnown = reply.error in errorTable;
+  const kind = isKnown ? reply.error as ErrorKind : "outcome_unknown";
+  return new GpError(kind, reply.detail, reply.retryAfterMs);
+}
+
+function faultOf(cause: unknown): GpError {
+  if (connectFailed(cause)) return new GpError("runner_unreachable");
+  const code = ConnectError.from(cause).code;
+  if (code === Code.DeadlineExceeded) return new GpError("timeout");
+  return new GpError("outcome_unknown", (cause as Error).message);
+}
--- /dev/null
+++ b/src/http/parse_json.ts
@@ -0,0 +1,10 @@
+import { GpError } from "../core/errors/gp_error.ts";
+
+/** Parses JSON text, or fails as a malformed request. */
+export function parseJson(bytes: Uint8Array): unknown {
+  try {
+    return JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(bytes));
+  } catch {
+    throw new GpError("bad_request", "the body is not JSON");
+  }
+}
--- /dev/null
+++ b/src/keeper/job_status.ts
@@ -0,0 +1,21 @@
+import type { JobState } from "./job_state.ts";
+
+/** What a caller is told of a job. */
+export interface JobStatus {
+  readonly id: string;
+  readonly state: JobState;
+  readonly member: string;
+  readonly template: string;
+  readonly submittedAtMs: number;
+  readonly endedAtMs?: number;
+  readonly movedTo?: string;
+  readonly tasks: readonly {
+    readonly id: string;
+    readonly state: string;
+    readonly attempt: number;
+    readonly evictions: number;
+    readonly worker?: string;
+    readonly result?: string;
+    readonly detail?: string;
+  }[];
+}
--- /dev/null
+++ b/src/keeper/keeper_host.ts
@@ -0,0 +1,177 @@
+import type { HttpWorker } from "../adapters/http_worker.ts";
+import type { Logger } from "../adapters/logger.ts";
+import type { Metrics } from "../adapters/metrics.ts";
+import { monotonicNowMs } from "../adapters/monotonic_now_ms.ts";
+import { GpError } from "../core/errors/gp_error.ts";
+import type { CellRecord } from "../core/fold/cell_record.ts";
+import type { Keeper } from "../core/keep/keeper.ts";
+import type { KeeperEffect } from "../core/keep/keeper_effect.ts";
+import type { KeeperEvent } from "../core/keep/keeper_event.ts";
+import type { Log } from "../core/log/log.ts";
+import type { Members } from "../core/members/members.ts";
+import type { PeerInfo } from "../core/members/peer_info.ts";
+import type { RpcClients } from "../rpc/rpc_clients.ts";
+import type { CellId } from "../schema/cell_id.ts";
+import type { PeerId } from "../schema/peer_id.ts";
+import type { WorkerId } from "../schema/worker_id.ts";
+import { cellStream } from "./cell_stream.ts";
+import { readCell } from "./read_cell.ts";
+
+const tickMs = 100;
+const pageRecords = 1_000;
+const callTimeoutMs = 800;
+
+/** Carries out what a keeper decides, and tells it what came of it. */
+export class KeeperHost {
+  readonly #workers = new Map<WorkerId, NonNullable<PeerInfo["worker"]>>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    readonly keeper: Keeper,
+    readonly cell: CellId,
+    readonly log: Log,
+    readonly workers: HttpWorker,
+    readonly members: Members,
+    readonly clients: RpcClients,
+    readonly self: () => PeerInfo,
+    readonly logger: Logger,
+    readonly metrics: Metrics,
+  ) {}
+
+  /** Starts to decide. */
+  start(): void {
+    this.#timer = setInterval(() => this.hear({ kind: "tick" }), tickMs);
+  }
+
+  /** Decides no more; another process takes the cell over. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Tells the keeper who is there. */
+  refresh(): void {
+    const others = [...this.members.inCell(this.cell)]
+      .filter((peer) => peer.state === "ready");
+    const all = [this.self(), ...others];
+    for (const { worker } of all) {
+      if (worker !== undefined) this.#workers.set(worker.id, worker);
+    }
+    const peers = all.map(({ id }) => id);
+    this.hear({ kind: "peers", peers, workers: [...this.#workers.keys()] });
+  }
+
+  /** Hands the keeper an event and carries out its effects. */
+  hear(event: KeeperEvent): void {
+    for (const effect of this.keeper.handle(event, monotonicNowMs())) {
+      this.#carryOut(effect);
+    }
+  }
+
+  #carryOut(effect: KeeperEffect): void {
+    switch (effect.kind) {
+      case "append":
+        void this.#append(effect.records);
+        break;
+      case "read":
+        void this.#read(effect.from);
+        break;
+      case "apply":
+        void this.#apply(effect);
+        break;
+      case "keep_alive":
+        void this.#keepAlive(effect.candidate, effect.epoch);
+        break;
+      case "verdict":
+        this.#note(effect);
+        break;
+      case "state":
+        this.logger.info("keeper_state", {
+          cell: this.cell,
+          state: effect.state,
+        });
+        break;
+    }
+  }
+
+  async #append(records: readonly CellRecord[]): Promise<void> {
+    const startedAtMs = monotonicNowMs();
+    try {
+      const first = await this.log.append(cellStream(this.cell), records);
+      this.hear({ kind: "appended", startedAtMs, first, records });
+    } catch (cause) {
+      const { kind } = GpError.from(cause);
+      this.metrics.count("keeper.append_failed", kind);
+      const mayHaveTakenEffect = kind !== "log_unavailable";
+      this.hear({ kind: "append_failed", mayHaveTakenEffect });
+    }
+  }
+
+  async #read(from: number): Promise<void> {
+    const startedAtMs = monotonicNowMs();
+    try {
+      const page = await this.log.read(
+        cellStream(this.cell),
+        from,
+        pageRecords,
+      );
+      if (page.from > from) {
+        const ledger = await readCell(this.log, this.cell);
+        this.hear({ kind: "reloaded", ledger });
+        return;
+      }
+      const records = page.records as readonly CellRecord[];
+      const atEnd = from + records.length === page.end;
+      const { oldest } = page;
+      this.hear({ kind: "read", startedAtMs, from, records, atEnd, oldest });
+    } catch (cause) {
+      this.metrics.count("keeper.read_failed", GpError.from(cause).kind);
+      this.hear({ kind: "read_failed" });
+    }
+  }
+
+  async #apply(
+    { worker: id, order }: Extract<KeeperEffect, { kind: "apply" }>,
+  ): Promise<void> {
+    const worker = this.#workers.get(id);
+    if (worker === undefined) return;
+    try {
+      const report = await this.workers.apply(worker.endpoint, order);
+      const { labels } = worker;
+      this.hear({ kind: "report", report, labels });
+    } catch {
+      this.metrics.count("keeper.worker_unreachable");
+      this.hear({ kind: "unreachable", worker: id });
+    }
+  }
+
+  async #keepAlive(candidate: PeerId, epoch: number): Promise<void> {
+    const endpoint = this.members.find(candidate)?.endpoint;
+    if (endpoint === undefined) return;
+    const sentAtMs = monotonicNowMs();
+    try {
+      const { pledgeMs } = await this.clients.peer(endpoint).keepAlive(
+        { cell: this.cell, epoch, keeper: this.keeper.options.self },
+        { timeoutMs: callTimeoutMs },
+      );
+      this.hear({ kind: "pledged", candidate, sentAtMs, pledgeMs });
+    } catch {
+      this.metrics.count("keeper.candidate_unreachable");
+    }
+  }
+
+  #note(effect: Extract<KeeperEffect, { kind: "verdict" }>): void {
+    const { offset, record } = effect;
+    const fields = { cell: this.cell, offset, kind: record.kind };
+    if (effect.void !== undefined) {
+      this.metrics.count("record.void", effect.void);
+      this.logger.warn("record_void", { ...fields, reason: effect.void });
+      return;
+    }
+    this.metrics.count("record", record.kind);
+    if ("task" in record) {
+      const { task, attempt } = record;
+      const reason = "reason" in record ? record.reason : undefined;
+      this.logger.info("record", { ...fields, task, attempt, reason });
+    }
+  }
+}
--- /dev/null
+++ b/src/keeper/read_cell.ts
@@ -0,0 +1,63 @@
+import { applyRecord } from "../core/fold/apply_record.ts";
+import { CellLedger } from "../core/fold/cell_ledger.ts";
+import type { CellRecord } from "../core/fold/cell_record.ts";
+import { SnapshotFinder } from "../core/fold/snapshot_finder.ts";
+import { GpError } from "../core/errors/gp_error.ts";
+import type { Log } from "../core/log/log.ts";
+import type { CellId } from "../schema/cell_id.ts";
+import { cellStream } from "./cell_stream.ts";
+import type { JudgedRecord } from "./judged_record.ts";
+
+const pageRecords = 1_000;
+
+/**
+ * Reads what the log keeps of a cell into a ledger, from the newest whole
+ * snapshot where the start is gone. Hands each judged record to `onRecord`.
+ */
+export async function readCell(
+  log: Log,
+  cell: CellId,
+  onRecord: (judged: JudgedRecord) => void = () => {},
+): Promise<CellLedger> {
+  const { oldest, records } = await readAll(log, cell);
+  const ledger = startOf(oldest, records, cell);
+  for (const record of records.slice(ledger.next - oldest)) {
+    const offset = ledger.next;
+    const verdict = applyRecord(ledger, record);
+    onRecord({ offset, record, verdict });
+  }
+  return ledger;
+}
+
+async function readAll(
+  log: Log,
+  cell: CellId,
+): Promise<{ oldest: number; records: CellRecord[] }> {
+  const records: CellRecord[] = [];
+  let page = await log.read(cellStream(cell), 0, pageRecords);
+  const oldest = page.from;
+  while (true) {
+    records.push(...page.records as CellRecord[]);
+    const next = oldest + records.length;
+    if (next >= page.end) return { oldest, records };
+    page = await log.read(cellStream(cell), next, pageRecords);
+    if (page.from > next) {
+      throw new GpError("log_unavailable", "records aged out");
+    }
+  }
+}
+
+function startOf(
+  oldest: number,
+  records: readonly CellRecord[],
+  cell: CellId,
+): CellLedger {
+  if (oldest === 0) return new CellLedger();
+  const finder = new SnapshotFinder();
+  for (const record of records) finder.see(record);
+  const ledger = finder.load();
+  if (ledger === undefined || ledger.next < oldest) {
+    throw new GpError("log_unavailable", `${cell}: no whole snapshot is kept`);
+  }
+  return ledger;
+}
--- /dev/null
+++ b/src/peer/peer_node.ts
@@ -0,0 +1,249 @@
+import { randomBytes } from "node:crypto";
+import { createServer, type Server } from "node:http";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import type { HttpPools } from "../adapters/http_pools.ts";
+import type { Logger } from "../adapters/logger.ts";
+import type { Metrics } from "../adapters/metrics.ts";
+import { monotonicNowMs } from "../adapters/monotonic_now_ms.ts";
+import { rendezvous } from "../core/hash/rendezvous.ts";
+import type { Log } from "../core/log/log.ts";
+import { Members } from "../core/members/members.ts";
+import type { PeerInfo } from "../core/members/peer_info.ts";
+import type {
+  AnnounceReply,
+  AnnounceReplySchema,
+} from "../rpc/gen/gypsumpond/v1/peer_pb.ts";
+import { PeerService } from "../rpc/gen/gypsumpond/v1/peer_pb.ts";
+import { peerFromMessage } from "../rpc/peer_from_message.ts";
+import { peerToMessage } from "../rpc/peer_to_message.ts";
+import { RpcClients } from "../rpc/rpc_clients.ts";
+import type { Endpoint } from "../schema/endpoint.ts";
+import type { PeerId } from "../schema/peer_id.ts";
+import { ConfigStore } from "./config_store.ts";
+import { listen } from "./listen.ts";
+import type { PeerList } from "./peer_list.ts";
+import type { PeerRole } from "./peer_role.ts";
+
+type ReplyInit = MessageInitShape<typeof AnnounceReplySchema>;
+
+const announceEveryMs = 1_000;
+const callTimeoutMs = 1_000;
+/** How many entries a sidecar announces itself to. */
+const entriesPerSidecar = 3;
+/** How many peers of its cell a sidecar is told of when it is not the keeper. */
+const neighbours = 8;
+
+/** What every process of the system is: known to others and told of them. */
+export class PeerNode {
+  readonly members: Members;
+  readonly config = new ConfigStore();
+  readonly clients = new RpcClients();
+  readonly incarnation: string;
+  readonly startedAtMs = Date.now();
+  state: PeerInfo["state"] = "starting";
+  port = 0;
+  readonly #server: Server;
+  readonly #listsFrom = new Map<PeerId, PeerList>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    readonly settings: {
+      readonly id: PeerId;
+      readonly dataCentre: string;
+      readonly rack: string;
+      readonly listen: Endpoint;
+      readonly seeds: readonly Endpoint[];
+    },
+    readonly role: PeerRole,
+    readonly log: Log,
+    readonly pools: HttpPools,
+    readonly logger: Logger,
+    readonly metrics: Metrics,
+  ) {
+    this.members = new Members(settings.id);
+    const nonce = randomBytes(3).toString("hex");
+    this.incarnation = `${this.startedAtMs.toString(36)}-${nonce}`;
+    this.#server = createServer();
+    this.#server.keepAliveTimeout = 30_000;
+  }
+
+  /** Starts to listen and to announce itself. */
+  async start(): Promise<void> {
+    const routes = (router: ConnectRouter): void => this.#routes(router);
+    this.#server.on("request", connectNodeAdapter({ routes }));
+    this.port = await listen(this.#server, this.settings.listen);
+    this.state = "ready";
+    await this.tick();
+    this.#timer = setInterval(() => void this.tick(), announceEveryMs);
+  }
+
+  /** Tells the others at once that this process leaves. */
+  async leave(): Promise<void> {
+    this.state = "leaving";
+    await this.tick();
+  }
+
+  /** Stops for good. */
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => this.#server.close(resolve));
+    this.clients.close();
+  }
+
+  /** What this process tells of itself now. */
+  self(): PeerInfo {
+    const { id, dataCentre, rack } = this.settings;
+    const { role, incarnation, startedAtMs, state, port } = this;
+    const endpoint = { host: this.settings.listen.host, port };
+    const configRevision = this.config.state.revision;
+    return {
+      id,
+      incarnation,
+      startedAtMs,
+      role: role.role,
+      dataCentre,
+      rack,
+      endpoint,
+      state,
+      configRevision,
+      ...role.describe(),
+    };
+  }
+
+  /** One round of announcements. */
+  async tick(): Promise<void> {
+    this.members.expire(monotonicNowMs());
+    if (this.role.readsLog) await this.config.readLog(this.log);
+    await Promise.all(this.#targets().map((target) => this.#announce(target)));
+    this.role.onTick();
+  }
+
+  #routes(router: ConnectRouter): void {
+    router.service(PeerService, {
+      announce: ({ self, knownVersion }) => {
+        const sender = self && this.#hear(peerFromMessage(self), 0);
+        return this.#reply(sender, knownVersion);
+      },
+      getConfig: ({ aboveRevision }) => {
+        const { state } = this.config;
+        const isNews = state.revision > Number(aboveRevision);
+        const json = isNews ? JSON.stringify(state.image()) : "";
+        const stateJson = new TextEncoder().encode(json);
+        return { revision: BigInt(state.revision), stateJson };
+      },
+      ...this.role.keeperMethods(),
+    });
+    this.role.addRoutes(router);
+  }
+
+  #targets(): Endpoint[] {
+    const entries = [...this.members.withRole("entry")];
+    if (entries.length === 0) return [...this.settings.seeds];
+    if (this.role.role === "entry") return entries.map((peer) => peer.endpoint);
+    const key = this.role.cell ?? this.settings.id;
+    const order = rendezvous(key, entries.map(({ id }) => id));
+    return order.slice(0, entriesPerSidecar)
+      .map((id) => this.members.find(id)?.endpoint)
+      .filter((endpoint) => endpoint !== undefined);
+  }
+
+  async #announce(endpoint: Endpoint): Promise<void> {
+    const isSelf = endpoint.port === this.port &&
+      endpoint.host === this.settings.listen.host;
+    if (isSelf) return;
+    const knownVersion = this.#versionFrom(endpoint);
+    try {
+      const reply = await this.clients.peer(endpoint).announce(
+        { self: peerToMessage(this.self()), knownVersion },
+        { timeoutMs: callTimeoutMs },
+      );
+      this.#takeReply(reply);
+    } catch (cause) {
+      this.metrics.count("announce.failed");
+      const { host, port } = endpoint;
+      const detail = (cause as Error).message;
+      this.logger.debug("announce_failed", { host, port, detail });
+    }
+  }
+
+  #versionFrom({ host, port }: Endpoint): bigint {
+    for (const [id, { version }] of this.#listsFrom) {
+      const known = this.members.find(id)?.endpoint;
+      if (known?.host === host && known.port === port) return version;
+    }
+    return 0n;
+  }
+
+  #takeReply(reply: AnnounceReply): void {
+    if (reply.self === undefined) return;
+    const nowMs = monotonicNowMs();
+    const sender = this.#hear(peerFromMessage(reply.self), 0);
+    const last = this.#listsFrom.get(sender.id);
+    if (reply.unchanged && last?.incarnation === sender.incarnation) {
+      for (const { id, incarnation } of last.peers) {
+        this.members.confirm(id, incarnation, nowMs);
+      }
+      return;
+    }
+    if (reply.unchanged) {
+      this.#listsFrom.delete(sender.id);
+      return;
+    }
+    const peers = reply.peers.map((message) =>
+      this.#hear(peerFromMessage(message), message.ageMs)
+    );
+    const { incarnation } = sender;
+    const { version } = reply;
+    this.#listsFrom.set(sender.id, { incarnation, version, peers });
+  }
+
+  #hear(peer: PeerInfo, ageMs: number): PeerInfo {
+    this.members.hear(peer, ageMs, monotonicNowMs());
+    const isAhead = peer.configRevision > this.config.state.revision;
+    if (isAhead && ageMs === 0) void this.#fetchConfig(peer);
+    return peer;
+  }
+
+  async #fetchConfig({ id, endpoint }: PeerInfo): Promise<void> {
+    const aboveRevision = BigInt(this.config.state.revision);
+    try {
+      const reply = await this.clients.peer(endpoint).getConfig(
+        { aboveRevision },
+        { timeoutMs: callTimeoutMs },
+      );
+      if (reply.stateJson.length === 0) return;
+      const image = JSON.parse(new TextDecoder().decode(reply.stateJson));
+      if (!this.config.install(image)) return;
+      const revision = this.config.state.revision;
+      this.logger.info("config_installed", { revision, from: id });
+    } catch {
+      this.metrics.count("config.fetch_failed");
+    }
+  }
+
+  #reply(sender: PeerInfo | undefined, knownVersion: bigint): ReplyInit {
+    const self = peerToMessage(this.self());
+    const version = BigInt(this.members.version);
+    const wantsAll = sender?.role !== "sidecar";
+    if (!wantsAll && knownVersion === version) {
+      return { self, version, unchanged: true };
+    }
+    const nowMs = monotonicNowMs();
+    const peers = [...this.members.live()]
+      .filter(({ peer }) => wantsAll || this.#concerns(sender, peer))
+      .map(({ peer, heardAtMs }) => peerToMessage(peer, nowMs - heardAtMs));
+    return { self, version, peers };
+  }
+
+  /** A sidecar hears of the entries, and of its cell what its role needs. */
+  #concerns(sender: PeerInfo, peer: PeerInfo): boolean {
+    if (peer.role === "entry") return true;
+    if (sender.cell === undefined || peer.cell !== sender.cell) return false;
+    if (sender.keeper !== undefined || peer.keeper !== undefined) return true;
+    const ids = [...this.members.inCell(sender.cell)].map(({ id }) => id);
+    return rendezvous(sender.cell, ids).slice(0, neighbours).includes(peer.id);
+  }
+}
--- /dev/null
+++ b/src/rpc/rpc_clients.ts
@@ -0,0 +1,49 @@
+import { Agent } from "node:http";
+import { type Client, createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import type { Endpoint } from "../schema/endpoint.ts";
+import { PeerService } from "./gen/gypsumpond/v1/peer_pb.ts";
+import { RunnerService } from "./gen/gypsumpond/v1/runner_pb.ts";
+
+interface Clients {
+  readonly peer: Client<typeof PeerService>;
+  readonly runner: Client<typeof RunnerService>;
+}
+
+/** Keeps one pair of clients for each process that is called. */
+export class RpcClients {
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 256 });
+  readonly #clients = new Map<string, Clients>();
+
+  /** A client for announcements, configuration and the keeper role. */
+  peer(endpoint: Endpoint): Client<typeof PeerService> {
+    return this.#of(endpoint).peer;
+  }
+
+  /** A client for the runner beside a sidecar. */
+  runner(endpoint: Endpoint): Client<typeof RunnerService> {
+    return this.#of(endpoint).runner;
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #of({ host, port }: Endpoint): Clients {
+    const baseUrl = `http://${host}:${port}`;
+    const known = this.#clients.get(baseUrl);
+    if (known !== undefined) return known;
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: "1.1",
+      nodeOptions: { agent: this.#agent },
+    });
+    const clients = {
+      peer: createClient(PeerService, transport),
+      runner: createClient(RunnerService, transport),
+    };
+    this.#clients.set(baseUrl, clients);
+    return clients;
+  }
+}
--- /dev/null
+++ b/src/schema/config_record_schema.ts
@@ -0,0 +1,42 @@
+import * as v from "valibot";
+import { JobTemplate } from "./job_template.ts";
+import { Member } from "./member.ts";
+import { Name } from "./name.ts";
+import { Policy } from "./policy.ts";
+import { Pool } from "./pool.ts";
+import { Service } from "./service.ts";
+import { Term } from "./term.ts";
+
+const Item = v.variant("kind", [
+  v.strictObject({
+    kind: v.literal("venture"),
+    value: v.strictObject({ name: Name, term: Term }),
+  }),
+  v.strictObject({ kind: v.literal("member"), value: Member }),
+  v.strictObject({ kind: v.literal("pool"), value: Pool }),
+  v.strictObject({ kind: v.literal("service"), value: Service }),
+  v.strictObject({ kind: v.literal("job"), value: JobTemplate }),
+  v.strictObject({ kind: v.literal("policy"), value: Policy }),
+]);
+
+const Head = { id: v.string(), by: v.string(), atMs: v.number() };
+
+const Image = v.strictObject({
+  revision: v.number(),
+  rows: v.array(
+    v.strictObject({ item: Item, revision: v.number(), by: v.string() }),
+  ),
+  removed: v.array(v.tuple([v.string(), v.number(), v.string()])),
+});
+
+/** A record of the configuration stream, as it is read back. */
+export const ConfigRecordSchema = v.variant("kind", [
+  v.strictObject({
+    kind: v.literal("published"),
+    ...Head,
+    basedOn: v.number(),
+    puts: v.array(Item),
+    removes: v.array(v.string()),
+  }),
+  v.strictObject({ kind: v.literal("restated"), ...Head, image: Image }),
+]);
--- a/src/schema/job_template.ts
+++ b/src/schema/job_template.ts
@@ -9,7 +9,7 @@
 export const JobTemplate = v.strictObject({
   name: Name,
   labels: ItemLabels,
-  pools: v.pipe(v.array(Name), v.minLength(1)),
+  pool: Name,
   workers: v.optional(Selector, []),
   tasks: v.pipe(PositiveInteger, v.maxValue(10_000)),
   needs: Resources,
--- /dev/null
+++ b/stand_ins/fleet/fleet_options.ts
@@ -0,0 +1,17 @@
+/** The size and the surroundings of a fleet. */
+export interface FleetOptions {
+  readonly dataCentre: string;
+  readonly service: string;
+  readonly runners: number;
+  readonly entries: number;
+  readonly cores: number;
+  readonly memoryGb: number;
+  readonly meanMs: number;
+  /** Puts a fault proxy between these parties. */
+  readonly proxies: {
+    readonly log?: boolean;
+    readonly runners?: boolean;
+    readonly workers?: boolean;
+    readonly sidecars?: boolean;
+  };
+}
--- /dev/null
+++ b/stand_ins/json_server.ts
@@ -0,0 +1,30 @@
+import { createServer, type Server } from "node:http";
+
+type Answer = { readonly status: number; readonly body: unknown } | "hang up";
+type Handler = (
+  method: string,
+  url: URL,
+  body: unknown,
+) => Answer | Promise<Answer>;
+
+/** A server of JSON answers, as the simple stand-ins need it. */
+export function jsonServer(handle: Handler): Server {
+  return createServer(async (request, response) => {
+    const chunks: Uint8Array[] = [];
+    for await (const chunk of request) chunks.push(chunk as Uint8Array);
+    const text = Buffer.concat(chunks).toString();
+    const url = new URL(request.url ?? "/", "http://stand-in");
+    const body = text === "" ? undefined : JSON.parse(text);
+    const answer = await handle(request.method ?? "GET", url, body);
+    if (answer === "hang up") {
+      request.socket.destroy();
+      return;
+    }
+    const bytes = Buffer.from(JSON.stringify(answer.body));
+    response.writeHead(answer.status, {
+      "content-type": "application/json",
+      "content-length": bytes.byteLength,
+    });
+    response.end(bytes);
+  });
+}
--- /dev/null
+++ b/stand_ins/log/log_server.ts
@@ -0,0 +1,52 @@
+import type { Server } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { TokenBucket } from "../../src/core/budget/token_bucket.ts";
+import { jsonServer } from "../json_server.ts";
+import { LogModel } from "./log_model.ts";
+
+interface LogAdmin {
+  readonly isDown?: boolean;
+  readonly answersToLose?: number;
+  readonly retentionMs?: number;
+  readonly retentionRecords?: number;
+  readonly delayMs?: number;
+}
+
+/** The platform's log over HTTP, with switches for its faults. */
+export function logServer(appendsPerSecond: number): Server {
+  const model = new LogModel();
+  const rate = new TokenBucket(appendsPerSecond, appendsPerSecond);
+  let delayMs = 1;
+  const reads = { count: 0 };
+  return jsonServer(async (method, url, body) => {
+    const nowMs = performance.now();
+    const [first, stream = "", last] = url.pathname.split("/").slice(1);
+    if (first === "admin") {
+      const { delayMs: newDelayMs, ...changes } = body as LogAdmin;
+      Object.assign(model, changes);
+      delayMs = newDelayMs ?? delayMs;
+      return ok({});
+    }
+    if (first === "truth") {
+      const { appends, appendedBytes } = model;
+      return ok({ appends, appendedBytes, reads: reads.count });
+    }
+    await delay(delayMs);
+    if (model.isDown) return { status: 503, body: { error: "down" } };
+    if (method === "POST" && last === "append") {
+      if (!rate.take(nowMs)) return { status: 429, body: { error: "rate" } };
+      const { records } = body as { records: unknown[] };
+      model.appendedBytes += JSON.stringify(records).length;
+      const offset = model.append(stream, records, nowMs);
+      return model.losesAnswer() ? "hang up" : ok({ first: offset });
+    }
+    reads.count += 1;
+    const from = Number(url.searchParams.get("from") ?? 0);
+    const max = Number(url.searchParams.get("max") ?? 1_000);
+    return ok(model.read(stream, from, max, nowMs));
+  });
+}
+
+function ok(body: unknown): { status: number; body: unknown } {
+  return { status: 200, body };
+}
--- a/scenarios/world/seeded_random.ts
+++ b/stand_ins/seeded_random.ts
@@ -1,5 +1,5 @@
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
-import type { RandomSource } from "../../src/core/random/random_source.ts";
+import type { RandomSource } from "../src/core/random/random_source.ts";
 
 const steps = 2 ** 30;
 
--- /dev/null
+++ b/stand_ins/worker/main.ts
@@ -0,0 +1,54 @@
+import { randomBytes } from "node:crypto";
+import { parseArgs } from "node:util";
+import type { WorkerOrder } from "../../src/core/worker/worker_order.ts";
+import type { WorkerId } from "../../src/schema/worker_id.ts";
+import { jsonServer } from "../json_server.ts";
+import { WorkerModel } from "./worker_model.ts";
+
+const bytesPerGb = 2 ** 30;
+const advanceEveryMs = 20;
+
+const { values } = parseArgs({
+  options: {
+    port: { type: "string" },
+    id: { type: "string" },
+    cores: { type: "string", default: "16" },
+    memory: { type: "string", default: "60" },
+  },
+});
+const capacity = {
+  cpuMilli: Number(values.cores) * 1_000,
+  memoryBytes: Number(values.memory) * bytesPerGb,
+  accelerators: 0,
+};
+const bootId = randomBytes(4).toString("hex");
+const worker = new WorkerModel(values.id as WorkerId, bootId, capacity);
+
+/** What the worker really ran, for tests to compare with what was said. */
+function truth(): unknown {
+  const running = [...worker.running()].map(({ id, task }) => ({
+    task: id,
+    attempt: task.attempt,
+    reserved: task.reserved,
+  }));
+  return { worker: worker.id, bootId, starts: worker.starts, running };
+}
+
+const server = jsonServer((_method, url, body) => {
+  const nowMs = performance.now();
+  worker.advance(nowMs);
+  if (url.pathname === "/truth") return { status: 200, body: truth() };
+  if (url.pathname === "/admin") {
+    Object.assign(worker, body);
+    return { status: 200, body: {} };
+  }
+  const order = body as Partial<WorkerOrder> | undefined;
+  const isOrder = order?.bootId !== undefined;
+  const report = worker.apply(
+    isOrder ? order as WorkerOrder : undefined,
+    nowMs,
+  );
+  return { status: 200, body: report };
+});
+setInterval(() => worker.advance(performance.now()), advanceEveryMs);
+server.listen(Number(values.port), "127.0.0.1", () => console.log("ready"));
