Random histories, mutations, and real processes behind faults

Cause: the mutation 'a keeper never loses its authority' was not caught, since no history let another take over: a keeper cut from the log but heard by its candidates held the cell, and nothing new started there for as long as the cut. Ruled out: candidates that always read the log (reads grow with cells). Change: keep-alives say when the keeper has no log; a candidate then looks for itself and stops pledging if it has the log. Before: a submission during a 70 s cut started after it.

--- /dev/null
+++ b/bench/histories_bench.ts
@@ -0,0 +1,35 @@
+import { runHistory } from "../scenarios/histories/run_history.ts";
+
+const histories = Number(process.argv[2] ?? 10_000);
+const firstSeed = Number(process.argv[3] ?? 1);
+const longestMs = Number(process.argv[4] ?? 540_000);
+
+/** Runs many random histories and counts what was checked. */
+function main(): void {
+  const startedAtMs = performance.now();
+  let checks = 0;
+  let accepted = 0;
+  let failed = 0;
+  let done = 0;
+  for (let seed = firstSeed; seed < firstSeed + histories; seed++) {
+    if (performance.now() - startedAtMs > longestMs) break;
+    done += 1;
+    try {
+      const world = runHistory(seed);
+      checks += world.invariants.checks;
+      accepted += world.accepted.size;
+    } catch (cause) {
+      failed += 1;
+      console.log(cause instanceof Error ? cause.message : cause);
+      if (failed >= 3) break;
+    }
+  }
+  const tookS = ((performance.now() - startedAtMs) / 1_000).toFixed(1);
+  console.log(
+    `histories=${done} seeds=${firstSeed}..${firstSeed + done - 1} ` +
+      `checks=${checks} jobs=${accepted} failed=${failed} tookS=${tookS}`,
+  );
+  process.exitCode = failed > 0 ? 1 : 0;
+}
+
+main();
--- a/scenarios/language/actions.ts
+++ b/scenarios/language/actions.ts
@@ -63,6 +63,13 @@
       nameOf(world, word(statement, 1)),
       nameOf(world, word(statement, 2)),
     ),
+  "keep-only": (world, statement) => {
+    const worker = nameOf(world, word(statement, 1));
+    const kept = nameOf(world, word(statement, 2));
+    for (const peer of world.peers.keys()) {
+      if (peer !== kept) world.network.cut(peer, worker);
+    }
+  },
   heal: (world, statement) => {
     if (statement.words[1] === "all") world.network.healAll();
     else {
--- a/scenarios/world/sim_peer.ts
+++ b/scenarios/world/sim_peer.ts
@@ -92,7 +92,7 @@
         this.#apply(effect.worker, effect.order);
         break;
       case "keep_alive":
-        this.#keepAlive(effect.candidate, effect.epoch);
+        this.#keepAlive(effect);
         break;
       case "verdict":
       case "state":
@@ -167,9 +167,10 @@
     );
   }
 
-  #keepAlive(candidate: PeerId, epoch: number): void {
+  #keepAlive(effect: Extract<KeeperEffect, { kind: "keep_alive" }>): void {
     const sentAtMs = this.nowMs();
-    this.world.callPeer(this.id, candidate, epoch, (pledgeMs) => {
+    const { candidate } = effect;
+    this.world.callPeer(this.id, effect, (pledgeMs) => {
       this.hear({ kind: "pledged", candidate, sentAtMs, pledgeMs });
     });
   }
--- a/scenarios/world/world.ts
+++ b/scenarios/world/world.ts
@@ -102,14 +102,15 @@
   /** Carries a keep-alive to a candidate and its pledge back. */
   callPeer(
     from: string,
-    to: PeerId,
-    epoch: number,
+    call: Extract<KeeperEffect, { kind: "keep_alive" }>,
     done: (pledgeMs: number) => void,
   ): void {
+    const { candidate: to, epoch, withoutLog } = call;
     this.network.send(from, to, () => {
       const peer = this.peers.get(to);
       if (!peer?.isAlive || peer.isPaused) return;
-      const pledgeMs = peer.keeper.hearKeepAlive(epoch, peer.nowMs());
+      const { keeper } = peer;
+      const pledgeMs = keeper.hearKeepAlive(epoch, withoutLog, peer.nowMs());
       this.network.send(to, from, () => done(pledgeMs));
     });
   }
--- a/src/core/keep/keeper.ts
+++ b/src/core/keep/keeper.ts
@@ -20,6 +20,8 @@
 const rankStepMs = 400;
 /** How long a process that may not take over waits before it looks again. */
 const lookAgainMs = 3_000;
+/** How long a keeper may miss the log before its candidates look for it. */
+const withoutLogMs = 5_000;
 
 /**
  * Decides for one cell: who keeps it, which tasks run where, and which leases
@@ -62,9 +64,9 @@
   }
 
   /** Answers a keep-alive of the cell's keeper with a pledge's length. */
-  hearKeepAlive(epoch: number, nowMs: number): number {
+  hearKeepAlive(epoch: number, withoutLog: boolean, nowMs: number): number {
     if (this.isKeeper || this.state === "claiming") return 0;
-    return this.#pledges.hear(epoch, nowMs);
+    return this.#pledges.hear(epoch, withoutLog, nowMs);
   }
 
   /** Whether leases may be granted now. */
@@ -125,6 +127,7 @@
   ): Effects {
     this.#reading = false;
     this.#restatement.oldest = event.oldest;
+    if (this.state === "following") this.#pledges.decline();
     const skip = this.ledger.next - event.from;
     if (skip < 0) return;
     for (const record of event.records.slice(skip)) {
@@ -198,6 +201,7 @@
   }
 
   *#follow(nowMs: number): Effects {
+    if (this.#pledges.wantsProbe) yield* this.#readOn(nowMs);
     const rank = this.#candidacy.rank();
     const patienceMs = this.options.lease.pledgeMs + rank * rankStepMs;
     if (!this.#pledges.isSilent(patienceMs, nowMs)) return;
@@ -239,8 +243,9 @@
     if (nowMs - this.#keptAliveAtMs < this.options.keepAliveEveryMs) return;
     this.#keptAliveAtMs = nowMs;
     const epoch = this.ledger.epoch?.number ?? 0;
+    const withoutLog = this.#authority.readAgeMs(nowMs) > withoutLogMs;
     for (const candidate of this.#candidacy.others(this.ledger)) {
-      yield { kind: "keep_alive", candidate, epoch };
+      yield { kind: "keep_alive", candidate, epoch, withoutLog };
     }
   }
 
--- a/src/core/keep/keeper_effect.ts
+++ b/src/core/keep/keeper_effect.ts
@@ -18,6 +18,8 @@
     readonly kind: "keep_alive";
     readonly candidate: PeerId;
     readonly epoch: number;
+    /** The keeper cannot reach the log. */
+    readonly withoutLog: boolean;
   }
   | {
     readonly kind: "verdict";
--- a/src/core/keep/pledge_book.ts
+++ b/src/core/keep/pledge_book.ts
@@ -17,8 +17,25 @@
     this.#pledgedUntilMs = startedAtMs + options.pledgeMs;
   }
 
+  /** Whether the keeper is to be replaced, since it cannot reach the log. */
+  #isDeclining = false;
+  #isKeeperWithoutLog = false;
+
+  /** Whether it would help to know if this process reaches the log. */
+  get wantsProbe(): boolean {
+    return this.#isKeeperWithoutLog && !this.#isDeclining;
+  }
+
+  /** This process reaches the log, and its keeper does not. */
+  decline(): void {
+    this.#isDeclining = this.#isKeeperWithoutLog;
+  }
+
   /** Answers a keep-alive with the length of the promise; 0 is none. */
-  hear(epoch: number, nowMs: number): number {
+  hear(epoch: number, withoutLog: boolean, nowMs: number): number {
+    this.#isKeeperWithoutLog = withoutLog;
+    if (!withoutLog) this.#isDeclining = false;
+    if (this.#isDeclining) return 0;
     this.#silentSinceMs = nowMs;
     this.#firstEpoch ??= epoch;
     this.#heardEpoch = Math.max(this.#heardEpoch, epoch);
--- a/src/core/lease/authority.ts
+++ b/src/core/lease/authority.ts
@@ -16,6 +16,11 @@
     this.#headReadAtMs = Math.max(this.#headReadAtMs, startedAtMs);
   }
 
+  /** How long ago the newest read that reached the log's end was started. */
+  readAgeMs(nowMs: number): number {
+    return nowMs - this.#headReadAtMs;
+  }
+
   /** A candidate answered the keep-alive that was sent then. */
   pledged(candidate: PeerId, sentAtMs: number): void {
     const last = this.#pledgedAtMs.get(candidate) ?? -Infinity;
--- a/src/keeper/keeper_host.ts
+++ b/src/keeper/keeper_host.ts
@@ -12,7 +12,6 @@
 import type { PeerInfo } from "../core/members/peer_info.ts";
 import type { RpcClients } from "../rpc/rpc_clients.ts";
 import type { CellId } from "../schema/cell_id.ts";
-import type { PeerId } from "../schema/peer_id.ts";
 import type { WorkerId } from "../schema/worker_id.ts";
 import { cellStream } from "./cell_stream.ts";
 import { readCell } from "./read_cell.ts";
@@ -79,7 +78,7 @@
         void this.#apply(effect);
         break;
       case "keep_alive":
-        void this.#keepAlive(effect.candidate, effect.epoch);
+        void this.#keepAlive(effect);
         break;
       case "verdict":
         this.#note(effect);
@@ -144,13 +143,21 @@
     }
   }
 
-  async #keepAlive(candidate: PeerId, epoch: number): Promise<void> {
+  async #keepAlive(
+    effect: Extract<KeeperEffect, { kind: "keep_alive" }>,
+  ): Promise<void> {
+    const { candidate, epoch, withoutLog } = effect;
     const endpoint = this.members.find(candidate)?.endpoint;
     if (endpoint === undefined) return;
     const sentAtMs = monotonicNowMs();
     try {
       const { pledgeMs } = await this.clients.peer(endpoint).keepAlive(
-        { cell: this.cell, epoch, keeper: this.keeper.options.self },
+        {
+          cell: this.cell,
+          epoch,
+          withoutLog,
+          keeper: this.keeper.options.self,
+        },
         { timeoutMs: callTimeoutMs },
       );
       this.hear({ kind: "pledged", candidate, sentAtMs, pledgeMs });
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -130,10 +130,10 @@
   keeperMethods(): ReturnType<PeerRole["keeperMethods"]> {
     const { keeper } = this.host;
     return {
-      keepAlive: ({ cell, epoch }) => {
-        const isMine = cell === this.cell;
+      keepAlive: ({ cell, epoch, withoutLog }) => {
+        if (cell !== this.cell) return { pledgeMs: 0 };
         const nowMs = monotonicNowMs();
-        return { pledgeMs: isMine ? keeper.hearKeepAlive(epoch, nowMs) : 0 };
+        return { pledgeMs: keeper.hearKeepAlive(epoch, withoutLog, nowMs) };
       },
       wake: () => {
         this.host.hear({ kind: "woken" });
--- /dev/null
+++ b/tests/integration/small_fleet.ts
@@ -0,0 +1,52 @@
+import { Fleet } from "../../stand_ins/fleet/fleet.ts";
+import type { FleetOptions } from "../../stand_ins/fleet/fleet_options.ts";
+import { waitFor } from "./wait_for.ts";
+
+/** Starts a small fleet with an example published and in force. */
+export async function smallFleet(
+  changes: Partial<FleetOptions> = {},
+): Promise<Fleet> {
+  const fleet = new Fleet({
+    dataCentre: "lagos-1",
+    service: "menu",
+    runners: 3,
+    entries: 2,
+    cores: 16,
+    memoryGb: 60,
+    meanMs: 4,
+    proxies: {},
+    ...changes,
+  });
+  try {
+    await fleet.start();
+    const args = ["--log", fleet.logAddress, "--by", "test"];
+    const example = "examples/seniors_lunch.jsonc";
+    const { code, output } = await fleet.command("publish", example, ...args);
+    if (code !== 0) throw new Error(output);
+    await waitFor("the fleet to be ready", () => isReady(fleet));
+    return fleet;
+  } catch (cause) {
+    await fleet.stop();
+    throw cause;
+  }
+}
+
+async function isReady(fleet: Fleet): Promise<boolean> {
+  const { runners, entries } = fleet.options;
+  const views = await Promise.all(fleet.callerPorts.map(async (_, n) => {
+    const answer = await fetch(`${fleet.callers(n)}/status`);
+    return await answer.json() as {
+      processes: {
+        configRevision: number;
+        runner?: unknown;
+        keeper?: unknown;
+      }[];
+    };
+  }));
+  return views.every(({ processes }) =>
+    processes.length === runners + entries &&
+    processes.every(({ configRevision }) => configRevision >= 0) &&
+    processes.filter(({ runner }) => runner).length === runners &&
+    processes.some(({ keeper }) => keeper)
+  );
+}
--- a/tests/lease_test.ts
+++ b/tests/lease_test.ts
@@ -128,17 +128,29 @@
     it(`${name}: ${gives}`, () => {
       const book = new PledgeBook(options, 0);
       if (tried !== undefined) book.trying(tried);
-      const answers = heard.map((epoch) => book.hear(epoch, 10_000));
+      const answers = heard.map((epoch) => book.hear(epoch, false, 10_000));
       expect(answers.at(-1)).to.equal(gives);
     });
   }
 
+  it("ends when the keeper has no log and this process has", () => {
+    const book = new PledgeBook(options, 0);
+    book.hear(1, false, 5_000);
+    expect(book.hear(2, true, 6_000)).to.equal(3_000);
+    expect(book.wantsProbe).to.equal(true);
+    book.decline();
+    expect(book.hear(2, true, 7_000)).to.equal(0);
+    expect(book.isBound(9_000)).to.equal(true);
+    expect(book.isSilent(3_000, 9_001)).to.equal(true);
+    expect(book.hear(2, false, 9_500)).to.equal(3_000);
+  });
+
   it("binds for its whole length, and after a start", () => {
     const book = new PledgeBook(options, 0);
     expect(book.isBound(3_000)).to.equal(true);
     expect(book.isBound(3_001)).to.equal(false);
-    book.hear(1, 5_000);
-    book.hear(2, 6_000);
+    book.hear(1, false, 5_000);
+    book.hear(2, false, 6_000);
     expect(book.isBound(9_000)).to.equal(true);
     expect(book.isSilent(100, 9_000)).to.equal(false);
     expect(book.isSilent(100, 9_001)).to.equal(true);
--- /dev/null
+++ b/tests/mutations_test.ts
@@ -0,0 +1,163 @@
+import { readdirSync, readFileSync } from "node:fs";
+import { expect } from "chai";
+import { accepted } from "../src/core/fold/accepted.ts";
+import type { Judge } from "../src/core/fold/judge.ts";
+import { judges } from "../src/core/fold/judges.ts";
+import { Authority } from "../src/core/lease/authority.ts";
+import { LeaseBook } from "../src/core/lease/lease_book.ts";
+import { Keeper } from "../src/core/keep/keeper.ts";
+import { RoomBook } from "../src/core/keep/room_book.ts";
+import { noResources } from "../src/core/resources/no_resources.ts";
+import { runScenario } from "../scenarios/language/run_scenario.ts";
+import { runHistory } from "../scenarios/histories/run_history.ts";
+
+const mostHistories = 400;
+const folder = "scenarios/files";
+
+interface Mutation {
+  readonly name: string;
+  /** What the failed check has to say. */
+  readonly caught: RegExp;
+  readonly apply: () => () => void;
+}
+
+function patch<T extends object, K extends keyof T>(
+  target: T,
+  key: K,
+  value: T[K],
+): () => void {
+  const before = target[key];
+  target[key] = value;
+  return () => {
+    target[key] = before;
+  };
+}
+
+const mutableJudges = judges as {
+  -readonly [K in keyof typeof judges]: (typeof judges)[K];
+};
+
+/** A fold that takes any claim, as if capacity and attempts did not matter. */
+const claimAnything: Judge<"claimed"> = (ledger, record) => {
+  const task = ledger.tasks.get(record.task);
+  const worker = ledger.workers.get(record.worker);
+  if (task === undefined || worker === undefined) return accepted;
+  if (task.state !== "waiting") return accepted;
+  ledger.step(task, "CLAIM");
+  task.attempt = record.attempt;
+  task.worker = record.worker;
+  task.reserved = record.reserved;
+  task.claimedAtMs = record.atMs;
+  ledger.occupy(task, worker);
+  return accepted;
+};
+
+const mutations: readonly Mutation[] = [
+  {
+    name: "claims that ignore what is in use",
+    caught: /overfull|overfills/,
+    apply: () => {
+      const undo = [
+        patch(mutableJudges, "claimed", claimAnything),
+        patch(RoomBook.prototype, "used", () => noResources),
+      ];
+      return () => undo.forEach((step) => step());
+    },
+  },
+  {
+    name: "reclaims that wait for no lease",
+    caught: /runs on|ran on/,
+    apply: () => patch(LeaseBook.prototype, "hasLapsed", () => true),
+  },
+  {
+    name: "a keeper that never loses its authority",
+    caught: /runs on|ran on/,
+    apply: () => patch(Authority.prototype, "holds", () => true),
+  },
+  {
+    name: "candidates that say they pledge but do not",
+    caught: /runs on|ran on/,
+    apply: () => {
+      const { hearKeepAlive } = Keeper.prototype;
+      return patch(
+        Keeper.prototype,
+        "hearKeepAlive",
+        function (this: Keeper, ...args) {
+          hearKeepAlive.apply(this, args);
+          return 3_000;
+        },
+      );
+    },
+  },
+  {
+    name: "a fold that takes a job's id twice",
+    caught: /runs on|ran on|does not add up|is not on|left over/,
+    apply: () => {
+      const judge = mutableJudges.submitted;
+      return patch(mutableJudges, "submitted", (ledger, record) => {
+        ledger.jobs.delete(record.job.id);
+        return judge(ledger, record);
+      });
+    },
+  },
+  {
+    name: "a fold that drops a job when it is evicted",
+    caught: /has vanished/,
+    apply: () => {
+      const judge = mutableJudges.released;
+      return patch(mutableJudges, "released", (ledger, record) => {
+        const task = ledger.tasks.get(record.task);
+        const verdict = judge(ledger, record);
+        if (task && record.reason === "urgent_work") {
+          ledger.jobs.delete(task.job);
+        }
+        return verdict;
+      });
+    },
+  },
+];
+
+function firstFailure(): string | undefined {
+  for (const name of readdirSync(folder)) {
+    try {
+      runScenario(name, readFileSync(`${folder}/${name}`, "utf8"));
+    } catch (cause) {
+      const text = cause instanceof Error ? cause.message : String(cause);
+      if (text.includes("invariant broken")) return text;
+    }
+  }
+  for (let seed = 1; seed <= mostHistories; seed++) {
+    try {
+      runHistory(seed);
+    } catch (cause) {
+      return `seed ${seed}: ${cause instanceof Error ? cause.message : cause}`;
+    }
+  }
+  return undefined;
+}
+
+describe("the invariants catch", function () {
+  this.timeout(120_000);
+  for (const { name, caught, apply } of mutations) {
+    it(name, () => {
+      const undo = apply();
+      try {
+        expect(firstFailure()).to.match(caught);
+      } finally {
+        undo();
+      }
+    });
+  }
+});
+
+describe("random histories", function () {
+  this.timeout(120_000);
+
+  it("keep every invariant and leave no work over", () => {
+    let checks = 0;
+    for (let seed = 1; seed <= 150; seed++) {
+      checks += runHistory(seed).invariants.checks;
+    }
+    expect(checks).to.be.greaterThan(100_000);
+  });
+});
