Give no lease to an attempt whose reclaim is under way

Ruled out: clocks and lost answers (the trace shows one keeper, one epoch, a 1 ms network); delaying grants until the append is answered (a lost answer may still take effect later). Change: an attempt is given up when its reclaim is first sent; it is stopped and never renewed or started again, until a record moves the task on.

--- a/src/core/keep/cell_office.ts
+++ b/src/core/keep/cell_office.ts
@@ -1,4 +1,5 @@
 import type { MemberId } from "../../schema/member_id.ts";
+import type { TaskId } from "../../schema/task_id.ts";
 import type { WorkerId } from "../../schema/worker_id.ts";
 import type { CellLedger } from "../fold/cell_ledger.ts";
 import type { CellRecord } from "../fold/cell_record.ts";
@@ -26,6 +27,8 @@
   readonly #leases: LeaseBook;
   readonly #syncs: SyncBook;
   readonly #reports = new Map<WorkerId, SeenReport>();
+  /** Attempts whose reclaim was sent; they get no lease any more. */
+  readonly #givenUp = new Map<TaskId, number>();
 
   constructor(readonly options: KeeperOptions, placer: Placer) {
     const { claimsPerSecond, evictionsPerSecond, lease } = options;
@@ -37,6 +40,7 @@
   /** Starts a term of office; earlier keepers' leases may still hold. */
   begin(nowMs: number): void {
     this.#reports.clear();
+    this.#givenUp.clear();
     this.#leases.reset(nowMs);
   }
 
@@ -62,6 +66,9 @@
   settle(ledger: CellLedger, record: CellRecord): void {
     if (!("task" in record)) return;
     if (record.kind !== "claimed") this.claims.evicting.delete(record.task);
+    if (ledger.tasks.get(record.task)?.worker === undefined) {
+      this.#givenUp.delete(record.task);
+    }
     const worker = ledger.tasks.get(record.task)?.worker;
     if (worker !== undefined) this.#syncs.hurry(worker);
   }
@@ -86,7 +93,7 @@
     if (mayReclaim) {
       const hasLapsed = (worker: WorkerRow): boolean =>
         this.#hasLapsed(worker, nowMs);
-      yield* reclaimRecords(ledger, hasLapsed, head);
+      yield* reclaimRecords(ledger, hasLapsed, this.#givenUp, head);
     }
     yield* this.claims.propose(ledger, isReachable, this.quotaOf, head, nowMs);
     for (const worker of this.#evictedFrom(ledger)) this.#syncs.hurry(worker);
@@ -112,9 +119,10 @@
     const report = this.#reports.get(id)?.report;
     if (worker === undefined || report === undefined) return undefined;
     if (report.bootId !== worker.bootId) return undefined;
-    const stopping = (task: TaskRow): boolean =>
-      this.claims.evicting.has(task.id);
-    const ops = [...workerOps(ledger, worker, report, stopping)];
+    const ops = [...workerOps(ledger, worker, report, {
+      isStopping: (task) => this.claims.evicting.has(task.id),
+      isGivenUp: (task) => this.#givenUp.get(task.id) === task.attempt,
+    })];
     const validUntilMs = this.#leases.grant(id);
     if (validUntilMs === undefined) return undefined;
     return { bootId: worker.bootId, validUntilMs, ops };
--- a/src/core/keep/worker_ops.ts
+++ b/src/core/keep/worker_ops.ts
@@ -5,13 +5,14 @@
 import type { TaskReport } from "../worker/task_report.ts";
 import type { WorkerOp } from "../worker/worker_op.ts";
 import type { WorkerReport } from "../worker/worker_report.ts";
+import type { TaskIntent } from "./task_intent.ts";
 
 /** Yields what a worker has to do so that it runs just what the ledger says. */
 export function* workerOps(
   ledger: CellLedger,
   worker: WorkerRow,
   report: WorkerReport,
-  isStopping: (task: TaskRow) => boolean,
+  intent: TaskIntent,
 ): Generator<WorkerOp> {
   const seen = new Map<string, TaskReport>();
   for (const known of report.tasks) {
@@ -25,7 +26,7 @@
   for (const id of worker.tasks) {
     const task = ledger.tasks.get(id);
     if (task === undefined) continue;
-    const op = opFor(ledger, task, seen.get(id), isStopping(task));
+    const op = opFor(ledger, task, seen.get(id), intent);
     if (op !== undefined) yield op;
   }
   for (const [id, known] of seen) {
@@ -45,13 +46,14 @@
   ledger: CellLedger,
   task: TaskRow,
   known: TaskReport | undefined,
-  stopping: boolean,
+  { isStopping, isGivenUp }: TaskIntent,
 ): WorkerOp | undefined {
   const { id, attempt } = task;
+  if (isGivenUp(task)) return { op: "stop", task: id, attempt };
   if (known === undefined) return startOp(ledger, task);
   if (known.state !== "running") return undefined;
-  const op = stopping || task.state === "cancelling" ? "stop" : "renew";
-  return { op, task: id, attempt };
+  const isEnding = isStopping(task) || task.state === "cancelling";
+  return { op: isEnding ? "stop" : "renew", task: id, attempt };
 }
 
 function startOp(ledger: CellLedger, task: TaskRow): WorkerOp | undefined {
