Interference: learn slowdowns by pair, throttle, move, keep apart

Cause: nothing kept a service prompt beside noisy batch work. Change: a bounded, fading table of slowdowns by service and template, learned from lagging latency; steps by a chart with hysteresis: throttle what is blamed, move it when another worker is a better place, place it apart afterwards. The venture's weights set the patience before a move. Throttles ride on orders. An invariant was too strict: an ended job that the ledger forgot counted as vanished; it now counts only if a task of it had not ended.

--- a/scenarios/language/actions.ts
+++ b/scenarios/language/actions.ts
@@ -1,3 +1,4 @@
+import { interferenceOptionsFor } from "../../src/core/interfere/interference_options_for.ts";
 import type { JobId } from "../../src/schema/job_id.ts";
 import type { SimPeer } from "../world/sim_peer.ts";
 import type { SimWorker } from "../world/sim_worker.ts";
@@ -89,6 +90,27 @@
       model.retentionMs = parseDuration(word(statement, 2));
     } else throw new Error(`the log cannot '${what}'`);
   },
+  service: (world, { args }) => {
+    const name = args.get("name") ?? "menu";
+    const baseMs = parseDuration(args.get("base") ?? "5ms");
+    for (const id of (args.get("on") ?? "").split(",")) {
+      const found = target(world, id);
+      if ("model" in found) found.service = { name, baseMs };
+    }
+  },
+  noise: (world, { args }) => {
+    const slowdown = Number(args.get("slowdown") ?? 1);
+    world.services.slowdowns.set(args.get("template") ?? "", slowdown);
+  },
+  policy: (world, { args }) => {
+    const options = interferenceOptionsFor(
+      Number(args.get("latency") ?? 1),
+      Number(args.get("eviction") ?? 0),
+    );
+    for (const { keeper } of world.peers.values()) {
+      keeper.office.interference.options = options;
+    }
+  },
   network: (world, { args }) => {
     world.network.lossRatio = Number(args.get("loss") ?? 0);
     world.network.delayMs = parseDuration(args.get("delay") ?? "1ms");
--- a/scenarios/language/measures.ts
+++ b/scenarios/language/measures.ts
@@ -41,6 +41,9 @@
     ),
   voids: (world, name) => world.log.voids.get(name) ?? 0,
   released: (world, name) => world.log.releases.get(name) ?? 0,
+  "latency-p50": (world) => world.services.percentile(0.5),
+  "latency-p99": (world) => world.services.percentile(0.99),
+  actions: (world, name) => world.actions.get(name) ?? 0,
   "start-ms": (world, name) => {
     const atMs = world.log.claimedAtMs.get(`${name}/0`) ?? Infinity;
     return atMs - (world.submittedAtMs.get(name as JobId) ?? 0);
--- a/scenarios/world/sim_log.ts
+++ b/scenarios/world/sim_log.ts
@@ -1,6 +1,9 @@
 import { applyRecord } from "../../src/core/fold/apply_record.ts";
 import { CellLedger } from "../../src/core/fold/cell_ledger.ts";
 import type { CellRecord } from "../../src/core/fold/cell_record.ts";
+import { taskChart } from "../../src/core/fold/task_chart.ts";
+import { tasksOf } from "../../src/core/fold/tasks_of.ts";
+import type { JobId } from "../../src/schema/job_id.ts";
 import type { LogPage } from "../../src/core/log/log_page.ts";
 import { LogModel } from "../../stand_ins/log/log_model.ts";
 import type { Network } from "./network.ts";
@@ -12,6 +15,8 @@
   readonly truth = new CellLedger();
   /** Size of all appended records as text. */
   bytes = 0;
+  /** Jobs that were dropped after all their tasks had ended. */
+  readonly forgotten = new Set<JobId>();
   readonly voids = new Map<string, number>();
   readonly kinds = new Map<string, number>();
   readonly finishedAtMs = new Map<string, number>();
@@ -56,7 +61,17 @@
     });
   }
 
+  #hasEnded(job: JobId): boolean {
+    const row = this.truth.jobs.get(job);
+    if (row === undefined) return false;
+    const tasks = [...tasksOf(this.truth, row)];
+    return tasks.every(({ state }) => taskChart.isFinal(state));
+  }
+
   #observe(record: CellRecord): void {
+    if (record.kind === "forgotten" && this.#hasEnded(record.job)) {
+      this.forgotten.add(record.job);
+    }
     const verdict = applyRecord(this.truth, record);
     count(this.kinds, record.kind);
     if (!verdict.accepted) {
--- a/scenarios/world/sim_peer.ts
+++ b/scenarios/world/sim_peer.ts
@@ -94,6 +94,7 @@
       case "keep_alive":
         this.#keepAlive(effect);
         break;
+      case "interference":
       case "verdict":
       case "state":
         this.world.note(this.id, effect);
--- a/scenarios/world/sim_worker.ts
+++ b/scenarios/world/sim_worker.ts
@@ -5,12 +5,14 @@
 import type { WorkerAnswer } from "../../src/core/worker/worker_answer.ts";
 import { WorkerModel } from "../../stand_ins/worker/worker_model.ts";
 import type { SimClock } from "./sim_clock.ts";
+import type { SimService } from "./sim_service.ts";
 
 /** A worker on virtual time that can be killed, replaced, paused and resumed. */
 export class SimWorker {
   model: WorkerModel;
   isAlive = true;
   isPaused = false;
+  service: SimService | undefined;
   #boots = 1;
 
   constructor(
@@ -38,6 +40,16 @@
     }
   }
 
+  /** The latency of the service beside it, with what runs there now. */
+  latencyMs(slowdowns: ReadonlyMap<string, number>): number {
+    let latencyMs = this.service?.baseMs ?? 0;
+    for (const { task } of this.model.running()) {
+      const slowdown = slowdowns.get(task.template) ?? 1;
+      latencyMs *= 1 + (slowdown - 1) * task.share;
+    }
+    return latencyMs;
+  }
+
   /** Starts the worker anew, with nothing kept. */
   restart(): void {
     this.#boots += 1;
--- a/scenarios/world/world.ts
+++ b/scenarios/world/world.ts
@@ -4,6 +4,7 @@
 import type { JobId } from "../../src/schema/job_id.ts";
 import type { Job } from "../../src/schema/job.ts";
 import { defaultKeeperOptions } from "../../src/core/keep/default_keeper_options.ts";
+import type { ServiceLoad } from "../../src/core/interfere/service_load.ts";
 import type { KeeperEffect } from "../../src/core/keep/keeper_effect.ts";
 import { FirstFit } from "../../src/core/place/first_fit.ts";
 import type { Placer } from "../../src/core/place/placer.ts";
@@ -15,6 +16,7 @@
 import { Network } from "./network.ts";
 import { Scheduler } from "./scheduler.ts";
 import { SeededRandom } from "../../stand_ins/seeded_random.ts";
+import { ServiceMeter } from "./service_meter.ts";
 import { SimClock } from "./sim_clock.ts";
 import { SimLog } from "./sim_log.ts";
 import { SimPeer } from "./sim_peer.ts";
@@ -22,6 +24,7 @@
 import type { WorldOptions } from "./world_options.ts";
 
 const bytesPerGb = 2 ** 30;
+const measureEveryMs = 1_000;
 const retryEveryMs = 500;
 const largestDrift = 0.005;
 
@@ -34,14 +37,19 @@
   readonly workers = new Map<string, SimWorker>();
   readonly peers = new Map<string, SimPeer>();
   readonly invariants: Invariants;
+  readonly services: ServiceMeter;
+  #measuredAtMs = -Infinity;
   /** Jobs whose acceptance was confirmed to their caller. */
   readonly accepted = new Set<JobId>();
   readonly submittedAtMs = new Map<JobId, number>();
+  /** Steps against disturbances, by kind. */
+  readonly actions = new Map<string, number>();
   /** Lines of what happened, for a failed run. */
   readonly notes: string[] = [];
 
   constructor(readonly options: WorldOptions) {
     this.random = new SeededRandom(options.seed);
+    this.services = new ServiceMeter(() => this.random.next());
     this.network = new Network(this.scheduler, this.random);
     this.log = new SimLog(this.network);
     for (let n = 1; n <= options.workers; n++) this.#addWorker(n);
@@ -118,6 +126,10 @@
   /** Keeps a line of what a process decided. */
   note(peer: PeerId, effect: KeeperEffect): void {
     if (effect.kind === "state") this.#write(peer, `state=${effect.state}`);
+    if (effect.kind !== "interference") return;
+    const { kind, task, worker } = effect.action;
+    this.#write(peer, `${kind} ${task} on ${worker}`);
+    this.actions.set(kind, (this.actions.get(kind) ?? 0) + 1);
   }
 
   #write(who: string, text: string): void {
@@ -189,6 +201,14 @@
     }
   }
 
+  /** Services are measured once a second. */
+  #measure(): ServiceLoad[] {
+    const { nowMs } = this.scheduler;
+    if (nowMs - this.#measuredAtMs < measureEveryMs) return [];
+    this.#measuredAtMs = nowMs;
+    return this.services.measure(this.workers.values(), nowMs);
+  }
+
   #newClock(): SimClock {
     const drift = (this.random.next() * 2 - 1) * largestDrift;
     return new SimClock(this.random.next() * 1e6, 1 + drift);
@@ -198,8 +218,9 @@
     const peers = [...this.peers.values()].filter((peer) => peer.isAlive);
     const ids = peers.map(({ id }) => id);
     const workers = [...this.workers.values()].map(({ id }) => id);
+    const loads = this.#measure();
     for (const peer of peers) {
-      peer.hear({ kind: "peers", peers: ids, workers });
+      peer.hear({ kind: "peers", peers: ids, workers, loads });
     }
     for (const worker of this.workers.values()) {
       worker.advance(this.scheduler.nowMs);
--- a/src/core/evict/find_victims.ts
+++ b/src/core/evict/find_victims.ts
@@ -6,6 +6,7 @@
 import { subtractResources } from "../resources/subtract_resources.ts";
 import { addResources } from "../resources/add_resources.ts";
 import type { EvictionView } from "./eviction_view.ts";
+import { isEvictable } from "./is_evictable.ts";
 import type { Victims } from "./victims.ts";
 
 const evictedBeforeCost = 4;
@@ -70,12 +71,6 @@
   return subtractResources(room, promised(worker));
 }
 
-function isEvictable(ledger: CellLedger, task: TaskRow): boolean {
-  const job = ledger.jobs.get(task.job);
-  if (job === undefined || job.job.urgent) return false;
-  return task.state === "claimed" && task.evictions < job.job.maxEvictions;
-}
-
 function costOf(task: TaskRow, nowMs: number): number {
   const heldMs = nowMs - (task.claimedAtMs ?? nowMs);
   return 1 + task.evictions * evictedBeforeCost +
--- /dev/null
+++ b/src/core/evict/is_evictable.ts
@@ -0,0 +1,9 @@
+import type { CellLedger } from "../fold/cell_ledger.ts";
+import type { TaskRow } from "../fold/task_row.ts";
+
+/** Whether a task is batch work that its job's cap still lets be evicted. */
+export function isEvictable(ledger: CellLedger, task: TaskRow): boolean {
+  const job = ledger.jobs.get(task.job);
+  if (job === undefined || job.job.urgent) return false;
+  return task.state === "claimed" && task.evictions < job.job.maxEvictions;
+}
--- a/src/core/keep/cell_office.ts
+++ b/src/core/keep/cell_office.ts
@@ -6,6 +6,9 @@
 import type { CellRecord } from "../fold/cell_record.ts";
 import type { TaskRow } from "../fold/task_row.ts";
 import type { WorkerRow } from "../fold/worker_row.ts";
+import { Interference } from "../interfere/interference.ts";
+import { interferenceOptionsFor } from "../interfere/interference_options_for.ts";
+import type { ServiceLoad } from "../interfere/service_load.ts";
 import { LeaseBook } from "../lease/lease_book.ts";
 import type { Placer } from "../place/placer.ts";
 import type { WorkerAnswer } from "../worker/worker_answer.ts";
@@ -27,6 +30,7 @@
   readonly claims: ClaimRound;
   quotaOf: (member: MemberId) => number = () => 1;
   workers: readonly WorkerId[] = [];
+  readonly interference = new Interference(interferenceOptionsFor(1, 0));
   readonly #leases: LeaseBook;
   readonly #syncs: SyncBook;
   readonly #reports = new Map<WorkerId, SeenReport>();
@@ -37,7 +41,12 @@
 
   constructor(readonly options: KeeperOptions, placer: Placer) {
     const { claimsPerSecond, evictionsPerSecond, lease } = options;
-    this.claims = new ClaimRound(placer, claimsPerSecond, evictionsPerSecond);
+    this.claims = new ClaimRound(
+      placer,
+      this.interference,
+      claimsPerSecond,
+      evictionsPerSecond,
+    );
     this.#leases = new LeaseBook(lease);
     this.#syncs = new SyncBook(options.syncEveryMs);
   }
@@ -114,6 +123,20 @@
     for (const worker of this.#evictedFrom(ledger)) this.#syncs.hurry(worker);
   }
 
+  /** Acts on late measurements of the services beside the workers. */
+  *relieve(
+    ledger: CellLedger,
+    loads: readonly ServiceLoad[],
+    nowMs: number,
+  ): Generator<KeeperEffect> {
+    for (const action of this.interference.observe(ledger, loads, nowMs)) {
+      this.#syncs.hurry(action.worker);
+      const isDone = action.kind !== "move" ||
+        this.claims.evict(ledger, action.task, "interference", nowMs);
+      if (isDone) yield { kind: "interference", action };
+    }
+  }
+
   /** Yields the exchanges with workers that are due. */
   *sync(
     ledger: CellLedger,
@@ -155,6 +178,7 @@
     const ops = [...workerOps(ledger, worker, report, {
       isStopping: (task) => this.claims.evicting.has(task.id),
       isGivenUp: (task) => this.#givenUp.get(task.id) === task.attempt,
+      shareOf: (task) => this.interference.shareOf(task),
     })];
     const validUntilMs = this.#leases.grant(id);
     if (validUntilMs === undefined) return undefined;
--- a/src/core/keep/claim_round.ts
+++ b/src/core/keep/claim_round.ts
@@ -3,11 +3,13 @@
 import type { TaskId } from "../../schema/task_id.ts";
 import type { WorkerId } from "../../schema/worker_id.ts";
 import { TokenBucket } from "../budget/token_bucket.ts";
+import { isEvictable } from "../evict/is_evictable.ts";
 import { findVictims } from "../evict/find_victims.ts";
 import type { CellLedger } from "../fold/cell_ledger.ts";
 import type { CellRecord } from "../fold/cell_record.ts";
 import type { ReleaseReason } from "../fold/release_reason.ts";
 import type { WorkerRow } from "../fold/worker_row.ts";
+import type { Interference } from "../interfere/interference.ts";
 import { LearnedSizes } from "../place/learned_sizes.ts";
 import type { Placer } from "../place/placer.ts";
 import type { Waiting } from "../place/waiting.ts";
@@ -37,6 +39,7 @@
 
   constructor(
     readonly placer: Placer,
+    readonly interference: Interference,
     claimsPerSecond: number,
     evictionsPerSecond: number,
   ) {
@@ -104,8 +107,14 @@
       fits(addResources(used(worker), reserved), worker.capacity)
     );
     if (fitting.length === 0) return undefined;
+    const apart = fitting.filter((worker) =>
+      !this.interference.isApart(worker.id, job.job.template, nowMs)
+    );
+    const best = apart.length > 0 ? apart : fitting;
     if (!job.job.urgent && !this.#claims.take(nowMs)) return "paced";
-    const placement = { task, job, reserved, room: fitting, used };
+    const penalty = (worker: WorkerRow): number =>
+      this.interference.penalty(worker.id, job.job.template, nowMs);
+    const placement = { task, job, reserved, room: best, used, penalty };
     const worker = this.placer.choose(placement);
     if (worker === undefined) return undefined;
     const attempt = task.attempt + 1;
@@ -119,6 +128,21 @@
     };
   }
 
+  /** Asks a batch task to leave its worker, within the budget and its cap. */
+  evict(
+    ledger: CellLedger,
+    id: TaskId,
+    reason: ReleaseReason,
+    nowMs: number,
+  ): boolean {
+    const task = ledger.tasks.get(id);
+    if (task === undefined || this.evicting.has(id)) return false;
+    if (!isEvictable(ledger, task)) return false;
+    if (!this.#evictions.take(nowMs)) return false;
+    this.evicting.set(id, reason);
+    return true;
+  }
+
   /** A learned size above every worker falls back to the declared one. */
   #reserve(
     template: string,
--- a/src/core/keep/keeper.ts
+++ b/src/core/keep/keeper.ts
@@ -109,6 +109,9 @@
       case "peers":
         this.#candidacy.peers = event.peers;
         this.office.workers = event.workers;
+        if (this.isKeeper) {
+          yield* this.office.relieve(this.ledger, event.loads, nowMs);
+        }
         break;
       case "pledged":
         this.#takePledge(event, nowMs);
--- a/src/core/keep/keeper_effect.ts
+++ b/src/core/keep/keeper_effect.ts
@@ -2,6 +2,7 @@
 import type { WorkerId } from "../../schema/worker_id.ts";
 import type { CellRecord } from "../fold/cell_record.ts";
 import type { VoidReason } from "../fold/void_reason.ts";
+import type { InterferenceAction } from "../interfere/interference_action.ts";
 import type { WorkerOrder } from "../worker/worker_order.ts";
 
 /** What a keeper asks its surroundings to do. */
@@ -27,4 +28,8 @@
     readonly record: CellRecord;
     readonly void?: VoidReason;
   }
+  | {
+    readonly kind: "interference";
+    readonly action: InterferenceAction;
+  }
   | { readonly kind: "state"; readonly state: string };
--- a/src/core/keep/keeper_event.ts
+++ b/src/core/keep/keeper_event.ts
@@ -3,6 +3,7 @@
 import type { WorkerId } from "../../schema/worker_id.ts";
 import type { CellLedger } from "../fold/cell_ledger.ts";
 import type { CellRecord } from "../fold/cell_record.ts";
+import type { ServiceLoad } from "../interfere/service_load.ts";
 import type { WorkerAnswer } from "../worker/worker_answer.ts";
 
 /** What a keeper hears of. */
@@ -36,6 +37,8 @@
     readonly kind: "peers";
     readonly peers: readonly PeerId[];
     readonly workers: readonly WorkerId[];
+    /** Late measurements of the services beside the workers. */
+    readonly loads: readonly ServiceLoad[];
   }
   | {
     readonly kind: "pledged";
--- a/src/core/keep/task_intent.ts
+++ b/src/core/keep/task_intent.ts
@@ -6,4 +6,6 @@
   readonly isStopping: (task: TaskRow) => boolean;
   /** Its reclaim is under way; it must get no lease any more. */
   readonly isGivenUp: (task: TaskRow) => boolean;
+  /** The part of its full speed at which it may run. */
+  readonly shareOf: (task: TaskRow) => number;
 }
--- a/src/core/keep/worker_ops.ts
+++ b/src/core/keep/worker_ops.ts
@@ -26,8 +26,12 @@
   for (const id of worker.tasks) {
     const task = ledger.tasks.get(id);
     if (task === undefined) continue;
-    const op = opFor(ledger, task, seen.get(id), intent);
+    const known = seen.get(id);
+    const op = opFor(ledger, task, known, intent);
     if (op !== undefined) yield op;
+    const share = intent.shareOf(task);
+    const isOff = known?.state === "running" && (known.share ?? 1) !== share;
+    if (isOff) yield { op: "throttle", task: id, attempt: task.attempt, share };
   }
   for (const [id, known] of seen) {
     const task = ledger.tasks.get(known.task);
--- a/src/core/place/placement.ts
+++ b/src/core/place/placement.ts
@@ -11,4 +11,6 @@
   readonly room: readonly WorkerRow[];
   /** What is in use on a worker, with claims that are not yet in the log. */
   readonly used: (worker: WorkerRow) => Resources;
+  /** What the task is known to cost the service on a worker. */
+  readonly penalty: (worker: WorkerRow) => number;
 }
--- a/src/core/place/spread_fit.ts
+++ b/src/core/place/spread_fit.ts
@@ -47,5 +47,5 @@
     ).length;
   return dominantShare(used, worker.capacity) +
     siblings * sameWorkerPenalty +
-    worker.failStreak * failurePenalty;
+    worker.failStreak * failurePenalty + placement.penalty(worker);
 }
--- a/src/core/worker/digest_of.ts
+++ b/src/core/worker/digest_of.ts
@@ -4,7 +4,9 @@
 /** Tells one set of attempts and their states from another. */
 export function digestOf(tasks: readonly TaskReport[]): string {
   const text = tasks
-    .map(({ task, attempt, state }) => `${task}@${attempt}:${state}`)
+    .map(({ task, attempt, state, share = 1 }) =>
+      `${task}@${attempt}:${state}:${share}`
+    )
     .sort()
     .join(" ");
   const first = hashText(text).toString(36);
--- a/src/core/worker/task_report.ts
+++ b/src/core/worker/task_report.ts
@@ -12,6 +12,8 @@
     | "lapsed"
     | "refused";
   readonly checkpoint?: string;
+  /** The part of its full speed at which it runs; 1 where absent. */
+  readonly share?: number;
   readonly result?: string;
   readonly detail?: string;
   /** Measured use, older than the report by the worker's lag. */
--- a/src/keeper/keeper_host.ts
+++ b/src/keeper/keeper_host.ts
@@ -7,6 +7,7 @@
 import type { Keeper } from "../core/keep/keeper.ts";
 import type { KeeperEffect } from "../core/keep/keeper_effect.ts";
 import type { KeeperEvent } from "../core/keep/keeper_event.ts";
+import type { ServiceLoad } from "../core/interfere/service_load.ts";
 import type { Log } from "../core/log/log.ts";
 import type { Members } from "../core/members/members.ts";
 import type { PeerInfo } from "../core/members/peer_info.ts";
@@ -56,7 +57,8 @@
       if (worker !== undefined) this.#workers.set(worker.id, worker);
     }
     const peers = all.map(({ id }) => id);
-    this.hear({ kind: "peers", peers, workers: [...this.#workers.keys()] });
+    const workers = [...this.#workers.keys()];
+    this.hear({ kind: "peers", peers, workers, loads: [...loadsOf(all)] });
   }
 
   /** Hands the keeper an event and carries out its effects. */
@@ -83,6 +85,10 @@
       case "verdict":
         this.#note(effect);
         break;
+      case "interference":
+        this.metrics.count("interference", effect.action.kind);
+        this.logger.info("interference", { cell: this.cell, ...effect.action });
+        break;
       case "state":
         this.logger.info("keeper_state", {
           cell: this.cell,
@@ -182,3 +188,11 @@
     }
   }
 }
+
+function* loadsOf(peers: readonly PeerInfo[]): Generator<ServiceLoad> {
+  for (const { runner, worker } of peers) {
+    if (!runner || !worker || runner.latencyMs <= 0) continue;
+    const { service, latencyMs } = runner;
+    yield { worker: worker.id, service, latencyMs };
+  }
+}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -8,6 +8,7 @@
 import type { Metrics } from "../adapters/metrics.ts";
 import { monotonicNowMs } from "../adapters/monotonic_now_ms.ts";
 import { SystemRandom } from "../adapters/system_random.ts";
+import { interferenceOptionsFor } from "../core/interfere/interference_options_for.ts";
 import { defaultKeeperOptions } from "../core/keep/default_keeper_options.ts";
 import { Keeper } from "../core/keep/keeper.ts";
 import type { PeerInfo } from "../core/members/peer_info.ts";
@@ -121,6 +122,14 @@
     this.host.refresh();
     this.host.keeper.office.quotaOf = (member) =>
       this.node.config.state.quotaOf(member);
+    const [policy] = this.node.config.state.all("policy");
+    if (policy !== undefined) {
+      const { latencyWeight, evictionWeight } = policy;
+      this.host.keeper.office.interference.options = interferenceOptionsFor(
+        latencyWeight,
+        evictionWeight,
+      );
+    }
     if (this.gate === undefined) return;
     const { service } = this.gate.info;
     const found = this.node.config.state.find("service", service);
--- a/stand_ins/worker/running_task.ts
+++ b/stand_ins/worker/running_task.ts
@@ -11,6 +11,7 @@
   readonly runMs: number;
   progressMs: number;
   progressAtMs: number;
+  readonly startedAtMs: number;
   share: number;
   leaseUntilMs: number;
   state: TaskReport["state"];
