--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -25,6 +25,8 @@
     entryPoints: ["src/cli/main.ts"],
     outfile: "dist/gypsumpond.cjs",
     format: "cjs",
+    minifySyntax: true,
+    minifyWhitespace: true,
     external: ["unix-dgram"],
     define: { "import.meta.url": "importMetaUrl" },
     banner: {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,4 +1,4 @@
-import { createServer, type RequestListener, type Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { HttpLog } from "../adapters/http_log.ts";
 import { HttpPools } from "../adapters/http_pools.ts";
@@ -14,7 +14,6 @@
 import { listen } from "../peer/listen.ts";
 import { PeerNode } from "../peer/peer_node.ts";
 import type { PeerRole } from "../peer/peer_role.ts";
-import { CallClient } from "../rpc/call_client.ts";
 import type { EntrySettings } from "../schema/entry_settings.ts";
 import { CallerApi } from "./caller_api.ts";
 
@@ -31,7 +30,6 @@
   readonly log: Log;
   readonly #api: CallerApi;
   readonly #server: Server;
-  readonly calls: CallClient;
   readonly #pools = new HttpPools(connectionsPerTarget);
   #restatedAtMs = monotonicNowMs();
 
@@ -45,7 +43,6 @@
     this.node = new PeerNode(settings, this, log, this.#pools, logger, metrics);
     const picker = new TwoChoices(settings.dataCentre, new SystemRandom());
     this.router = new Router(this.node.members, picker);
-    this.calls = new CallClient(this.#pools);
     this.#api = new CallerApi(this);
     this.#server = createServer((request, response) => {
       void this.#api.handle(request, response);
@@ -104,9 +101,7 @@
     };
   }
 
-  addRoutes(): void {}
+  addUnary(): void {}
 
-  wrap(otherwise: RequestListener): RequestListener {
-    return otherwise;
-  }
+  addStreams(): void {}
 }
--- a/src/entry/send_attempt.ts
+++ b/src/entry/send_attempt.ts
@@ -7,12 +7,12 @@
 import type { CallAttempt } from "../core/retry/call_attempt.ts";
 import type { CallOutcome } from "../core/retry/call_outcome.ts";
 import type { CallRequest } from "../core/retry/call_request.ts";
-import type { CallClient } from "../rpc/call_client.ts";
+import type { RpcClients } from "../rpc/rpc_clients.ts";
 import type { CallReply } from "../rpc/gen/gypsumpond/v1/runner_pb.ts";
 
 /** Sends one attempt to a sidecar and tells how it ended; never throws. */
 export async function sendAttempt(
-  calls: CallClient,
+  clients: RpcClients,
   request: CallRequest,
   { number, peer, timeoutMs }: CallAttempt,
   metrics: Metrics,
@@ -20,7 +20,7 @@
   const startedAtMs = monotonicNowMs();
   const tookMs = (): number => monotonicNowMs() - startedAtMs;
   try {
-    const reply = await calls.call(peer.endpoint, {
+    const reply = await clients.runner(peer.endpoint).call({
       requestId: request.id,
       attempt: number,
       service: request.service,
@@ -30,7 +30,7 @@
       body: request.body,
       idempotencyKey: request.idempotencyKey ?? "",
       homeIncarnation: request.home?.incarnation ?? "",
-    }, timeoutMs);
+    }, { timeoutMs });
     const error = errorIn(reply, request, number);
     if (error === undefined) {
       return { ok: true, body: reply.body, tookMs: tookMs() };
--- a/src/entry/service_api.ts
+++ b/src/entry/service_api.ts
@@ -113,14 +113,14 @@
   }
 
   async #run(call: CallRequest, service: Service): Promise<CallOutcome> {
-    const { router, metrics, calls } = this.entry;
+    const { router, metrics, node: { clients } } = this.entry;
     const budget = this.#budgetOf(service);
     const onRetry = (reason: string): void => metrics.count("retry", reason);
     const plan = callPlan(call, router, budget, monotonicNowMs, onRetry);
     let step = plan.next();
     while (!step.done) {
       const attempt: CallAttempt = step.value;
-      const outcome = await sendAttempt(calls, call, attempt, metrics);
+      const outcome = await sendAttempt(clients, call, attempt, metrics);
       step = plan.next(outcome);
     }
     return step.value;
--- a/src/keeper/keeper_host.ts
+++ b/src/keeper/keeper_host.ts
@@ -18,6 +18,7 @@
 import { readCell } from "./read_cell.ts";
 
 const tickMs = 100;
+const idleTickMs = 400;
 const pageRecords = 1_000;
 const callTimeoutMs = 800;
 
@@ -38,14 +39,18 @@
     readonly metrics: Metrics,
   ) {}
 
-  /** Starts to decide. */
+  /** Decides from now on, less often while another keeps the cell. */
   start(): void {
-    this.#timer = setInterval(() => this.hear({ kind: "tick" }), tickMs);
+    const isIdle = this.keeper.state === "following";
+    this.#timer = setTimeout(() => {
+      this.hear({ kind: "tick" });
+      this.start();
+    }, isIdle ? idleTickMs : tickMs);
   }
 
   /** Decides no more; another process takes the cell over. */
   stop(): void {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
   }
 
   /** Tells the keeper who is there. */
--- a/src/peer/peer_node.ts
+++ b/src/peer/peer_node.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
-import type { MessageInitShape } from "@bufbuild/protobuf";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import type { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import type { HttpPools } from "../adapters/http_pools.ts";
@@ -11,14 +11,16 @@
 import type { Log } from "../core/log/log.ts";
 import { Members } from "../core/members/members.ts";
 import type { PeerInfo } from "../core/members/peer_info.ts";
-import type {
-  AnnounceReply,
+import {
+  type AnnounceReply,
   AnnounceReplySchema,
+  GetConfigReplySchema,
+  PeerService,
 } from "../rpc/gen/gypsumpond/v1/peer_pb.ts";
-import { PeerService } from "../rpc/gen/gypsumpond/v1/peer_pb.ts";
 import { peerFromMessage } from "../rpc/peer_from_message.ts";
 import { peerToMessage } from "../rpc/peer_to_message.ts";
 import { RpcClients } from "../rpc/rpc_clients.ts";
+import { UnaryRoutes } from "../rpc/unary_routes.ts";
 import type { Endpoint } from "../schema/endpoint.ts";
 import type { PeerId } from "../schema/peer_id.ts";
 import { ConfigStore } from "./config_store.ts";
@@ -39,7 +41,7 @@
 export class PeerNode {
   readonly members: Members;
   readonly config = new ConfigStore();
-  readonly clients = new RpcClients();
+  readonly clients: RpcClients;
   readonly incarnation: string;
   readonly startedAtMs = Date.now();
   state: PeerInfo["state"] = "starting";
@@ -63,6 +65,7 @@
     readonly metrics: Metrics,
   ) {
     this.members = new Members(settings.id);
+    this.clients = new RpcClients(pools);
     const nonce = randomBytes(3).toString("hex");
     this.incarnation = `${this.startedAtMs.toString(36)}-${nonce}`;
     this.#server = createServer();
@@ -71,9 +74,13 @@
 
   /** Starts to listen and to announce itself. */
   async start(): Promise<void> {
-    const routes = (router: ConnectRouter): void => this.#routes(router);
-    const adapter = connectNodeAdapter({ routes });
-    this.#server.on("request", this.role.wrap(adapter));
+    const unary = new UnaryRoutes();
+    this.#addRoutes(unary);
+    this.role.addUnary(unary);
+    const routes = (router: ConnectRouter): void =>
+      this.role.addStreams(router);
+    const streams = connectNodeAdapter({ routes });
+    this.#server.on("request", unary.listener(streams));
     this.port = await listen(this.#server, this.settings.listen);
     this.state = "ready";
     await this.tick();
@@ -122,22 +129,23 @@
     this.role.onTick();
   }
 
-  #routes(router: ConnectRouter): void {
-    router.service(PeerService, {
+  #addRoutes(routes: UnaryRoutes): void {
+    routes.add(PeerService, {
       announce: ({ self, knownVersion }) => {
         const sender = self && this.#hear(peerFromMessage(self), 0);
-        return this.#reply(sender, knownVersion);
+        const reply = this.#reply(sender, knownVersion);
+        return create(AnnounceReplySchema, reply);
       },
       getConfig: ({ aboveRevision }) => {
         const { state } = this.config;
         const isNews = state.revision > Number(aboveRevision);
         const json = isNews ? JSON.stringify(state.image()) : "";
         const stateJson = new TextEncoder().encode(json);
-        return { revision: BigInt(state.revision), stateJson };
+        const revision = BigInt(state.revision);
+        return create(GetConfigReplySchema, { revision, stateJson });
       },
       ...this.role.keeperMethods(),
     });
-    this.role.addRoutes(router);
   }
 
   #targets(): Endpoint[] {
--- a/src/peer/peer_role.ts
+++ b/src/peer/peer_role.ts
@@ -1,7 +1,7 @@
-import type { RequestListener } from "node:http";
 import type { ConnectRouter, ServiceImpl } from "@connectrpc/connect";
 import type { PeerInfo } from "../core/members/peer_info.ts";
 import type { PeerService } from "../rpc/gen/gypsumpond/v1/peer_pb.ts";
+import type { UnaryRoutes } from "../rpc/unary_routes.ts";
 import type { CellId } from "../schema/cell_id.ts";
 
 /** What sets one role of process apart from the other. */
@@ -18,7 +18,7 @@
     ServiceImpl<typeof PeerService>,
     "keepAlive" | "wake" | "findJob"
   >;
-  addRoutes(router: ConnectRouter): void;
-  /** May answer some requests ahead of the general handler. */
-  wrap(otherwise: RequestListener): RequestListener;
+  /** Adds what the role answers besides. */
+  addUnary(routes: UnaryRoutes): void;
+  addStreams(router: ConnectRouter): void;
 }
--- a/src/sidecar/runner_gate.ts
+++ b/src/sidecar/runner_gate.ts
@@ -16,6 +16,9 @@
 /** A request may hold its slot this long, whatever its caller's deadline. */
 const longestRunMs = 30_000;
 
+/** How often the queue is looked through for late requests. */
+const expireEveryMs = 10;
+
 interface Pending {
   readonly start: () => void;
   readonly refuse: (error: GpError) => void;
@@ -29,6 +32,7 @@
   readonly #pools: HttpPools;
   readonly #pending = new Map<string, Pending>();
   #nextAttempt = 0;
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(
     readonly info: RunnerInfo,
@@ -40,13 +44,9 @@
     this.runner = new HttpRunner(this.#pools, info.address);
   }
 
-  /** Refuses what waits too long; called now and then. */
-  expire(): void {
-    this.#carryOut(this.admission.expire(monotonicNowMs()));
-  }
-
   /** Closes the connections to the runner. */
   async close(): Promise<void> {
+    clearTimeout(this.#timer);
     await this.#pools.close();
   }
 
@@ -118,9 +118,20 @@
         deadlineAtMs: call.deadlineAtMs,
       };
       this.#carryOut(this.admission.offer(request, monotonicNowMs()));
+      this.#watchQueue();
     });
   }
 
+  /** Refuses what waits too long, for as long as anything waits. */
+  #watchQueue(): void {
+    if (this.#timer !== undefined || this.admission.queued === 0) return;
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      this.#carryOut(this.admission.expire(monotonicNowMs()));
+      this.#watchQueue();
+    }, expireEveryMs);
+  }
+
   #finish(id: string, countsForLatency: boolean): void {
     const nowMs = monotonicNowMs();
     this.#carryOut(this.admission.finished(id, countsForLatency, nowMs));
--- a/src/sidecar/runner_service.ts
+++ b/src/sidecar/runner_service.ts
@@ -5,18 +5,16 @@
   type RunnerService,
   type WatchEventSchema,
 } from "../rpc/gen/gypsumpond/v1/runner_pb.ts";
-import { answerCall } from "./answer_call.ts";
 import type { CallHost } from "./call_host.ts";
 import { watchFeed } from "./watch_feed.ts";
 
 type EventInit = MessageInitShape<typeof WatchEventSchema>;
 
-/** What entries call: the runner beside this sidecar, through its gate. */
+/** The streams that entries open: watches of the runner beside this sidecar. */
 export function runnerService(
   host: CallHost,
-): ServiceImpl<typeof RunnerService> {
+): Pick<ServiceImpl<typeof RunnerService>, "watch"> {
   return {
-    call: (request) => answerCall(host, request),
     async *watch({ fromPosition }, { signal }): AsyncGenerator<EventInit> {
       const gate = host.gate;
       if (gate === undefined) {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,4 +1,4 @@
-import type { RequestListener, Server } from "node:http";
+import type { Server } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import type { ConnectRouter } from "@connectrpc/connect";
 import { HttpLog } from "../adapters/http_log.ts";
@@ -20,7 +20,7 @@
 import type { PeerRole } from "../peer/peer_role.ts";
 import { RunnerService } from "../rpc/gen/gypsumpond/v1/runner_pb.ts";
 import type { SidecarSettings } from "../schema/sidecar_settings.ts";
-import { serveCalls } from "../rpc/serve_calls.ts";
+import type { UnaryRoutes } from "../rpc/unary_routes.ts";
 import { announceServer } from "./announce_server.ts";
 import { answerCall } from "./answer_call.ts";
 import type { CallHost } from "./call_host.ts";
@@ -29,7 +29,6 @@
 import { runnerService } from "./runner_service.ts";
 
 const runnerSilentMs = 3_500;
-const expireEveryMs = 20;
 const drainPollMs = 25;
 /** Time in which entries hear that this sidecar leaves. */
 const noticeMs = 1_500;
@@ -48,7 +47,6 @@
   readonly #pools = new HttpPools(connectionsPerTarget);
   readonly #leaving = new AbortController();
   #runnerHeardAtMs = -Infinity;
-  #timer: NodeJS.Timeout | undefined;
 
   constructor(
     readonly settings: SidecarSettings,
@@ -77,7 +75,6 @@
     await listen(this.#announcements, this.settings.runnerListen);
     await this.node.start();
     this.host.start();
-    this.#timer = setInterval(() => this.gate?.expire(), expireEveryMs);
     const { port } = this.node;
     this.logger.info("ready", { port, cell: this.cell });
   }
@@ -94,7 +91,6 @@
 
   /** Stops for good. */
   async stop(): Promise<void> {
-    clearInterval(this.#timer);
     this.host.stop();
     this.#announcements.close();
     this.#announcements.closeAllConnections();
@@ -160,14 +156,13 @@
     };
   }
 
-  addRoutes(router: ConnectRouter): void {
-    router.service(RunnerService, runnerService(this.#callHost()));
+  addUnary(routes: UnaryRoutes): void {
+    const host = this.#callHost();
+    routes.add(RunnerService, { call: (request) => answerCall(host, request) });
   }
 
-  /** Checks and orders take the short way. */
-  wrap(otherwise: RequestListener): RequestListener {
-    const host = this.#callHost();
-    return serveCalls((request) => answerCall(host, request), otherwise);
+  addStreams(router: ConnectRouter): void {
+    router.service(RunnerService, runnerService(this.#callHost()));
   }
 
   #callHost(): CallHost {
--- a/stand_ins/fleet/fleet.ts
+++ b/stand_ins/fleet/fleet.ts
@@ -14,6 +14,7 @@
   "--v8-pool-size=1",
 ];
 const racksOf = 3;
+const startedTogether = 8;
 
 /** One data centre's processes on loopback, for demos and tests. */
 export class Fleet {
@@ -53,8 +54,11 @@
       { length: this.options.runners },
       (_, n) => n + 1,
     );
-    const slots = await Promise.all(numbers.map((n) => this.#addSlot(n)));
-    this.slots.push(...slots);
+    for (let from = 0; from < numbers.length; from += startedTogether) {
+      const some = numbers.slice(from, from + startedTogether);
+      const slots = await Promise.all(some.map((n) => this.#addSlot(n)));
+      this.slots.push(...slots);
+    }
   }
 
   /** Runs an operator's command and gives its exit code and output. */
