Mend the concurrency limit: it fell to one slot at any load

Cause: the first comparison of routing policies under load (10 runners, 8 slots, exponential 10 ms, 250 ms deadline) answered 31 % at half load, 21 % at 80 % and 8.5 % at twice the capacity, with every policy: the limit compared a smoothed latency with one that fell fast and rose slowly, so near the least of all samples, and backed off for ever. The demo's load was too light to show it. Ruled out: routing (all three policies alike), the queue and its deadlines. Change: both latencies are plain means, over about 20 and 500 samples; back off above twice the long one, to a quarter of the slots at least.

--- /dev/null
+++ b/scenarios/prompt/prompt_world.ts
@@ -0,0 +1,224 @@
+import { GpError } from "../../src/core/errors/gp_error.ts";
+import { Members } from "../../src/core/members/members.ts";
+import type { PeerInfo } from "../../src/core/members/peer_info.ts";
+import type { CallAttempt } from "../../src/core/retry/call_attempt.ts";
+import type { CallOutcome } from "../../src/core/retry/call_outcome.ts";
+import { callPlan } from "../../src/core/retry/call_plan.ts";
+import type { CallRequest } from "../../src/core/retry/call_request.ts";
+import { RetryBudget } from "../../src/core/retry/retry_budget.ts";
+import { LeastConnections } from "../../src/core/route/least_connections.ts";
+import type { Picker } from "../../src/core/route/picker.ts";
+import { RoundRobin } from "../../src/core/route/round_robin.ts";
+import { Router } from "../../src/core/route/router.ts";
+import { TwoChoices } from "../../src/core/route/two_choices.ts";
+import type { MemberId } from "../../src/schema/member_id.ts";
+import type { PeerId } from "../../src/schema/peer_id.ts";
+import { SeededRandom } from "../../stand_ins/seeded_random.ts";
+import { Scheduler } from "../world/scheduler.ts";
+import type { PromptOptions } from "./prompt_options.ts";
+import { PromptResults } from "./prompt_results.ts";
+import { SimRunner } from "./sim_runner.ts";
+
+const tripMs = 0.5;
+const announceEveryMs = 1_000;
+const maxQueued = 64;
+const retryRatio = 0.1;
+const slowFactor = 10;
+const dataCentres = 3;
+
+interface SimEntry {
+  readonly router: Router;
+  readonly budget: RetryBudget;
+}
+
+/** A service with its entries and runners on virtual time. */
+export class PromptWorld {
+  readonly scheduler = new Scheduler();
+  readonly results = new PromptResults();
+  readonly runners: SimRunner[] = [];
+  readonly #random: SeededRandom;
+  readonly #entries: SimEntry[] = [];
+  #nextId = 0;
+
+  constructor(readonly options: PromptOptions) {
+    this.#random = new SeededRandom(options.seed);
+    for (let n = 0; n < options.runners; n++) this.#addRunner(n);
+    for (let n = 0; n < options.entries; n++) this.#addEntry(n);
+    this.#announce();
+  }
+
+  /** What all slots can do in a second when nothing is slow. */
+  get capacityPerSecond(): number {
+    const { runners, slots, meanMs } = this.options;
+    return runners * slots * 1_000 / meanMs;
+  }
+
+  /** Runs the whole load and lets the last requests end. */
+  run(): PromptResults {
+    const { lastsMs, dyingRunners, timeoutMs } = this.options;
+    this.scheduler.after(lastsMs / 2, () => {
+      for (const runner of this.runners.slice(0, dyingRunners)) {
+        runner.isAlive = false;
+      }
+    });
+    this.#arrive();
+    while (this.scheduler.step(lastsMs + 2 * timeoutMs)) continue;
+    this.results.worked = this.runners.reduce((sum, r) => sum + r.worked, 0);
+    return this.results;
+  }
+
+  #arrive(): void {
+    const { load, lastsMs } = this.options;
+    const meanGapMs = 1_000 / (this.capacityPerSecond * load);
+    const gapMs = -Math.log(1 - this.#random.next()) * meanGapMs;
+    this.scheduler.after(gapMs, () => {
+      if (this.scheduler.nowMs > lastsMs) return;
+      this.#send();
+      this.#arrive();
+    });
+  }
+
+  #send(): void {
+    const { nowMs } = this.scheduler;
+    const isFlood = this.#random.next() < this.options.floodShare;
+    const member = isFlood
+      ? "flood"
+      : `m${Math.floor(this.#random.next() * 4)}`;
+    const { results } = this;
+    results.offered += 1;
+    results.offeredOf.set(member, (results.offeredOf.get(member) ?? 0) + 1);
+    const request: CallRequest = {
+      id: `r${this.#nextId++}`,
+      service: "menu",
+      member: member as MemberId,
+      kind: "check",
+      deadlineAtMs: nowMs + this.options.timeoutMs,
+      body: new Uint8Array(),
+    };
+    const index = Math.floor(this.#random.next() * this.#entries.length);
+    const { router, budget } = this.#entries[index] as SimEntry;
+    const onRetry = (): void => {
+      results.retries += 1;
+    };
+    const clock = (): number => this.scheduler.nowMs;
+    const plan = callPlan(request, router, budget, clock, onRetry);
+    this.#follow(plan, plan.next(), request, nowMs);
+  }
+
+  #follow(
+    plan: ReturnType<typeof callPlan>,
+    step: IteratorResult<CallAttempt, CallOutcome>,
+    request: CallRequest,
+    sentAtMs: number,
+  ): void {
+    if (!step.done) {
+      this.#attempt(step.value, request, (outcome) => {
+        this.#follow(plan, plan.next(outcome), request, sentAtMs);
+      });
+      return;
+    }
+    const tookMs = this.scheduler.nowMs - sentAtMs;
+    const outcome = step.value;
+    if (outcome.ok) this.results.ok(request.member, tookMs);
+    else {
+      const { kind, answer } = outcome.error;
+      this.results.failed(kind, answer.ran === "no", tookMs);
+    }
+  }
+
+  /** One attempt over the network; silence ends with a timeout. */
+  #attempt(
+    { peer, timeoutMs }: CallAttempt,
+    request: CallRequest,
+    done: (outcome: CallOutcome) => void,
+  ): void {
+    const sentAtMs = this.scheduler.nowMs;
+    let isOver = false;
+    const finish = (outcome: CallOutcome): void => {
+      if (isOver) return;
+      isOver = true;
+      done({ ...outcome, tookMs: this.scheduler.nowMs - sentAtMs });
+    };
+    const runner = this.runners.find(({ id }) => id === peer.id);
+    this.scheduler.after(timeoutMs, () => finish(failure("timeout")));
+    this.scheduler.after(tripMs, () => {
+      if (!runner?.isAlive) {
+        finish(failure("runner_unreachable"));
+        return;
+      }
+      runner.call(request, (outcome) => {
+        this.scheduler.after(tripMs, () => finish(outcome));
+      });
+    });
+  }
+
+  #addRunner(n: number): void {
+    const { slots, meanMs, slowRunners } = this.options;
+    const factor = n < slowRunners ? slowFactor : 1;
+    const workMs = (): number =>
+      -Math.log(1 - this.#random.next()) * meanMs * factor;
+    const runner = new SimRunner(
+      `s${n}`,
+      slots,
+      maxQueued,
+      this.scheduler,
+      workMs,
+    );
+    this.runners.push(runner);
+  }
+
+  #addEntry(n: number): void {
+    const members = new Members(`e${n}` as PeerId);
+    const router = new Router(members, this.#picker(`dc${n % dataCentres}`));
+    this.#entries.push({ router, budget: new RetryBudget(retryRatio) });
+  }
+
+  #picker(dataCentre: string): Picker {
+    switch (this.options.picker) {
+      case "two-choices":
+        return new TwoChoices(dataCentre, this.#random);
+      case "round-robin":
+        return new RoundRobin();
+      case "least-connections":
+        return new LeastConnections();
+    }
+  }
+
+  #announce(): void {
+    const { nowMs } = this.scheduler;
+    for (const { router } of this.#entries) {
+      for (const [n, runner] of this.runners.entries()) {
+        if (runner.isAlive) router.members.hear(describe(runner, n), 0, nowMs);
+      }
+      router.members.expire(nowMs);
+    }
+    this.scheduler.after(announceEveryMs, () => this.#announce());
+  }
+}
+
+function describe(runner: SimRunner, n: number): PeerInfo {
+  const { admission, slots } = runner;
+  return {
+    id: runner.id as PeerId,
+    incarnation: runner.id,
+    startedAtMs: 0,
+    role: "sidecar",
+    dataCentre: `dc${n % dataCentres}`,
+    rack: "r",
+    endpoint: { host: "127.0.0.1", port: 1 },
+    state: "ready",
+    configRevision: 0,
+    runner: {
+      service: "menu",
+      inFlight: admission.inFlight,
+      queued: admission.queued,
+      limit: admission.limit.value,
+      slots,
+      latencyMs: admission.limit.latencyMs,
+    },
+  };
+}
+
+function failure(kind: GpError["kind"]): CallOutcome {
+  return { ok: false, error: new GpError(kind), tookMs: 0 };
+}
--- a/src/core/admit/concurrency_limit.ts
+++ b/src/core/admit/concurrency_limit.ts
@@ -1,18 +1,21 @@
-const smoothing = 0.1;
-const longWindowSmoothing = 0.005;
+const shortSmoothing = 0.05;
+const longSmoothing = 0.002;
+const samplesBefore = 50;
 const tolerated = 2;
 const backOff = 0.9;
-const growth = 0.1;
+const smallestShare = 0.25;
 const adjustEveryMs = 200;
 
 /**
- * Adapts how many requests run at once: latency well above its usual level
- * lowers the limit, a full house at usual latency raises it to the slots.
+ * Adapts how many requests run at once: a smoothed latency well above its
+ * long-term mean lowers the limit, to a share of the slots at least; at the
+ * usual latency a full house raises it again.
  */
 export class ConcurrencyLimit {
   #limit: number;
   #shortMs = 0;
   #longMs = 0;
+  #samples = 0;
   #adjustedAtMs = 0;
 
   constructor(public slots: number) {
@@ -31,27 +34,24 @@
 
   /** The runner took this long while so many requests ran. */
   observe(tookMs: number, inFlight: number, nowMs: number): void {
-    if (this.#longMs === 0) {
-      this.#shortMs = tookMs;
-      this.#longMs = tookMs;
-    }
-    this.#shortMs += (tookMs - this.#shortMs) * smoothing;
-    const isRise = tookMs > this.#longMs;
-    const weight = isRise ? longWindowSmoothing : smoothing;
-    this.#longMs += (tookMs - this.#longMs) * weight;
+    this.#samples += 1;
+    const early = 1 / this.#samples;
+    const shortWeight = Math.max(shortSmoothing, early);
+    const longWeight = Math.max(longSmoothing, early);
+    this.#shortMs += (tookMs - this.#shortMs) * shortWeight;
+    this.#longMs += (tookMs - this.#longMs) * longWeight;
+    if (this.#samples < samplesBefore) return;
     if (nowMs - this.#adjustedAtMs < adjustEveryMs) return;
     this.#adjustedAtMs = nowMs;
     this.#adjust(inFlight);
   }
 
   #adjust(inFlight: number): void {
+    const smallest = Math.max(1, this.slots * smallestShare);
     if (this.#shortMs > this.#longMs * tolerated) {
-      this.#limit = Math.max(1, this.#limit * backOff);
+      this.#limit = Math.max(smallest, this.#limit * backOff);
     } else if (inFlight >= this.value) {
-      this.#limit = Math.min(
-        this.slots,
-        this.#limit + Math.max(1, this.#limit * growth),
-      );
+      this.#limit = Math.min(this.slots, this.#limit + 1);
     }
   }
 }
