Tell the runner's load in every answer

Cause: with loads from announcements a second old, two choices herded: p99 154 ms at 80 % load against 47 ms for least connections. Change: replies carry what runs and waits at the runner; an entry adds what others put on it to its own count, fading in 500 ms.

--- a/src/core/admit/admission.ts
+++ b/src/core/admit/admission.ts
@@ -33,9 +33,14 @@
     return this.#queue.length;
   }
 
+  /** How many requests run or wait. */
+  get load(): number {
+    return this.inFlight + this.queued;
+  }
+
   /** Whether nothing runs or waits. */
   get isIdle(): boolean {
-    return this.inFlight === 0 && this.queued === 0;
+    return this.load === 0;
   }
 
   /** Takes a new request: it runs, waits or is refused. */
--- a/src/core/retry/call_outcome.ts
+++ b/src/core/retry/call_outcome.ts
@@ -2,5 +2,12 @@
 
 /** How one attempt at a call ended. */
 export type CallOutcome =
-  | { readonly ok: true; readonly body: Uint8Array; readonly tookMs: number }
-  | { readonly ok: false; readonly error: GpError; readonly tookMs: number };
+  & {
+    readonly tookMs: number;
+    /** What ran and waited at the runner when it answered. */
+    readonly load?: number;
+  }
+  & (
+    | { readonly ok: true; readonly body: Uint8Array }
+    | { readonly ok: false; readonly error: GpError }
+  );
--- a/src/core/retry/call_plan.ts
+++ b/src/core/retry/call_plan.ts
@@ -83,6 +83,7 @@
   if (outcome.ok) router.answered(id, outcome.tookMs, nowMs);
   else if (isRefusal(outcome.error)) router.refused(id, nowMs);
   else router.failed(id, nowMs);
+  if (outcome.load !== undefined) router.told(id, outcome.load, nowMs);
 }
 
 function isRefusal(error: GpError): boolean {
--- a/src/core/route/router.ts
+++ b/src/core/route/router.ts
@@ -36,6 +36,13 @@
     this.#of(id, nowMs).inFlight += 1;
   }
 
+  /** An answer told the runner's load, own requests included. */
+  told(id: PeerId, load: number, nowMs: number): void {
+    const stats = this.#of(id, nowMs);
+    stats.othersLoad = Math.max(0, load - stats.inFlight);
+    stats.toldAtMs = nowMs;
+  }
+
   /** The runner answered. */
   answered(id: PeerId, tookMs: number, nowMs: number): void {
     const stats = this.#of(id, nowMs);
@@ -72,6 +79,8 @@
     if (known !== undefined) return known;
     const stats: RunnerStats = {
       inFlight: 0,
+      othersLoad: 0,
+      toldAtMs: -Infinity,
       latencyMs: initialLatencyMs,
       answeredAtMs: nowMs,
       failures: 0,
--- a/src/core/route/two_choices.ts
+++ b/src/core/route/two_choices.ts
@@ -3,7 +3,10 @@
 import type { RunnerChoice } from "./runner_choice.ts";
 
 /** One-way time to another data centre, counted twice for the round trip. */
-const remoteMs = 3;
+const remoteMs = 2;
+/** Without an answer for so long, announcements tell the load. */
+const announcedMs = 1_000;
+const othersFadeMs = 500;
 const initialLatencyMs = 5;
 /** Time over which an old latency fades, so that a slow runner is tried again. */
 const fadeMs = 10_000;
@@ -32,8 +35,7 @@
 
   #expectedMs({ peer, stats }: RunnerChoice, nowMs: number): number {
     const slots = Math.max(1, peer.runner?.limit ?? 1);
-    const told = (peer.runner?.inFlight ?? 0) + (peer.runner?.queued ?? 0);
-    const load = Math.max(stats.inFlight, told);
+    const load = loadOf({ peer, stats }, nowMs);
     const ageMs = Math.max(0, nowMs - stats.answeredAtMs);
     const weight = Math.exp(-ageMs / fadeMs);
     const latencyMs = stats.latencyMs * weight +
@@ -49,3 +51,13 @@
     return latencyMs * queueing * spread * start + tripMs;
   }
 }
+
+/** Own requests count as they are; others' fade with the age of the news. */
+function loadOf({ peer, stats }: RunnerChoice, nowMs: number): number {
+  const ageMs = nowMs - stats.toldAtMs;
+  if (ageMs > announcedMs) {
+    const { inFlight = 0, queued = 0 } = peer.runner ?? {};
+    return Math.max(stats.inFlight, inFlight + queued);
+  }
+  return stats.inFlight + stats.othersLoad * Math.exp(-ageMs / othersFadeMs);
+}
--- a/src/entry/send_attempt.ts
+++ b/src/entry/send_attempt.ts
@@ -33,10 +33,11 @@
     }, { timeoutMs });
     const error = errorIn(reply, request, number);
     if (error === undefined) {
-      return { ok: true, body: reply.body, tookMs: tookMs() };
+      const { body, load } = reply;
+      return { ok: true, body, load, tookMs: tookMs() };
     }
     if (error.kind === "mismatched") metrics.count("answer.crossed");
-    return { ok: false, error, tookMs: tookMs() };
+    return { ok: false, error, load: reply.load, tookMs: tookMs() };
   } catch (cause) {
     return { ok: false, error: faultOf(cause), tookMs: tookMs() };
   }
--- a/src/sidecar/answer_call.ts
+++ b/src/sidecar/answer_call.ts
@@ -16,17 +16,16 @@
 ): Promise<CallReply> {
   const { requestId, attempt } = request;
   const outcome = await run(host, request);
+  const load = host.gate?.admission.load ?? 0;
   if (outcome.ok) {
-    return create(CallReplySchema, {
-      requestId,
-      attempt,
-      body: outcome.body,
-    });
+    const { body } = outcome;
+    return create(CallReplySchema, { requestId, attempt, body, load });
   }
   const { kind, detail, retryAfterMs } = outcome.error;
   return create(CallReplySchema, {
     requestId,
     attempt,
+    load,
     error: kind,
     detail,
     retryAfterMs,
