Mutants of the prompt path; no half configuration after retention

Cause: the checks of the answers had never been seen to fail; and a new test of retention showed that a process which starts after records aged out, and takes its neighbour's configuration, passed over changes that the log still had. Change: four mutants of the bundle, each caught by the comparison with what the runners ran; images of the configuration say up to which offset they are whole, a process past a gap trusts only one that reaches over it, and the commands start from such a one, too. Before: the late process stayed at revision 1 while 2 was in the log.

--- a/bench/messages_bench.ts
+++ b/bench/messages_bench.ts
@@ -82,7 +82,7 @@
     puts,
     removes: [],
   }, 0);
-  const image = JSON.stringify(state.image()).length;
+  const image = JSON.stringify(state.image(1)).length;
   console.log(
     [
       `announceRequestBytes=${request.length}`,
--- a/demo/caller.ts
+++ b/demo/caller.ts
@@ -116,7 +116,8 @@
       if (answer.body.ran === "no") this.saidNotRun.add(marker);
       else this.saidNotRun.delete(marker);
       return answer.body.ran === "yes";
-    } catch {
+    } catch (cause) {
+      if (cause instanceof SyntaxError) this.wrong.push(marker);
       this.tally.refused(kind, "no answer");
       this.saidNotRun.delete(marker);
       return false;
--- a/src/cli/read_config.ts
+++ b/src/cli/read_config.ts
@@ -2,6 +2,7 @@
 import type { ConfigRecord } from "../core/config/config_record.ts";
 import { ConfigState } from "../core/config/config_state.ts";
 import type { ConfigVerdict } from "../core/config/config_verdict.ts";
+import { GpError } from "../core/errors/gp_error.ts";
 import type { Log } from "../core/log/log.ts";
 import { ConfigRecordSchema } from "../schema/config_record_schema.ts";
 
@@ -11,33 +12,61 @@
 interface ReadConfig {
   readonly state: ConfigState;
   readonly verdicts: ReadonlyMap<string, ConfigVerdict>;
-  readonly records: readonly {
-    readonly offset: number;
-    readonly record: ConfigRecord;
-    readonly verdict: ConfigVerdict;
-  }[];
+  readonly records: readonly Judged[];
+}
+
+interface Judged {
+  readonly offset: number;
+  readonly record: ConfigRecord;
+  readonly verdict: ConfigVerdict;
 }
 
 /** Reads all that the log keeps of the configuration. */
 export async function readConfig(log: Log): Promise<ReadConfig> {
+  const { oldest, raw } = await readAll(log);
   const state = new ConfigState();
   const verdicts = new Map<string, ConfigVerdict>();
-  const records = [];
-  let next = 0;
-  let end = 1;
-  while (next < end) {
-    const page = await log.read(stream, next, pageRecords);
-    next = page.from;
-    end = page.end;
-    for (const raw of page.records) {
-      const checked = v.safeParse(ConfigRecordSchema, raw);
-      const offset = next++;
-      if (!checked.success) continue;
-      const record = checked.output as ConfigRecord;
-      const verdict = state.apply(record, offset);
-      verdicts.set(record.id, verdict);
-      records.push({ offset, record, verdict });
-    }
+  const records: Judged[] = [];
+  const parsed = raw.map(parse);
+  const from = startFrom(state, oldest, parsed);
+  for (const [index, record] of parsed.entries()) {
+    const offset = oldest + index;
+    if (record === undefined || offset < from) continue;
+    const verdict = state.apply(record, offset);
+    verdicts.set(record.id, verdict);
+    records.push({ offset, record, verdict });
   }
   return { state, verdicts, records };
 }
+
+/** Where the start is gone, a restated configuration stands in for it. */
+function startFrom(
+  state: ConfigState,
+  oldest: number,
+  records: readonly (ConfigRecord | undefined)[],
+): number {
+  if (oldest === 0) return 0;
+  for (const record of records.toReversed()) {
+    if (record?.kind !== "restated" || record.image.covers < oldest) continue;
+    state.install(record.image);
+    return record.image.covers;
+  }
+  throw new GpError("log_unavailable", "no whole configuration is kept");
+}
+
+async function readAll(log: Log): Promise<{ oldest: number; raw: unknown[] }> {
+  const raw: unknown[] = [];
+  let page = await log.read(stream, 0, pageRecords);
+  const oldest = page.from;
+  while (true) {
+    raw.push(...page.records);
+    const next = oldest + raw.length;
+    if (next >= page.end) return { oldest, raw };
+    page = await log.read(stream, next, pageRecords);
+  }
+}
+
+function parse(raw: unknown): ConfigRecord | undefined {
+  const checked = v.safeParse(ConfigRecordSchema, raw);
+  return checked.success ? checked.output as ConfigRecord : undefined;
+}
--- a/src/core/config/config_state.ts
+++ b/src/core/config/config_state.ts
@@ -51,12 +51,17 @@
     return true;
   }
 
-  /** The whole configuration, to be handed on. */
-  image(): ConfigImage {
+  /** The whole configuration, complete up to the offset, to be handed on. */
+  image(covers: number): ConfigImage {
     const removed = [...this.removed].map(([key, [revision, by]]) =>
       [key, revision, by] as const
     );
-    return { revision: this.revision, rows: [...this.rows.values()], removed };
+    return {
+      revision: this.revision,
+      covers,
+      rows: [...this.rows.values()],
+      removed,
+    };
   }
 
   /** Yields the values of one kind of item. */
--- a/src/peer/config_store.ts
+++ b/src/peer/config_store.ts
@@ -3,6 +3,7 @@
 import type { ConfigRecord } from "../core/config/config_record.ts";
 import { ConfigState } from "../core/config/config_state.ts";
 import type { Log } from "../core/log/log.ts";
+import type { LogPage } from "../core/log/log_page.ts";
 import { ConfigRecordSchema } from "../schema/config_record_schema.ts";
 
 const stream = "config";
@@ -26,17 +27,27 @@
     }
   }
 
+  /** The configuration in force, and up to where it is complete. */
+  image(): ConfigImage {
+    return this.state.image(this.#next);
+  }
+
   /** Takes over a neighbour's configuration if it is newer. */
   install(image: ConfigImage): boolean {
-    this.#hasGap = false;
-    return this.state.install(image);
+    const isNewer = this.state.install(image);
+    const isComplete = image.revision >= this.state.revision;
+    if (isComplete && (this.#hasGap || image.covers > this.#next)) {
+      this.#next = image.covers;
+      this.#hasGap = false;
+    }
+    return isNewer;
   }
 
   /** Restates the configuration, so that it outlives the log's retention. */
   async restate(log: Log, by: string): Promise<void> {
     if (this.#hasGap || this.state.revision < 0) return;
     const atMs = Date.now();
-    const image = this.state.image();
+    const image = this.image();
     const id = `${by}-${atMs}`;
     const record: ConfigRecord = { kind: "restated", id, by, atMs, image };
     await log.append(stream, [record]);
@@ -44,23 +55,32 @@
 
   async #readPage(log: Log): Promise<boolean> {
     const page = await log.read(stream, this.#next, pageRecords);
-    let offset = page.from;
     if (page.from > this.#next) this.#hasGap = true;
+    if (this.#hasGap) return this.#bridge(page);
     for (const raw of page.records) {
-      const record = v.safeParse(ConfigRecordSchema, raw);
-      if (record.success) this.#apply(record.output as ConfigRecord, offset);
-      offset += 1;
+      const record = parse(raw);
+      if (record?.kind === "published") this.state.apply(record, this.#next);
+      this.#next += 1;
     }
-    this.#next = offset;
-    return offset < page.end;
+    return this.#next < page.end;
   }
 
-  #apply(record: ConfigRecord, offset: number): void {
-    if (record.kind === "restated") {
+  /** Past a gap only a whole configuration can be trusted. */
+  #bridge(page: LogPage): boolean {
+    this.#next = page.from + page.records.length;
+    for (const raw of page.records) {
+      const record = parse(raw);
+      if (record?.kind !== "restated" || record.image.covers < page.oldest) {
+        continue;
+      }
       this.install(record.image);
-      return;
+      return this.#next < page.end;
     }
-    const isNew = offset > this.state.revision;
-    if (isNew && !this.#hasGap) this.state.apply(record, offset);
+    return this.#next < page.end;
   }
 }
+
+function parse(raw: unknown): ConfigRecord | undefined {
+  const record = v.safeParse(ConfigRecordSchema, raw);
+  return record.success ? record.output as ConfigRecord : undefined;
+}
--- a/src/peer/peer_node.ts
+++ b/src/peer/peer_node.ts
@@ -139,7 +139,7 @@
       getConfig: ({ aboveRevision }) => {
         const { state } = this.config;
         const isNews = state.revision > Number(aboveRevision);
-        const json = isNews ? JSON.stringify(state.image()) : "";
+        const json = isNews ? JSON.stringify(this.config.image()) : "";
         const stateJson = new TextEncoder().encode(json);
         const revision = BigInt(state.revision);
         return create(GetConfigReplySchema, { revision, stateJson });
--- a/src/schema/config_record_schema.ts
+++ b/src/schema/config_record_schema.ts
@@ -23,6 +23,7 @@
 
 const Image = v.strictObject({
   revision: v.number(),
+  covers: v.number(),
   rows: v.array(
     v.strictObject({ item: Item, revision: v.number(), by: v.string() }),
   ),
--- a/stand_ins/fleet/fleet.ts
+++ b/stand_ins/fleet/fleet.ts
@@ -7,7 +7,7 @@
 import { postAdmin } from "./post_admin.ts";
 import type { Slot } from "./slot.ts";
 
-const product = "dist/gypsumpond.cjs";
+const ownProduct = "dist/gypsumpond.cjs";
 const defaultFlags = [
   "--max-semi-space-size=1",
   "--max-old-space-size=40",
@@ -33,6 +33,10 @@
     this.cell = options.dataCentre;
   }
 
+  get #bundle(): string {
+    return this.options.product ?? ownProduct;
+  }
+
   /** The log's address, as operators' commands take it. */
   get logAddress(): string {
     return `127.0.0.1:${this.logPort}`;
@@ -68,7 +72,7 @@
     const process = new ManagedProcess(
       "command",
       "node",
-      [product, ...args],
+      [this.#bundle, ...args],
       "",
     );
     await process.start().catch(() => {});
@@ -205,7 +209,7 @@
     writeFileSync(file, JSON.stringify(settings, undefined, 2));
     const args = [
       ...this.options.flags ?? defaultFlags,
-      product,
+      this.#bundle,
       role,
       "--settings",
       file,
--- a/stand_ins/fleet/fleet_options.ts
+++ b/stand_ins/fleet/fleet_options.ts
@@ -7,6 +7,8 @@
   readonly cores: number;
   readonly memoryGb: number;
   readonly meanMs: number;
+  /** Another bundle in place of the product's own. */
+  readonly product?: string;
   /** Flags for the processes of the product, in place of the usual ones. */
   readonly flags?: readonly string[];
   /** Puts a fault proxy between these parties. */
--- a/stand_ins/runner/runner_server.ts
+++ b/stand_ins/runner/runner_server.ts
@@ -104,7 +104,8 @@
     }
     const isCrossed = this.random.next() < crossedRatio;
     const echoed = isCrossed ? `${attemptId}-other` : attemptId;
-    const answer = { marker: body.marker ?? null, runner: this.id };
+    const marker = isCrossed ? "another's" : body.marker ?? null;
+    const answer = { marker, runner: this.id };
     if (this.random.next() < truncatedRatio) {
       const bytes = Buffer.from(JSON.stringify(answer));
       response.writeHead(200, {
--- a/tests/config_test.ts
+++ b/tests/config_test.ts
@@ -114,7 +114,7 @@
           log.slice(0, end + 1).forEach((record, offset) =>
             state.apply(record, offset)
           );
-          return state.image();
+          return state.image(end + 1);
         });
         const state = new ConfigState();
         let before = -1;
@@ -125,7 +125,7 @@
           expect(state.revision).to.be.at.least(before);
           before = state.revision;
           const same = images.find(({ revision }) => revision === before);
-          expect(new Set(state.image().rows.map((row) => JSON.stringify(row))))
+          expect(new Set(state.image(0).rows.map((row) => JSON.stringify(row))))
             .to.eql(
               new Set((same?.rows ?? []).map((row) => JSON.stringify(row))),
             );
