Fault proxy: loss, swapped answers, half-open; proxies before sidecars

Cause: the proxy could not lose or swap answers nor stand before a sidecar, and half-open connections were in no test. Change: two more faults; a sidecar may be reached at an advertised address; four more cases through real processes. Left out of the code: a record kind, an event field and a metric call that nothing used.

--- a/scenarios/world/sim_peer.ts
+++ b/scenarios/world/sim_peer.ts
@@ -109,8 +109,7 @@
         this.hear({ kind: "appended", startedAtMs, first, records });
         return;
       }
-      const mayHaveTakenEffect = first === undefined;
-      this.hear({ kind: "append_failed", mayHaveTakenEffect });
+      this.hear({ kind: "append_failed" });
     });
     this.world.log.append(this.id, records, answer);
   }
--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -24,11 +24,6 @@
     this.#client?.increment(key);
   }
 
-  /** Reports how long something took. */
-  timing(name: string, tookMs: number): void {
-    this.#client?.timing(name, tookMs);
-  }
-
   /** All counts so far. */
   counts(): Record<string, number> {
     return Object.fromEntries(this.#counts);
--- a/src/core/fold/cell_record.ts
+++ b/src/core/fold/cell_record.ts
@@ -50,10 +50,6 @@
       readonly checkpoint?: string;
     })
     | (OfAttempt & { readonly kind: "reclaimed" })
-    | (OfAttempt & {
-      readonly kind: "checkpointed";
-      readonly checkpoint: string;
-    })
     | (OfAttempt & { readonly kind: "failed"; readonly detail: string })
     | (OfAttempt & { readonly kind: "finished"; readonly result: string })
     | (ByKeeper & {
--- a/src/core/fold/judges.ts
+++ b/src/core/fold/judges.ts
@@ -3,7 +3,6 @@
 import type { Judge } from "./judge.ts";
 import { judgeArrived } from "./judge_arrived.ts";
 import { judgeCancelled } from "./judge_cancelled.ts";
-import { judgeCheckpointed } from "./judge_checkpointed.ts";
 import { judgeClaimed } from "./judge_claimed.ts";
 import { judgeEpoch } from "./judge_epoch.ts";
 import { judgeFailed } from "./judge_failed.ts";
@@ -26,7 +25,6 @@
   claimed: judgeClaimed,
   released: judgeReleased,
   reclaimed: judgeReclaimed,
-  checkpointed: judgeCheckpointed,
   failed: judgeFailed,
   finished: judgeFinished,
   moved: judgeMoved,
--- a/src/core/keep/keeper_event.ts
+++ b/src/core/keep/keeper_event.ts
@@ -26,7 +26,7 @@
     readonly first: number;
     readonly records: readonly CellRecord[];
   }
-  | { readonly kind: "append_failed"; readonly mayHaveTakenEffect: boolean }
+  | { readonly kind: "append_failed" }
   | {
     readonly kind: "report";
     readonly report: WorkerAnswer;
--- a/src/keeper/keeper_host.ts
+++ b/src/keeper/keeper_host.ts
@@ -111,8 +111,7 @@
     } catch (cause) {
       const { kind } = GpError.from(cause);
       this.metrics.count("keeper.append_failed", kind);
-      const mayHaveTakenEffect = kind !== "log_unavailable";
-      this.hear({ kind: "append_failed", mayHaveTakenEffect });
+      this.hear({ kind: "append_failed" });
     }
   }
 
--- a/src/peer/peer_node.ts
+++ b/src/peer/peer_node.ts
@@ -56,6 +56,7 @@
       readonly dataCentre: string;
       readonly rack: string;
       readonly listen: Endpoint;
+      readonly advertised?: Endpoint | undefined;
       readonly seeds: readonly Endpoint[];
     },
     readonly role: PeerRole,
@@ -105,7 +106,8 @@
   self(): PeerInfo {
     const { id, dataCentre, rack } = this.settings;
     const { role, incarnation, startedAtMs, state, port } = this;
-    const endpoint = { host: this.settings.listen.host, port };
+    const { listen, advertised } = this.settings;
+    const endpoint = advertised ?? { host: listen.host, port };
     const configRevision = this.config.state.revision;
     return {
       id,
--- a/src/schema/common_settings.ts
+++ b/src/schema/common_settings.ts
@@ -9,6 +9,7 @@
   dataCentre: Name,
   rack: Name,
   listen: Endpoint,
+  advertised: v.optional(Endpoint),
   seeds: v.array(Endpoint),
   log: Endpoint,
   logLevel: v.optional(
--- a/stand_ins/fault_proxy/fault_proxy.ts
+++ b/stand_ins/fault_proxy/fault_proxy.ts
@@ -3,6 +3,9 @@
 import type { RandomSource } from "../../src/core/random/random_source.ts";
 import type { ProxyFaults } from "./proxy_faults.ts";
 
+/** How long an answer waits for another to be swapped with. */
+const heldMs = 100;
+
 /** Passes TCP connections on, and shows faults on the way. */
 export class FaultProxy {
   readonly faults: ProxyFaults = {
@@ -13,9 +16,13 @@
     resetRatio: 0,
     truncateRatio: 0,
     resetRequestRatio: 0,
+    loseRatio: 0,
+    swapRatio: 0,
   };
   readonly server: Server;
   readonly #open = new Set<Socket>();
+  /** An answer that waits for another to be swapped with. */
+  #held: { readonly chunk: Buffer; readonly to: Socket } | undefined;
 
   constructor(readonly targetPort: number, readonly random: RandomSource) {
     this.server = createServer((client) => this.#accept(client));
@@ -63,6 +70,11 @@
     if (isHalfOpen) return;
     if (delayMs > 0) await delay(delayMs);
     if (to.destroyed) return;
+    if (isAnswer && this.random.next() < this.faults.loseRatio) return;
+    if (isAnswer && this.random.next() < this.faults.swapRatio) {
+      this.#swap(chunk, to);
+      return;
+    }
     if (isAnswer && this.random.next() < truncateRatio) {
       to.write(chunk.subarray(0, chunk.byteLength >> 1));
       reset(from, to);
@@ -72,6 +84,26 @@
     const ratio = isAnswer ? resetRatio : resetRequestRatio;
     if (this.random.next() < ratio) reset(from, to);
   }
+
+  #swap(chunk: Buffer, to: Socket): void {
+    const held = this.#held;
+    if (held === undefined || held.to === to) {
+      this.#held = { chunk, to };
+      setTimeout(() => this.#release(chunk), heldMs);
+      return;
+    }
+    this.#held = undefined;
+    if (!to.destroyed) to.write(held.chunk);
+    if (!held.to.destroyed) held.to.write(chunk);
+  }
+
+  /** Nothing came to swap with. */
+  #release(chunk: Buffer): void {
+    const held = this.#held;
+    if (held?.chunk !== chunk) return;
+    this.#held = undefined;
+    if (!held.to.destroyed) held.to.write(chunk);
+  }
 }
 
 function reset(from: Socket, to: Socket): void {
--- a/stand_ins/fault_proxy/proxy_faults.ts
+++ b/stand_ins/fault_proxy/proxy_faults.ts
@@ -12,6 +12,10 @@
   resetRatio: number;
   /** Share of answers' chunks that are cut in half, then reset. */
   truncateRatio: number;
+  /** Share of answers' chunks that never arrive. */
+  loseRatio: number;
+  /** Share of answers' chunks that go to another caller, whose own comes here. */
+  swapRatio: number;
   /** Share of requests' chunks after which the connection is reset. */
   resetRequestRatio: number;
 }
--- a/stand_ins/fleet/fleet.ts
+++ b/stand_ins/fleet/fleet.ts
@@ -130,13 +130,20 @@
       proxies.workers ?? false,
     );
     const runnerListen = await freePort();
+    const port = await freePort();
+    const sidecarProxy = await this.#proxy(
+      `sidecar-${n}`,
+      port,
+      proxies.sidecars ?? false,
+    );
     const settings = {
       ...this.#common(
         `sidecar-${n}`,
         `rack-${1 + (n - 1) % racksOf}`,
-        await freePort(),
+        port,
       ),
       cell: this.cell,
+      advertised: loopback(sidecarProxy.port),
       runnerListen: loopback(runnerListen),
       worker: {
         id: `worker-${n}`,
@@ -175,6 +182,7 @@
       workerPort,
       runnerProxyAdmin: runnerProxy.admin,
       workerProxyAdmin: workerProxy.admin,
+      sidecarProxyAdmin: sidecarProxy.admin,
     };
   }
 
--- a/stand_ins/fleet/slot.ts
+++ b/stand_ins/fleet/slot.ts
@@ -9,4 +9,5 @@
   readonly workerPort: number;
   readonly runnerProxyAdmin: number | undefined;
   readonly workerProxyAdmin: number | undefined;
+  readonly sidecarProxyAdmin: number | undefined;
 }
--- a/tests/integration/fault_run.ts
+++ b/tests/integration/fault_run.ts
@@ -9,6 +9,8 @@
 const together = 10;
 
 const noProxyFaults = {
+  loseRatio: 0,
+  swapRatio: 0,
   resetRatio: 0,
   truncateRatio: 0,
   resetRequestRatio: 0,
@@ -19,10 +21,14 @@
 
 async function setFaults(
   fleet: Fleet,
-  { proxy, runner }: FaultCase,
+  { proxy, runner, sidecar }: FaultCase,
 ): Promise<void> {
-  for (const { runnerPort, runnerProxyAdmin } of fleet.slots) {
+  for (const slot of fleet.slots) {
+    const { runnerPort, runnerProxyAdmin, sidecarProxyAdmin } = slot;
     await postAdmin(runnerPort, { ...noRunnerFaults, ...runner });
+    if (sidecarProxyAdmin !== undefined) {
+      await postAdmin(sidecarProxyAdmin, { ...noProxyFaults, ...sidecar });
+    }
     if (runnerProxyAdmin === undefined) continue;
     await postAdmin(runnerProxyAdmin, { ...noProxyFaults, ...proxy });
   }
--- a/tests/integration/faults_test.ts
+++ b/tests/integration/faults_test.ts
@@ -24,6 +24,17 @@
     proxy: { resetRequestRatio: 0.05 },
   },
   { name: "answers cut short on the way", proxy: { truncateRatio: 0.05 } },
+  { name: "answers that go to another caller", proxy: { swapRatio: 0.1 } },
+  { name: "answers that never arrive", proxy: { loseRatio: 0.02 } },
+  {
+    name: "the same between entry and sidecar",
+    sidecar: {
+      swapRatio: 0.05,
+      resetRatio: 0.05,
+      truncateRatio: 0.03,
+      refuseRatio: 0.1,
+    },
+  },
   {
     name: "all of it, slowly",
     proxy: {
@@ -42,7 +53,7 @@
   let fleet: Fleet;
 
   before(async () => {
-    fleet = await smallFleet({ proxies: { runners: true } });
+    fleet = await smallFleet({ proxies: { runners: true, sidecars: true } });
   });
 
   after(async () => {
--- a/tests/integration/recovery_test.ts
+++ b/tests/integration/recovery_test.ts
@@ -23,6 +23,20 @@
   return Number(id.split("-")[1]) - 1;
 }
 
+async function cutWorkers(
+  fleet: Fleet,
+  fault: "isCut" | "isHalfOpen",
+): Promise<void> {
+  const set = async (isOn: boolean): Promise<void> => {
+    for (const { workerProxyAdmin } of fleet.slots) {
+      await postAdmin(workerProxyAdmin ?? 0, { [fault]: isOn });
+    }
+  };
+  await set(true);
+  await delay(9_000);
+  await set(false);
+}
+
 const cases: readonly Case[] = [
   {
     name: "the keeper is killed",
@@ -81,15 +95,11 @@
   },
   {
     name: "the workers are cut off from the keeper",
-    disturb: async (fleet) => {
-      for (const { workerProxyAdmin } of fleet.slots) {
-        await postAdmin(workerProxyAdmin ?? 0, { isCut: true });
-      }
-      await delay(9_000);
-      for (const { workerProxyAdmin } of fleet.slots) {
-        await postAdmin(workerProxyAdmin ?? 0, { isCut: false });
-      }
-    },
+    disturb: (fleet) => cutWorkers(fleet, "isCut"),
+  },
+  {
+    name: "the workers' connections stay open and carry nothing",
+    disturb: (fleet) => cutWorkers(fleet, "isHalfOpen"),
   },
 ];
 
