An entry killed in the middle of orders

Cause: the promise that an order runs at most once across an entry's death had no test. Change: twenty orders in flight, kill -9 of one entry, repeats with the same key through the other. Conclusion: no change to the product was needed.

--- a/demo/caller.ts
+++ b/demo/caller.ts
@@ -44,8 +44,10 @@
     }
     this.orders.add(marker);
     const headers = { "idempotency-key": String(minted.body.idempotencyKey) };
+    const turn = this.#next++;
     for (let attempt = 1; attempt <= tries; attempt++) {
-      const isDone = await this.#call("order", marker, headers, more);
+      const at = turn + attempt;
+      const isDone = await this.#call("order", marker, headers, more, at);
       if (isDone) return;
     }
   }
@@ -85,8 +87,9 @@
     path: string,
     body: unknown,
     headers: Record<string, string> = {},
+    turn = this.#next++,
   ): Promise<Answer> {
-    const entry = this.entries[this.#next++ % this.entries.length];
+    const entry = this.entries[turn % this.entries.length];
     const answer = await request(`${entry}${path}`, {
       method: "POST",
       headers: { "x-member": this.member, ...headers },
@@ -101,11 +104,13 @@
     marker: string,
     headers: Record<string, string>,
     more: Record<string, unknown>,
+    turn?: number,
   ): Promise<boolean> {
     const startedAtMs = performance.now();
     const path = `/services/${this.service}/${kind}`;
     try {
-      const answer = await this.post(path, { marker, ...more }, headers);
+      const body = { marker, ...more };
+      const answer = await this.post(path, body, headers, turn);
       if (answer.status === 200) {
         this.tally.ok(kind, performance.now() - startedAtMs);
         this.saidNotRun.delete(marker);
--- a/tests/integration/recovery_test.ts
+++ b/tests/integration/recovery_test.ts
@@ -247,6 +247,33 @@
   });
 });
 
+describe("an entry that dies, with real processes", function () {
+  this.timeout(60_000);
+
+  it("leaves orders run once, and their repeats answered", async () => {
+    const fleet = await smallFleet();
+    try {
+      const tally = new Tally();
+      const entries = [fleet.callers(0), fleet.callers(1)];
+      const caller = new Caller(entries, "yaba-club", "menu", tally, "e");
+      const orders = Array.from(
+        { length: 20 },
+        () => caller.order(4, { workMs: 600 }),
+      );
+      await delay(300);
+      await fleet.entries[0]?.kill();
+      await Promise.all(orders);
+      const { ran } = await audit(fleet, []);
+      const counts = [...caller.orders].map((marker) => ran.get(marker) ?? 0);
+      expect(Math.max(...counts)).to.equal(1);
+      expect(tally.refusals.get("order no answer")).to.be.greaterThan(0);
+      expect(tally.rows.get("order")?.ok).to.equal(caller.orders.size);
+    } finally {
+      await fleet.stop();
+    }
+  });
+});
+
 describe("a log outage, with real processes", function () {
   this.timeout(90_000);
 
