Say 'not run' of the whole call, not of its last attempt

Cause: reading the demo's refusals: an order whose home died was answered 'runner_unreachable, not run' (three tries of one order) although an earlier try with its key may have run; likewise a check refused elsewhere after a first attempt that was lost. Ruled out: dropping retries after a lost answer (checks need them). Change: a refusal that follows an attempt that may have run, or that comes from an order's home being away, is answered as outcome_unknown. Before: three of four new table cases fail. Callers get fewer 'not run' for orders at a dead home.

--- a/src/core/retry/call_plan.ts
+++ b/src/core/retry/call_plan.ts
@@ -22,6 +22,24 @@
   budget: RetryBudget,
   clock: () => number,
   onRetry: (reason: string) => void,
+): Plan {
+  const outcomes: CallOutcome[] = [];
+  const attempts = tryOn(request, router, budget, clock, onRetry);
+  let step = attempts.next();
+  while (!step.done) {
+    const outcome = yield step.value;
+    outcomes.push(outcome);
+    step = attempts.next(outcome);
+  }
+  return truthful(request, step.value, outcomes);
+}
+
+function* tryOn(
+  request: CallRequest,
+  router: Router,
+  budget: RetryBudget,
+  clock: () => number,
+  onRetry: (reason: string) => void,
 ): Plan {
   const tried = new Set<PeerId>();
   let last: CallOutcome | undefined;
@@ -44,6 +62,21 @@
   return last ?? failure("no_runner");
 }
 
+/** "Not run" must hold for every attempt, and for earlier calls of an order. */
+function truthful(
+  request: CallRequest,
+  last: CallOutcome,
+  outcomes: readonly CallOutcome[],
+): CallOutcome {
+  if (last.ok || last.error.answer.ran !== "no") return last;
+  const mayHaveRun = outcomes.some((outcome) =>
+    !outcome.ok && outcome.error.answer.ran !== "no"
+  );
+  const isHomeAway = request.home !== undefined &&
+    last.error.kind === "runner_unreachable";
+  return mayHaveRun || isHomeAway ? failure("outcome_unknown") : last;
+}
+
 function choosePeer(
   request: CallRequest,
   router: Router,
--- a/tests/call_plan_test.ts
+++ b/tests/call_plan_test.ts
@@ -115,6 +115,38 @@
     ends: "leaving",
     budget: 0,
   },
+  {
+    name: "a refusal after a lost answer does not deny the first try",
+    kind: "check",
+    outcomes: [fail("outcome_unknown"), fail("overloaded"), fail("overloaded")],
+    sends: ["s1", "s3", "s2"],
+    ends: "outcome_unknown",
+  },
+  {
+    name: "a refusal after a failure does not deny it either",
+    kind: "check",
+    outcomes: [fail("runner_failed"), fail("leaving"), fail("leaving")],
+    sends: ["s1", "s3", "s2"],
+    ends: "outcome_unknown",
+  },
+  {
+    name: "an order's home that cannot be reached may have run it before",
+    kind: "order",
+    outcomes: [
+      fail("runner_unreachable"),
+      fail("runner_unreachable"),
+      fail("runner_unreachable"),
+    ],
+    sends: ["s1", "s1", "s1"],
+    ends: "outcome_unknown",
+  },
+  {
+    name: "an order that its home refuses was not run",
+    kind: "order",
+    outcomes: [fail("overloaded"), fail("overloaded"), fail("overloaded")],
+    sends: ["s1", "s1", "s1"],
+    ends: "overloaded",
+  },
   {
     name: "an order goes to its home",
     kind: "order",
