Read through: one settle time, one reader of configuration records

The time after which earlier leases have lapsed was worked out in the keeper and again in its lease book; the configuration's stream name stood three times and its record parser twice; an entry ranked a cell's sidecars anew for each peer of a reply. Change: the lease book alone knows when it is settled; configStream and parseConfigRecord serve both readers; the ranking is done once a reply. One comment told the wrong thing; one expression is said plainly. Behaviour is the same, no test was touched.

--- a/src/cli/publish_command.ts
+++ b/src/cli/publish_command.ts
@@ -7,12 +7,12 @@
 import { itemsOf } from "../core/config/items_of.ts";
 import { GpError } from "../core/errors/gp_error.ts";
 import type { Log } from "../core/log/log.ts";
+import { configStream } from "../peer/config_stream.ts";
 import { loadConfiguration } from "./load_configuration.ts";
 import { openLog } from "./open_log.ts";
 import { print } from "./print.ts";
 import { readConfig } from "./read_config.ts";
 
-const stream = "config";
 const resolveTries = 10;
 const resolveEveryMs = 500;
 
@@ -53,7 +53,7 @@
   record: Extract<ConfigRecord, { kind: "published" }>,
 ): Promise<ConfigVerdict> {
   try {
-    await log.append(stream, [record]);
+    await log.append(configStream, [record]);
   } catch (cause) {
     if (GpError.from(cause).kind !== "outcome_unknown") throw cause;
     print("no answer came; reading the log for the outcome");
--- a/src/cli/read_config.ts
+++ b/src/cli/read_config.ts
@@ -1,12 +1,11 @@
-import * as v from "valibot";
 import type { ConfigRecord } from "../core/config/config_record.ts";
 import { ConfigState } from "../core/config/config_state.ts";
 import type { ConfigVerdict } from "../core/config/config_verdict.ts";
 import { GpError } from "../core/errors/gp_error.ts";
 import type { Log } from "../core/log/log.ts";
-import { ConfigRecordSchema } from "../schema/config_record_schema.ts";
+import { configStream } from "../peer/config_stream.ts";
+import { parseConfigRecord } from "../peer/parse_config_record.ts";
 
-const stream = "config";
 const pageRecords = 1_000;
 
 interface ReadConfig {
@@ -27,7 +26,7 @@
   const state = new ConfigState();
   const verdicts = new Map<string, ConfigVerdict>();
   const records: Judged[] = [];
-  const parsed = raw.map(parse);
+  const parsed = raw.map(parseConfigRecord);
   const from = startFrom(state, oldest, parsed);
   for (const [index, record] of parsed.entries()) {
     const offset = oldest + index;
@@ -56,17 +55,12 @@
 
 async function readAll(log: Log): Promise<{ oldest: number; raw: unknown[] }> {
   const raw: unknown[] = [];
-  let page = await log.read(stream, 0, pageRecords);
+  let page = await log.read(configStream, 0, pageRecords);
   const oldest = page.from;
   while (true) {
     raw.push(...page.records);
     const next = oldest + raw.length;
     if (next >= page.end) return { oldest, raw };
-    page = await log.read(stream, next, pageRecords);
+    page = await log.read(configStream, next, pageRecords);
   }
 }
-
-function parse(raw: unknown): ConfigRecord | undefined {
-  const checked = v.safeParse(ConfigRecordSchema, raw);
-  return checked.success ? checked.output as ConfigRecord : undefined;
-}
--- a/src/core/keep/cell_office.ts
+++ b/src/core/keep/cell_office.ts
@@ -58,6 +58,11 @@
     this.#leases.reset(nowMs);
   }
 
+  /** Whether earlier keepers' leases have lapsed. */
+  isSettled(nowMs: number): boolean {
+    return this.#leases.isSettled(nowMs);
+  }
+
   /** Takes in a worker's report. */
   takeReport(
     ledger: CellLedger,
--- a/src/core/keep/claim_round.ts
+++ b/src/core/keep/claim_round.ts
@@ -23,7 +23,7 @@
 import { RoomBook } from "./room_book.ts";
 import type { RoomPromise } from "./room_promise.ts";
 
-/** How many restarts of urgent tasks a second pass the pacing. */
+/** How many claims may come at once. */
 const burst = 40;
 
 /** Proposes claims for waiting tasks, and evictions for urgent ones. */
--- a/src/core/keep/keeper.ts
+++ b/src/core/keep/keeper.ts
@@ -39,7 +39,6 @@
   #appending = false;
   #reading = false;
   #caughtUp = false;
-  #settledAtMs = Infinity;
   #readAtMs = -Infinity;
   #flushedAtMs = -Infinity;
   #keptAliveAtMs = -Infinity;
@@ -176,8 +175,6 @@
     }
     if (this.isKeeper) return;
     this.office.begin(nowMs);
-    const { leaseMs, freshMs, driftRatio, marginMs } = this.options.lease;
-    this.#settledAtMs = nowMs + freshMs + leaseMs * (1 + driftRatio) + marginMs;
     yield* this.#step("EPOCH_WON");
   }
 
@@ -234,7 +231,7 @@
   }
 
   *#keep(event: KeeperEvent, nowMs: number): Effects {
-    if (this.state === "settling" && nowMs > this.#settledAtMs) {
+    if (this.state === "settling" && this.office.isSettled(nowMs)) {
       yield* this.#step("SETTLED");
     }
     yield* this.#keepAlive(nowMs);
--- a/src/core/lease/lease_book.ts
+++ b/src/core/lease/lease_book.ts
@@ -53,10 +53,15 @@
     return lease.clockMs + this.options.leaseMs;
   }
 
+  /** Whether earlier keepers' leases have lapsed. */
+  isSettled(nowMs: number): boolean {
+    return nowMs > this.#settledAtMs;
+  }
+
   /** Whether no lease, of this keeper or an earlier one, can still hold. */
   hasLapsed(worker: WorkerId, nowMs: number): boolean {
     const lapsedByMs = this.#leases.get(worker)?.lapsedByMs ?? -Infinity;
-    return nowMs > this.#settledAtMs && nowMs > lapsedByMs;
+    return this.isSettled(nowMs) && nowMs > lapsedByMs;
   }
 
   #longestLeaseMs(): number {
--- a/src/entry/job_api.ts
+++ b/src/entry/job_api.ts
@@ -173,6 +173,7 @@
 
 /** One try that may have taken effect makes the outcome unknown. */
 function worst(before: unknown, now: unknown): unknown {
-  const isUnknown = GpError.from(before ?? now).kind === "outcome_unknown";
-  return isUnknown && before !== undefined ? before : now;
+  const isUnknown = before !== undefined &&
+    GpError.from(before).kind === "outcome_unknown";
+  return isUnknown ? before : now;
 }
--- a/src/peer/config_store.ts
+++ b/src/peer/config_store.ts
@@ -1,12 +1,11 @@
-import * as v from "valibot";
 import type { ConfigImage } from "../core/config/config_image.ts";
 import type { ConfigRecord } from "../core/config/config_record.ts";
 import { ConfigState } from "../core/config/config_state.ts";
 import type { Log } from "../core/log/log.ts";
 import type { LogPage } from "../core/log/log_page.ts";
-import { ConfigRecordSchema } from "../schema/config_record_schema.ts";
+import { configStream } from "./config_stream.ts";
+import { parseConfigRecord } from "./parse_config_record.ts";
 
-const stream = "config";
 const pageRecords = 500;
 
 /** The configuration in force in this process; its revision only goes up. */
@@ -50,15 +49,15 @@
     const image = this.image();
     const id = `${by}-${atMs}`;
     const record: ConfigRecord = { kind: "restated", id, by, atMs, image };
-    await log.append(stream, [record]);
+    await log.append(configStream, [record]);
   }
 
   async #readPage(log: Log): Promise<boolean> {
-    const page = await log.read(stream, this.#next, pageRecords);
+    const page = await log.read(configStream, this.#next, pageRecords);
     if (page.from > this.#next) this.#hasGap = true;
     if (this.#hasGap) return this.#bridge(page);
     for (const raw of page.records) {
-      const record = parse(raw);
+      const record = parseConfigRecord(raw);
       if (record?.kind === "published") this.state.apply(record, this.#next);
       this.#next += 1;
     }
@@ -69,7 +68,7 @@
   #bridge(page: LogPage): boolean {
     this.#next = page.from + page.records.length;
     for (const raw of page.records) {
-      const record = parse(raw);
+      const record = parseConfigRecord(raw);
       if (record?.kind !== "restated" || record.image.covers < page.oldest) {
         continue;
       }
@@ -79,8 +78,3 @@
     return this.#next < page.end;
   }
 }
-
-function parse(raw: unknown): ConfigRecord | undefined {
-  const record = v.safeParse(ConfigRecordSchema, raw);
-  return record.success ? record.output as ConfigRecord : undefined;
-}
--- /dev/null
+++ b/src/peer/config_stream.ts
@@ -0,0 +1,2 @@
+/** The name of the configuration's stream in the log. */
+export const configStream = "config";
--- a/src/peer/peer_node.ts
+++ b/src/peer/peer_node.ts
@@ -243,18 +243,28 @@
       return { self, version, unchanged: true };
     }
     const nowMs = monotonicNowMs();
+    const near = wantsAll ? new Set<PeerId>() : this.#neighboursOf(sender);
     const peers = [...this.members.live()]
-      .filter(({ peer }) => wantsAll || this.#concerns(sender, peer))
+      .filter(({ peer }) => wantsAll || concerns(sender, peer, near))
       .map(({ peer, heardAtMs }) => peerToMessage(peer, nowMs - heardAtMs));
     return { self, version, peers };
   }
 
-  /** A sidecar hears of the entries, and of its cell what its role needs. */
-  #concerns(sender: PeerInfo, peer: PeerInfo): boolean {
-    if (peer.role === "entry") return true;
-    if (sender.cell === undefined || peer.cell !== sender.cell) return false;
-    if (sender.keeper !== undefined || peer.keeper !== undefined) return true;
-    const ids = [...this.members.inCell(sender.cell)].map(({ id }) => id);
-    return rendezvous(sender.cell, ids).slice(0, neighbours).includes(peer.id);
+  #neighboursOf({ cell }: PeerInfo): ReadonlySet<PeerId> {
+    if (cell === undefined) return new Set();
+    const ids = [...this.members.inCell(cell)].map(({ id }) => id);
+    return new Set(rendezvous(cell, ids).slice(0, neighbours));
   }
 }
+
+/** A sidecar hears of the entries, and of its cell what its role needs. */
+function concerns(
+  sender: PeerInfo,
+  peer: PeerInfo,
+  near: ReadonlySet<PeerId>,
+): boolean {
+  if (peer.role === "entry") return true;
+  if (sender.cell === undefined || peer.cell !== sender.cell) return false;
+  if (sender.keeper !== undefined || peer.keeper !== undefined) return true;
+  return near.has(peer.id);
+}
