Thin path on the users' platform: keeper on fenced rows, gate beside each runner

Cause: the product spoke none of the platform's protocols and its jobs were single templates. Change: jobs of steps and tasks (src/core/jobs, src/core/cell), one store interface with guarded appends (src/core/store), a keeper elected by the offset of a row and fenced at its stream (src/cellhost), a gate beside each runner (src/gate), and platform/, which only translates.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -36,6 +36,22 @@
   });
 }
 
+/** The program that the platform runs: the product and its translator. */
+async function bundlePlatform() {
+  await build({
+    ...common,
+    entryPoints: ["platform/main.ts"],
+    outfile: "target/gypsumpond.mjs",
+    format: "esm",
+    minifySyntax: true,
+    minifyWhitespace: true,
+    banner: {
+      js:
+        "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+    },
+  });
+}
+
 async function bundleOthers() {
   const tests = readdirSync("tests", { recursive: true })
     .filter((name) => name.endsWith("_test.ts"))
@@ -88,6 +104,7 @@
 }
 
 mkdirSync("dist", { recursive: true });
-await bundleProduct();
+if (what === "platform") await bundlePlatform();
+else await bundleProduct();
 if (what === "binary") makeBinary();
 if (what === "all") await bundleOthers();
--- /dev/null
+++ b/src/cellhost/job_directory.ts
@@ -0,0 +1,106 @@
+import type { JobRow } from "../core/cell/job_row.ts";
+import type { JobDefinition } from "../core/jobs/job_definition.ts";
+import type { JobId } from "../core/jobs/job_id.ts";
+import type { JobState } from "../core/jobs/job_state.ts";
+import type { StoredRow } from "../core/store/stored_row.ts";
+import type { Logger } from "../adapters/logger.ts";
+import { cancelKeyOf } from "./cancel_key_of.ts";
+import { parseJsonRow } from "./parse_json_row.ts";
+import { progressKeyOf } from "./progress_key_of.ts";
+
+const progressPrefix = progressKeyOf("" as JobId);
+
+const rank: Readonly<Record<JobState, number>> = {
+  queued: 0,
+  running: 1,
+  completed: 2,
+  failed: 2,
+  cancelled: 3,
+};
+
+/** The jobs that an entry knows of, and how they stand. */
+export class JobDirectory {
+  readonly definitions = new Map<JobId, JobDefinition>();
+  readonly cancelled = new Set<JobId>();
+  readonly rows = new Map<JobId, JobRow>();
+  readonly #states = new Map<JobId, JobState>();
+  onSubmitted: (definition: JobDefinition) => void = () => {};
+  onCancelled: (id: JobId) => void = () => {};
+
+  constructor(readonly log: Logger) {}
+
+  /** How a job stands; undefined where nobody has handed it in. */
+  state(id: JobId): JobState | undefined {
+    if (!this.definitions.has(id)) return undefined;
+    return this.#states.get(id) ?? "queued";
+  }
+
+  /** The ids of the queue's jobs that have not begun. */
+  *waiting(queue: string): Generator<JobId> {
+    for (const [id, definition] of this.definitions) {
+      if (definition.queue === queue && this.state(id) === "queued") yield id;
+    }
+  }
+
+  /** Notes how a job stands; a job never goes back. */
+  note(id: JobId, state: JobState): void {
+    const known = this.#states.get(id) ?? "queued";
+    if (rank[state] >= rank[known]) this.#states.set(id, state);
+  }
+
+  /** Takes in a job that was stored. */
+  submit(definition: JobDefinition): void {
+    if (this.definitions.has(definition.id)) return;
+    this.definitions.set(definition.id, definition);
+    this.onSubmitted(definition);
+  }
+
+  /** Takes in a cancellation that was stored. */
+  cancel(id: JobId): void {
+    if (this.cancelled.has(id)) return;
+    this.cancelled.add(id);
+    this.note(id, "cancelled");
+    this.onCancelled(id);
+  }
+
+  /** Takes in rows of the stream of submitted jobs. */
+  takeJobs(rows: readonly StoredRow[]): void {
+    for (const { key, value } of rows) {
+      if (value === undefined) this.#drop(key);
+      else if (key === cancelKeyOf(key as JobId)) {
+        this.cancel(key.slice(0, -1) as JobId);
+      } else {
+        const definition = parseJsonRow<JobDefinition>(value, key, this.log);
+        if (definition !== undefined) this.submit(definition);
+      }
+    }
+  }
+
+  /** Takes in rows of a keeper's stream. */
+  takeProgress(rows: readonly StoredRow[]): void {
+    for (const { key, value } of rows) {
+      const id = key.slice(progressPrefix.length) as JobId;
+      if (!key.startsWith(progressPrefix)) continue;
+      if (value === undefined) {
+        this.rows.delete(id);
+        continue;
+      }
+      const row = parseJsonRow<JobRow>(value, key, this.log);
+      if (row !== undefined) this.#takeRow(id, row);
+    }
+  }
+
+  #takeRow(id: JobId, row: JobRow): void {
+    this.rows.set(id, row);
+    if (row.s === "r") this.note(id, "running");
+    else if (row.s !== "q") this.note(id, row.s);
+  }
+
+  #drop(key: string): void {
+    const id = key as JobId;
+    this.definitions.delete(id);
+    this.cancelled.delete(id);
+    this.rows.delete(id);
+    this.#states.delete(id);
+  }
+}
--- /dev/null
+++ b/src/cellhost/keeper_bounds.ts
@@ -0,0 +1,8 @@
+/** The platform's bounds that a keeper works by. */
+export interface KeeperBounds {
+  /** The longest lease that a runner gives. */
+  readonly maxHoldMs: number;
+  /** How long an ended job's state is told. */
+  readonly statusMs: number;
+  readonly farFactor: number;
+}
--- /dev/null
+++ b/src/cellhost/keeper_session.ts
@@ -0,0 +1,289 @@
+import { Cell } from "../core/cell/cell.ts";
+import type { CellEffect } from "../core/cell/cell_effect.ts";
+import { decodeJob } from "../core/cell/decode_job.ts";
+import { encodeJob } from "../core/cell/encode_job.ts";
+import type { Job } from "../core/cell/job.ts";
+import { startOrderOf } from "../core/cell/start_order_of.ts";
+import type { JobDefinition } from "../core/jobs/job_definition.ts";
+import type { JobId } from "../core/jobs/job_id.ts";
+import type { NodeId } from "../core/jobs/node_id.ts";
+import type { Queue } from "../core/jobs/queue.ts";
+import type { Row } from "../core/store/row.ts";
+import type { Logger } from "../adapters/logger.ts";
+import type { KeeperMessage } from "../link/keeper_message.ts";
+import type { MemberMessage } from "../link/member_message.ts";
+import type { JobDirectory } from "./job_directory.ts";
+import type { KeeperBounds } from "./keeper_bounds.ts";
+import { MemberLink } from "./member_link.ts";
+import type { MemberRow } from "./member_row.ts";
+import { OrderBox } from "./order_box.ts";
+import { progressKeyOf } from "./progress_key_of.ts";
+import type { RowWriter } from "./row_writer.ts";
+
+const tickEveryMs = 50;
+/** A keeper without the store's word for so long renews no lease any more. */
+const authorityMs = 8_000;
+/** How much slower a runner's clock may be than ours. */
+const clockDrift = 0.02;
+const marginMs = 250;
+/** A keeper that has not heard from the store for so long lets others stand. */
+const unsureAfterMs = 1_200;
+const unsureEveryMs = 400;
+const stuckFactor = 5;
+const stuckLeastMs = 4_000;
+
+type LaterEffect = Exclude<CellEffect, { kind: "save" | "stop" }>;
+
+/** One term of a keeper: from the takeover of its cell's stream until deposed. */
+export class KeeperSession {
+  readonly cell: Cell;
+  readonly #links = new Map<NodeId, MemberLink>();
+  /** When each worker's lease was last renewed, by our steady clock. */
+  readonly #renewedAtMs = new Map<NodeId, number>();
+  readonly #openedAtMs = performance.now();
+  readonly #dirty = new Set<Job>();
+  #later: LaterEffect[] = [];
+  #isFlushing = false;
+  #isClosed = false;
+  #toldUnsureAtMs = 0;
+  #firstRenewed = false;
+  readonly #timer: NodeJS.Timeout;
+
+  constructor(
+    readonly epoch: number,
+    readonly writer: RowWriter,
+    readonly directory: JobDirectory,
+    readonly bounds: KeeperBounds,
+    readonly log: Logger,
+    readonly keeper: NodeId,
+  ) {
+    const { farFactor } = bounds;
+    this.cell = new Cell({ farFactor, stuckFactor, stuckLeastMs });
+    this.#timer = setInterval(() => this.#flushSoon(), tickEveryMs);
+  }
+
+  /** Takes over all that the store knows of the cell. */
+  load(queues: Iterable<Queue>): void {
+    const nowMs = performance.now();
+    this.setQueues(queues);
+    const { definitions, rows, cancelled } = this.directory;
+    for (const [id, definition] of definitions) {
+      this.cell.load(decodeJob(definition, rows.get(id), nowMs));
+    }
+    for (const id of cancelled) this.#run(this.cell.cancel(id, nowMs));
+    for (const worker of this.cell.workers.values()) {
+      this.#renewedAtMs.set(worker.node, nowMs + authorityMs);
+    }
+    for (const job of this.cell.live) job.openDue(Date.now());
+    this.log.info("term_begun", {
+      epoch: this.epoch,
+      jobs: this.cell.live.size,
+      workers: this.cell.workers.size,
+    });
+  }
+
+  /** Takes the queues of the configuration in force; known ones stay known. */
+  setQueues(queues: Iterable<Queue>): void {
+    for (const queue of queues) this.cell.queues.set(queue.name, queue);
+    this.#flushSoon();
+  }
+
+  submit(definition: JobDefinition): void {
+    this.#run(this.cell.submit(definition, Date.now()));
+  }
+
+  cancel(id: JobId): void {
+    this.log.info("job_cancelled", { job: id });
+    this.#run(this.cell.cancel(id, performance.now()));
+  }
+
+  /** Connects to a member, or to the new address of a known one. */
+  setMember(node: NodeId, row: MemberRow): void {
+    const known = this.#links.get(node);
+    if (known?.row.incarnation === row.incarnation) return;
+    known?.close();
+    const { epoch, keeper } = this;
+    const hello: KeeperMessage = { kind: "hello", epoch, keeper };
+    const link = new MemberLink(node, row, hello, this.log);
+    this.#links.set(node, link);
+    if (row.role === "sidecar") {
+      link.onMessage = (message) => this.#take(link, message);
+      link.onLost = () => this.cell.disconnected(node);
+    } else link.onOpen = () => this.#showAll(link);
+    link.open();
+  }
+
+  /** Ends the term; tells the members where it ends of our own will. */
+  close(isResigned: boolean): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    clearInterval(this.#timer);
+    this.writer.close();
+    for (const link of this.#links.values()) {
+      if (isResigned) link.send({ kind: "resigned" });
+      link.close();
+    }
+    this.log.info("term_ended", { epoch: this.epoch, resigned: isResigned });
+  }
+
+  #take(link: MemberLink, message: MemberMessage): void {
+    if (this.#isClosed) return;
+    const nowMs = performance.now();
+    const { node } = link;
+    switch (message.kind) {
+      case "report": {
+        const worker = this.cell.worker(node);
+        const isFirst = !worker.isAdopted;
+        this.#run(this.cell.report(node, message.report, nowMs));
+        if (isFirst && worker.isAdopted) this.#introduce(link);
+        if (!this.#hasAuthority()) return;
+        this.#renewedAtMs.set(node, nowMs);
+        link.send({ kind: "renew", report: message.number });
+        if (isFirst) this.#noteRenewed();
+        return;
+      }
+      case "started":
+        this.cell.started(node, message.task, message.run, nowMs);
+        return;
+      case "refused": {
+        const { task, run, reason } = message;
+        this.log.info("start_refused", { node, task, run, reason });
+        this.#run(this.cell.refused(node, task, run, reason, nowMs));
+        return;
+      }
+    }
+  }
+
+  /** Tells a sidecar what it must know of the runs it holds. */
+  #introduce(link: MemberLink): void {
+    const worker = this.cell.worker(link.node);
+    const runs = [...worker.claims.values()].map(startOrderOf);
+    if (runs.length > 0) link.send({ kind: "known", runs });
+  }
+
+  #noteRenewed(): void {
+    if (this.#firstRenewed) return;
+    const held = [...this.cell.workers.values()];
+    if (held.some(({ isAdopted }) => !isAdopted)) return;
+    this.#firstRenewed = true;
+    this.log.info("leases_renewed", {
+      epoch: this.epoch,
+      since_start_ms: Math.round(performance.now()),
+      since_term_ms: Math.round(performance.now() - this.#openedAtMs),
+      workers: held.length,
+    });
+  }
+
+  #hasAuthority(): boolean {
+    const { confirmedAtMs, confirmedAtWallMs } = this.writer;
+    return performance.now() - confirmedAtMs < authorityMs &&
+      Date.now() - confirmedAtWallMs < authorityMs;
+  }
+
+  #run(effects: Iterable<CellEffect>): void {
+    for (const effect of effects) this.#note(effect);
+    this.#flushSoon();
+  }
+
+  #note(effect: CellEffect): void {
+    if (effect.kind === "save") this.#dirty.add(effect.job);
+    else if (effect.kind === "stop") {
+      const { node, task, run, reason, life } = effect;
+      this.log.info("stop", { node, task, run, reason });
+      const stops = [{ task, run, life }];
+      this.#links.get(node)?.send({ kind: "orders", starts: [], stops });
+    } else this.#later.push(effect);
+  }
+
+  #flushSoon(): void {
+    if (this.#isFlushing || this.#isClosed) return;
+    this.#isFlushing = true;
+    setImmediate(() => this.#flush());
+  }
+
+  #flush(): void {
+    this.#isFlushing = false;
+    if (this.#isClosed) return;
+    const nowMs = performance.now();
+    this.#checkLost(nowMs);
+    this.#checkStore(nowMs);
+    for (const effect of this.cell.tick(nowMs, Date.now())) this.#note(effect);
+    if (this.#dirty.size === 0 && this.#later.length === 0) return;
+    const rows: Row[] = [...this.#dirty].map((job) => ({
+      key: progressKeyOf(job.definition.id),
+      value: JSON.stringify(encodeJob(job)),
+    }));
+    const later = this.#later;
+    this.#dirty.clear();
+    this.#later = [];
+    this.writer.write(rows, () => this.#carryOut(later));
+  }
+
+  /** Gives up workers whose leases must have run out by any clock. */
+  #checkLost(nowMs: number): void {
+    const graceMs = this.bounds.maxHoldMs * (1 + clockDrift) + marginMs;
+    for (const worker of this.cell.workers.values()) {
+      if (worker.isAdopted || worker.claims.size === 0) continue;
+      const renewedAtMs = this.#renewedAtMs.get(worker.node) ?? nowMs;
+      if (nowMs - renewedAtMs < graceMs) continue;
+      this.log.warn("worker_lost", {
+        node: worker.node,
+        claims: worker.claims.size,
+      });
+      for (const effect of this.cell.lost(worker.node, nowMs)) {
+        this.#note(effect);
+      }
+    }
+  }
+
+  #checkStore(nowMs: number): void {
+    if (nowMs - this.writer.confirmedAtMs < unsureAfterMs) return;
+    if (nowMs - this.#toldUnsureAtMs < unsureEveryMs) return;
+    this.#toldUnsureAtMs = nowMs;
+    for (const link of this.#links.values()) {
+      if (link.row.role === "entry") link.send({ kind: "unsure" });
+    }
+  }
+
+  #carryOut(effects: readonly LaterEffect[]): void {
+    if (this.#isClosed) return;
+    const box = new OrderBox();
+    const shown: (readonly [JobId, ReturnType<JobDirectory["state"]>])[] = [];
+    for (const effect of effects) {
+      switch (effect.kind) {
+        case "start":
+          box.start(effect.node, effect.order);
+          break;
+        case "forget":
+          this.#links.get(effect.node)?.send({
+            kind: "forget",
+            life: effect.life,
+            end: effect.end,
+          });
+          break;
+        case "show":
+          this.directory.note(effect.job, effect.state);
+          shown.push([effect.job, effect.state]);
+          break;
+      }
+    }
+    for (const [node, starts] of box.starts) {
+      for (const { task, run, checkpoint } of starts) {
+        this.log.info("start", { node, task, run, checkpoint });
+      }
+      this.#links.get(node)?.send({ kind: "orders", starts, stops: [] });
+    }
+    if (shown.length === 0) return;
+    const jobs = shown as Extract<KeeperMessage, { kind: "states" }>["jobs"];
+    for (const link of this.#links.values()) {
+      if (link.row.role === "entry") link.send({ kind: "states", jobs });
+    }
+  }
+
+  #showAll(link: MemberLink): void {
+    const jobs = [...this.cell.jobs.values()].map((job) =>
+      [job.definition.id, this.directory.state(job.definition.id)!] as const
+    );
+    link.send({ kind: "states", jobs });
+  }
+}
--- /dev/null
+++ b/src/cellhost/member_link.ts
@@ -0,0 +1,88 @@
+import { connect } from "node:net";
+import type { NodeId } from "../core/jobs/node_id.ts";
+import type { Logger } from "../adapters/logger.ts";
+import { Channel } from "../link/channel.ts";
+import type { KeeperMessage } from "../link/keeper_message.ts";
+import type { MemberMessage } from "../link/member_message.ts";
+import type { MemberRow } from "./member_row.ts";
+
+const connectTimeoutMs = 500;
+const firstRetryMs = 50;
+const mostRetryMs = 800;
+
+/** A keeper's connection to one of its members, made again whenever it breaks. */
+export class MemberLink {
+  onOpen: () => void = () => {};
+  onMessage: (message: MemberMessage) => void = () => {};
+  onLost: () => void = () => {};
+  #channel: Channel<KeeperMessage, MemberMessage> | undefined;
+  #retryMs = firstRetryMs;
+  #timer: NodeJS.Timeout | undefined;
+  #isClosed = false;
+
+  constructor(
+    readonly node: NodeId,
+    readonly row: MemberRow,
+    readonly hello: KeeperMessage,
+    readonly log: Logger,
+  ) {}
+
+  get isOpen(): boolean {
+    return this.#channel?.isOpen ?? false;
+  }
+
+  /** Connects, and keeps at it until closed. */
+  open(): void {
+    if (this.#isClosed) return;
+    const { host, port } = this.row;
+    const socket = connect({ host, port });
+    const timer = setTimeout(() => socket.destroy(), connectTimeoutMs);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      this.#opened(new Channel(socket));
+    });
+    socket.once("error", () => socket.destroy());
+    socket.once("close", () => {
+      clearTimeout(timer);
+      if (this.#channel === undefined) this.#retry();
+    });
+  }
+
+  send(message: KeeperMessage): void {
+    this.#channel?.send(message);
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    clearTimeout(this.#timer);
+    this.#channel?.close("the keeper leaves office");
+  }
+
+  #opened(channel: Channel<KeeperMessage, MemberMessage>): void {
+    if (this.#isClosed) {
+      channel.close("the keeper leaves office");
+      return;
+    }
+    this.#channel = channel;
+    channel.onMessage = (message) => {
+      this.#retryMs = firstRetryMs;
+      this.onMessage(message);
+    };
+    channel.onClose = (reason) => {
+      this.#channel = undefined;
+      if (this.#isClosed) return;
+      this.log.info("member_lost", { node: this.node, reason });
+      this.onLost();
+      this.#retry();
+    };
+    channel.send(this.hello);
+    this.onOpen();
+  }
+
+  #retry(): void {
+    if (this.#isClosed) return;
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => this.open(), this.#retryMs);
+    this.#retryMs = Math.min(mostRetryMs, this.#retryMs * 2);
+  }
+}
--- /dev/null
+++ b/src/cellhost/member_row.ts
@@ -0,0 +1,7 @@
+/** Where a process of ours takes its keeper's connection. */
+export interface MemberRow {
+  readonly role: "entry" | "sidecar";
+  readonly host: string;
+  readonly port: number;
+  readonly incarnation: string;
+}
--- /dev/null
+++ b/src/core/cell/cell.ts
@@ -0,0 +1,264 @@
+import type { JobDefinition } from "../jobs/job_definition.ts";
+import type { JobId } from "../jobs/job_id.ts";
+import type { NodeId } from "../jobs/node_id.ts";
+import { parseTaskName } from "../jobs/parse_task_name.ts";
+import type { Queue } from "../jobs/queue.ts";
+import type { RunEnd } from "../jobs/run_end.ts";
+import type { RunStatus } from "../jobs/run_status.ts";
+import type { TaskName } from "../jobs/task_name.ts";
+import { noResources } from "../resources/no_resources.ts";
+import type { CellEffect } from "./cell_effect.ts";
+import type { CellOptions } from "./cell_options.ts";
+import { Job } from "./job.ts";
+import { placeWaiting } from "./place_waiting.ts";
+import { settleEnd } from "./settle_end.ts";
+import { startOrderOf } from "./start_order_of.ts";
+import type { StartRefusal } from "./start_refusal.ts";
+import { stopOrderOf } from "./stop_order_of.ts";
+import { stopStuck } from "./stop_stuck.ts";
+import type { Task } from "./task.ts";
+import { observeWorker } from "./observe_worker.ts";
+import { Worker } from "./worker.ts";
+import type { WorkerReport } from "./worker_report.ts";
+
+type Effects = Generator<CellEffect, void>;
+
+/** A worker whose runner turned a start away gets nothing for this long. */
+const refusedPauseMs = 300;
+
+/**
+ * The jobs and workers of one cell, and what is to be done about them. The one
+ * place where a task's runs are decided; it answers the load of its cell alone.
+ */
+export class Cell {
+  readonly queues = new Map<string, Queue>();
+  readonly jobs = new Map<JobId, Job>();
+  /** The jobs that have no outcome. */
+  readonly live = new Set<Job>();
+  readonly workers = new Map<NodeId, Worker>();
+
+  constructor(readonly options: CellOptions) {}
+
+  /** Takes a job over from the store as it stands there. */
+  load(job: Job): void {
+    this.jobs.set(job.definition.id, job);
+    if (job.outcome === undefined) this.live.add(job);
+    for (const task of job.tasks()) {
+      if (task.claim !== undefined) this.worker(task.claim.node).add(task);
+    }
+  }
+
+  /** Takes a new job in; a known id changes nothing. */
+  *submit(definition: JobDefinition, wallMs: number): Effects {
+    if (this.jobs.has(definition.id)) return;
+    const job = new Job(definition);
+    job.openDue(wallMs);
+    this.jobs.set(definition.id, job);
+    this.live.add(job);
+    yield { kind: "show", job: definition.id, state: job.state };
+  }
+
+  /** Ends a job at its caller's wish. */
+  *cancel(id: JobId, nowMs: number): Effects {
+    const job = this.jobs.get(id);
+    if (job === undefined || job.outcome !== undefined) return;
+    job.outcome = "cancelled";
+    yield* this.#wind(job, "cancelled", nowMs);
+  }
+
+  /** A worker's sidecar is out of touch. */
+  disconnected(node: NodeId): void {
+    this.worker(node).isAdopted = false;
+  }
+
+  /** Takes a sidecar's report; its first on a connection adopts the claims. */
+  *report(node: NodeId, report: WorkerReport, nowMs: number): Effects {
+    const worker = this.worker(node);
+    const isNewLife = worker.report?.life !== report.life;
+    if (isNewLife) {
+      worker.lastEnd = 0;
+      worker.statuses.clear();
+    }
+    worker.report = report;
+    yield* this.#releaseOthers(worker, report, nowMs);
+    const runs = new Map(report.running.map((run) => [run.task, run]));
+    yield* this.#takeEnds(worker, report, nowMs);
+    if (report.isLapsed) {
+      for (const task of [...worker.claims.values()]) {
+        yield* this.#release(worker, task, nowMs);
+      }
+      worker.isAdopted = false;
+      return;
+    }
+    yield* this.#compare(worker, runs, nowMs);
+    worker.isAdopted = true;
+    observeWorker(worker, runs);
+  }
+
+  /** The worker's lease has surely run out and nobody renews it. */
+  *lost(node: NodeId, nowMs: number): Effects {
+    const worker = this.worker(node);
+    worker.isAdopted = false;
+    for (const task of [...worker.claims.values()]) {
+      yield* this.#release(worker, task, nowMs);
+    }
+  }
+
+  /** A start was carried out. */
+  started(node: NodeId, name: TaskName, run: number, nowMs: number): void {
+    const claim = this.#claimed(node, name, run)?.claim;
+    if (claim?.phase !== "ordered") return;
+    claim.phase = "running";
+    claim.sinceMs = nowMs;
+  }
+
+  /** A start was surely not carried out. */
+  *refused(
+    node: NodeId,
+    name: TaskName,
+    run: number,
+    reason: StartRefusal,
+    nowMs: number,
+  ): Effects {
+    const task = this.#claimed(node, name, run);
+    if (task === undefined) return;
+    const worker = this.worker(node);
+    if (reason === "unhealthy" || reason === "no_room") {
+      worker.asideUntilMs = nowMs + refusedPauseMs;
+    }
+    yield* this.#release(worker, task, nowMs);
+  }
+
+  /** Opens what is due, stops what is stuck, and places what waits. */
+  *tick(nowMs: number, wallMs: number): Effects {
+    for (const job of this.live) {
+      if (job.definition.schedule === undefined) continue;
+      if (job.openDue(wallMs)) yield { kind: "save", job };
+    }
+    yield* stopStuck(this, nowMs);
+    yield* placeWaiting(this, nowMs, wallMs);
+  }
+
+  /** The worker of the name. */
+  worker(node: NodeId): Worker {
+    const known = this.workers.get(node);
+    if (known !== undefined) return known;
+    const worker = new Worker(node);
+    this.workers.set(node, worker);
+    return worker;
+  }
+
+  /** The task of the name, if its job is known and its occurrence open. */
+  task(name: TaskName): Task | undefined {
+    const place = parseTaskName(name);
+    if (place === undefined) return undefined;
+    const { job, occurrence, step, index } = place;
+    return this.jobs.get(job)?.taskAt(occurrence, step, index);
+  }
+
+  #claimed(node: NodeId, name: TaskName, run: number): Task | undefined {
+    const task = this.workers.get(node)?.claims.get(name);
+    return task?.run === run ? task : undefined;
+  }
+
+  /** Claims of earlier lives are over: a new life runs nothing of them. */
+  *#releaseOthers(
+    worker: Worker,
+    report: WorkerReport,
+    nowMs: number,
+  ): Effects {
+    for (const task of [...worker.claims.values()]) {
+      if (task.claim?.life === report.life) continue;
+      yield* this.#release(worker, task, nowMs);
+    }
+  }
+
+  *#takeEnds(worker: Worker, report: WorkerReport, nowMs: number): Effects {
+    for (const end of report.ends) {
+      if (end.number <= worker.lastEnd) continue;
+      worker.lastEnd = end.number;
+      yield* this.#takeEnd(worker, end, nowMs);
+    }
+    if (report.ends.length > 0) {
+      const { node, lastEnd } = worker;
+      yield { kind: "forget", node, life: report.life, end: lastEnd };
+    }
+  }
+
+  *#takeEnd(worker: Worker, end: RunEnd, nowMs: number): Effects {
+    const task = this.#claimed(worker.node, end.task, end.run);
+    if (task === undefined) return;
+    worker.remove(task);
+    yield* settleEnd(this, worker, task, end, nowMs);
+  }
+
+  *#release(worker: Worker, task: Task, nowMs: number): Effects {
+    worker.remove(task);
+    const checkpoint = task.checkpoint;
+    const { name, run } = task;
+    const end: RunEnd = {
+      number: 0,
+      task: name,
+      run,
+      outcome: "lapsed",
+      checkpoint,
+    };
+    yield* settleEnd(this, worker, task, end, nowMs);
+  }
+
+  /** Compares claims with what runs: starts what is missing, stops what is stray. */
+  *#compare(
+    worker: Worker,
+    runs: ReadonlyMap<TaskName, RunStatus>,
+    nowMs: number,
+  ): Effects {
+    worker.strays.clear();
+    for (const [name, status] of runs) {
+      const task = this.#claimed(worker.node, name, status.run);
+      if (task !== undefined) {
+        if (status.checkpoint !== "") task.checkpoint = status.checkpoint;
+        this.started(worker.node, name, status.run, nowMs);
+        continue;
+      }
+      const known = this.task(name)?.group.definition;
+      const resources = known?.resources ?? noResources;
+      worker.strays.set(
+        `${name}#${status.run}`,
+        known?.isFiller ? { ...resources, cpuMilli: 0 } : resources,
+      );
+      yield stopOrderOf(worker, name, status.run, "stray");
+    }
+    if (worker.isAdopted) return;
+    for (const task of worker.claims.values()) {
+      if (task.claim === undefined) continue;
+      if (task.claim.phase === "stopping") {
+        yield stopOrderOf(worker, task.name, task.run, "again");
+      } else if (runs.get(task.name)?.run !== task.run) {
+        yield { kind: "start", node: worker.node, order: startOrderOf(task) };
+      }
+    }
+  }
+
+  /** Stops all that runs of a job that has an outcome. */
+  *#wind(job: Job, reason: string, nowMs: number): Effects {
+    this.live.delete(job);
+    yield { kind: "save", job };
+    yield { kind: "show", job: job.definition.id, state: job.state };
+    for (const task of job.tasks()) yield* this.stop(task, reason, nowMs);
+  }
+
+  /** Stops a task's run, if it has one. */
+  *stop(task: Task, reason: string, nowMs: number): Effects {
+    const { claim } = task;
+    if (claim === undefined || claim.phase === "stopping") return;
+    claim.phase = "stopping";
+    claim.sinceMs = nowMs;
+    const worker = this.worker(claim.node);
+    yield stopOrderOf(worker, task.name, task.run, reason, claim.life);
+  }
+
+  /** A job got its outcome. */
+  *finish(job: Job, nowMs: number): Effects {
+    yield* this.#wind(job, job.outcome ?? "completed", nowMs);
+  }
+}
--- /dev/null
+++ b/src/core/cell/cell_options.ts
@@ -0,0 +1,9 @@
+/** How a cell decides. Times by the keeper's steady clock. */
+export interface CellOptions {
+  /** How much longer a task takes away from its data or its gang's rack. */
+  readonly farFactor: number;
+  /** How often a run may be late by its expected time before it counts as stuck. */
+  readonly stuckFactor: number;
+  /** The least time before a run counts as stuck. */
+  readonly stuckLeastMs: number;
+}
--- /dev/null
+++ b/src/core/cell/job.ts
@@ -0,0 +1,134 @@
+import type { JobDefinition } from "../jobs/job_definition.ts";
+import type { JobState } from "../jobs/job_state.ts";
+import { taskNameOf } from "../jobs/task_name_of.ts";
+import type { Group } from "./group.ts";
+import { longestChains } from "./longest_chains.ts";
+import type { Occurrence } from "./occurrence.ts";
+import type { Task } from "./task.ts";
+
+/** A job and all its keeper knows of it. */
+export class Job {
+  readonly chainsMs: readonly number[];
+  /** The occurrences that are due and not done. */
+  readonly open = new Map<number, Occurrence>();
+  /** The first occurrence that has not been opened. */
+  nextOccurrence = 0;
+  hasBegun = false;
+  outcome: "completed" | "failed" | "cancelled" | undefined;
+
+  constructor(readonly definition: JobDefinition) {
+    this.chainsMs = longestChains(definition.steps);
+  }
+
+  /** How many times its steps run. */
+  get occurrences(): number {
+    return this.definition.schedule?.count ?? 1;
+  }
+
+  /** How it stands, as callers are told. */
+  get state(): JobState {
+    return this.outcome ?? (this.hasBegun ? "running" : "queued");
+  }
+
+  /** When an occurrence is due, by the wall clock. */
+  dueMs(occurrence: number): number {
+    const { schedule, receivedMs } = this.definition;
+    if (schedule === undefined) return receivedMs;
+    return schedule.firstMs + occurrence * schedule.intervalMs;
+  }
+
+  /** Opens each occurrence whose time has come; tells whether any was. */
+  openDue(wallMs: number): boolean {
+    const before = this.nextOccurrence;
+    while (
+      this.outcome === undefined && this.nextOccurrence < this.occurrences &&
+      (this.definition.schedule === undefined ||
+        this.dueMs(this.nextOccurrence) <= wallMs)
+    ) {
+      this.openOccurrence(this.nextOccurrence);
+    }
+    return this.nextOccurrence !== before;
+  }
+
+  /** Opens an occurrence whatever its time. */
+  openOccurrence(number: number): Occurrence {
+    const groups: Group[] = [];
+    this.definition.steps.forEach((definition, step) => {
+      const tasks: Task[] = [];
+      const group: Group = {
+        job: this,
+        occurrence: number,
+        step,
+        definition,
+        tasks,
+        open: definition.count,
+      };
+      for (let index = 0; index < definition.count; index++) {
+        tasks.push(this.#task(group, index));
+      }
+      groups.push(group);
+    });
+    const occurrence = { number, groups };
+    this.open.set(number, occurrence);
+    this.nextOccurrence = Math.max(this.nextOccurrence, number + 1);
+    return occurrence;
+  }
+
+  /** Its groups whose turn has come and that are not done. */
+  *ready(): Generator<Group> {
+    for (const { groups } of this.open.values()) {
+      for (const group of groups) {
+        const { after } = group.definition;
+        const isReady = group.open > 0 &&
+          after.every((earlier) => groups[earlier]?.open === 0);
+        if (isReady) yield group;
+      }
+    }
+  }
+
+  /** All tasks of its open occurrences. */
+  *tasks(): Generator<Task> {
+    for (const { groups } of this.open.values()) {
+      for (const group of groups) yield* group.tasks;
+    }
+  }
+
+  /** The task at a place, if its occurrence is open. */
+  taskAt(occurrence: number, step: number, index: number): Task | undefined {
+    return this.open.get(occurrence)?.groups[step]?.tasks[index];
+  }
+
+  /** Closes an occurrence whose groups are all done; tells whether it was. */
+  closeDone(number: number): boolean {
+    const groups = this.open.get(number)?.groups ?? [];
+    if (groups.length === 0 || groups.some(({ open }) => open > 0)) {
+      return false;
+    }
+    this.open.delete(number);
+    const isLast = this.open.size === 0 &&
+      this.nextOccurrence >= this.occurrences;
+    if (isLast) this.outcome ??= "completed";
+    return true;
+  }
+
+  #task(group: Group, index: number): Task {
+    const name = taskNameOf({
+      job: this.definition.id,
+      occurrence: group.occurrence,
+      step: group.step,
+      index,
+    });
+    return {
+      name,
+      group,
+      index,
+      run: 0,
+      failures: 0,
+      checkpoint: "",
+      isDone: false,
+      claim: undefined,
+      avoid: undefined,
+      notBeforeMs: 0,
+    };
+  }
+}
--- /dev/null
+++ b/src/core/cell/longest_chains.ts
@@ -0,0 +1,14 @@
+import type { StepDefinition } from "../jobs/step_definition.ts";
+
+/** For each step, the expected time from its start to the end of its job. */
+export function longestChains(steps: readonly StepDefinition[]): number[] {
+  const chains = steps.map(({ expectedMs }) => expectedMs);
+  for (let step = steps.length - 1; step >= 0; step--) {
+    const fromHereMs = chains[step] ?? 0;
+    for (const earlier of steps[step]?.after ?? []) {
+      const ownMs = steps[earlier]?.expectedMs ?? 0;
+      chains[earlier] = Math.max(chains[earlier] ?? 0, ownMs + fromHereMs);
+    }
+  }
+  return chains;
+}
--- /dev/null
+++ b/src/core/cell/place_waiting.ts
@@ -0,0 +1,123 @@
+import type { Queue } from "../jobs/queue.ts";
+import type { Cell } from "./cell.ts";
+import type { CellEffect } from "./cell_effect.ts";
+import { chooseWorker } from "./choose_worker.ts";
+import { compareUrgency } from "./compare_urgency.ts";
+import type { Group } from "./group.ts";
+import { startOrderOf } from "./start_order_of.ts";
+import type { Task } from "./task.ts";
+import { type Urgency, urgencyOf } from "./urgency.ts";
+import type { Worker } from "./worker.ts";
+
+type Effects = Generator<CellEffect, void>;
+
+/** Places what waits, the most urgent first; what does not fit lets others by. */
+export function* placeWaiting(
+  cell: Cell,
+  nowMs: number,
+  wallMs: number,
+): Effects {
+  const line: Urgency[] = [];
+  for (const job of cell.live) {
+    const queue = cell.queues.get(job.definition.queue);
+    if (queue === undefined) continue;
+    for (const group of job.ready()) {
+      if (!hasWaiting(group, nowMs)) continue;
+      line.push(urgencyOf(group, queue, wallMs));
+    }
+  }
+  line.sort(compareUrgency);
+  for (const { group } of line) {
+    const queue = cell.queues.get(group.job.definition.queue);
+    if (queue === undefined) continue;
+    if (group.definition.isGang) yield* placeGang(cell, group, queue, nowMs);
+    else yield* placeTasks(cell, group, queue, nowMs);
+  }
+}
+
+function* placeTasks(
+  cell: Cell,
+  group: Group,
+  queue: Queue,
+  nowMs: number,
+): Effects {
+  for (const task of group.tasks) {
+    if (!isWaiting(task, nowMs)) continue;
+    const worker = chooseWorker(task, queue, cell.workers.values(), nowMs);
+    if (worker === undefined) return;
+    yield* claim(worker, task, task.run + 1, nowMs);
+  }
+}
+
+/** Places all members of a gang at once, or none. */
+function* placeGang(
+  cell: Cell,
+  group: Group,
+  queue: Queue,
+  nowMs: number,
+): Effects {
+  if (group.tasks.some((task) => !isWaiting(task, nowMs))) return;
+  const run = Math.max(...group.tasks.map((task) => task.run)) + 1;
+  const checkpoint = group.tasks.find((task) => task.checkpoint !== "")
+    ?.checkpoint ?? "";
+  const taken: [Worker, Task][] = [];
+  for (const task of group.tasks) {
+    const worker = chooseWorker(task, queue, cell.workers.values(), nowMs);
+    if (worker === undefined) break;
+    task.checkpoint = checkpoint;
+    take(worker, task, run, nowMs);
+    taken.push([worker, task]);
+  }
+  if (taken.length < group.tasks.length) {
+    for (const [worker, task] of taken) giveBack(worker, task);
+    return;
+  }
+  for (const [worker, task] of taken) yield* order(worker, task);
+}
+
+function* claim(
+  worker: Worker,
+  task: Task,
+  run: number,
+  nowMs: number,
+): Effects {
+  take(worker, task, run, nowMs);
+  yield* order(worker, task);
+}
+
+function take(worker: Worker, task: Task, run: number, nowMs: number): void {
+  task.run = run;
+  task.claim = {
+    node: worker.node,
+    life: worker.report!.life,
+    phase: "ordered",
+    sinceMs: nowMs,
+    from: task.checkpoint,
+  };
+  worker.add(task);
+}
+
+function giveBack(worker: Worker, task: Task): void {
+  worker.remove(task);
+  task.claim = undefined;
+  task.run -= 1;
+}
+
+function* order(worker: Worker, task: Task): Effects {
+  const { job } = task.group;
+  const wasBegun = job.hasBegun;
+  job.hasBegun = true;
+  yield { kind: "save", job };
+  if (!wasBegun) {
+    yield { kind: "show", job: job.definition.id, state: job.state };
+  }
+  yield { kind: "start", node: worker.node, order: startOrderOf(task) };
+}
+
+function hasWaiting(group: Group, nowMs: number): boolean {
+  return group.tasks.some((task) => isWaiting(task, nowMs));
+}
+
+function isWaiting(task: Task, nowMs: number): boolean {
+  return !task.isDone && task.claim === undefined && nowMs >= task.notBeforeMs;
+}
--- /dev/null
+++ b/src/core/cell/start_order_of.ts
@@ -0,0 +1,21 @@
+import type { RunnerLife } from "../jobs/runner_life.ts";
+import type { StartOrder } from "./start_order.ts";
+import type { Task } from "./task.ts";
+
+/** The order to start a task's claimed run. */
+export function startOrderOf(task: Task): StartOrder {
+  const { definition, job } = task.group;
+  return {
+    kind: "start",
+    task: task.name,
+    run: task.run,
+    life: task.claim?.life ?? ("" as RunnerLife),
+    payload: job.definition.payload,
+    checkpoint: task.claim?.from ?? "",
+    resources: definition.resources,
+    isService: definition.isService,
+    isFiller: definition.isFiller,
+    image: definition.image,
+    targetLatencyMs: definition.targetLatencyMs,
+  };
+}
--- /dev/null
+++ b/src/core/cell/stop_order_of.ts
@@ -0,0 +1,22 @@
+import type { RunnerLife } from "../jobs/runner_life.ts";
+import type { TaskName } from "../jobs/task_name.ts";
+import type { CellEffect } from "./cell_effect.ts";
+import type { Worker } from "./worker.ts";
+
+/** The order to stop a run on a worker. */
+export function stopOrderOf(
+  worker: Worker,
+  task: TaskName,
+  run: number,
+  reason: string,
+  life: RunnerLife | undefined = worker.report?.life,
+): CellEffect {
+  return {
+    kind: "stop",
+    node: worker.node,
+    life: life ?? ("" as RunnerLife),
+    task,
+    run,
+    reason,
+  };
+}
--- /dev/null
+++ b/src/core/jobs/job_state.ts
@@ -0,0 +1,7 @@
+/** How a job stands. */
+export type JobState =
+  | "queued"
+  | "running"
+  | "completed"
+  | "failed"
+  | "cancelled";
--- /dev/null
+++ b/src/core/jobs/schedule.ts
@@ -0,0 +1,6 @@
+/** When the occurrences of a repeated job are due, by the wall clock. */
+export interface Schedule {
+  readonly firstMs: number;
+  readonly intervalMs: number;
+  readonly count: number;
+}
--- /dev/null
+++ b/src/core/jobs/task_name.ts
@@ -0,0 +1,2 @@
+/** A task's name: job, occurrence, step and index, joined by dots. */
+export type TaskName = string & { readonly __brand: "TaskName" };
--- /dev/null
+++ b/src/core/store/store.ts
@@ -0,0 +1,31 @@
+import type { Appended } from "./appended.ts";
+import type { NewestPage } from "./newest_page.ts";
+import type { Row } from "./row.ts";
+import type { RowPage } from "./row_page.ts";
+import type { StoreResult } from "./store_result.ts";
+import type { WriteGuard } from "./write_guard.ts";
+
+/**
+ * The platform's store: streams of keyed rows, of which the newest of each key
+ * is kept for ever. Calls never throw; each ends within its own time limit.
+ */
+export interface Store {
+  /** Appends all rows or none. */
+  append(
+    stream: string,
+    rows: readonly Row[],
+    guard: WriteGuard,
+    timeoutMs: number,
+  ): Promise<StoreResult<Appended>>;
+  /** Reads from an offset on; waits up to `waitMs` for a row to come. */
+  read(
+    stream: string,
+    from: number,
+    waitMs: number,
+  ): Promise<StoreResult<RowPage>>;
+  /** Reads a page of the newest rows. */
+  newest(
+    stream: string,
+    after: string | undefined,
+  ): Promise<StoreResult<NewestPage>>;
+}
--- /dev/null
+++ b/src/nodes/announce_member.ts
@@ -0,0 +1,32 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { NodeId } from "../core/jobs/node_id.ts";
+import type { Store } from "../core/store/store.ts";
+import type { Logger } from "../adapters/logger.ts";
+import type { MemberRow } from "../cellhost/member_row.ts";
+import { streams } from "../cellhost/streams.ts";
+
+const appendTimeoutMs = 1_000;
+const retryPauseMs = 150;
+
+/** Tells the store where this process takes its keeper's connection. */
+export async function announceMember(
+  store: Store,
+  node: NodeId,
+  row: MemberRow,
+  log: Logger,
+): Promise<void> {
+  const rows = [{ key: node, value: JSON.stringify(row) }];
+  for (let attempt = 1;; attempt++) {
+    const result = await store.append(
+      streams.members,
+      rows,
+      { kind: "none" },
+      appendTimeoutMs,
+    );
+    if (result.isOk) {
+      log.info("member_announced", { attempt });
+      return;
+    }
+    await sleep(retryPauseMs);
+  }
+}
--- /dev/null
+++ b/src/nodes/entry_node.ts
@@ -0,0 +1,255 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Logger } from "../adapters/logger.ts";
+import { Election } from "../cellhost/election.ts";
+import { JobDirectory } from "../cellhost/job_directory.ts";
+import { KeeperSession } from "../cellhost/keeper_session.ts";
+import type { MemberRow } from "../cellhost/member_row.ts";
+import { parseJsonRow } from "../cellhost/parse_json_row.ts";
+import { RowWriter } from "../cellhost/row_writer.ts";
+import { StreamTail } from "../cellhost/stream_tail.ts";
+import { streams } from "../cellhost/streams.ts";
+import type { NodeId } from "../core/jobs/node_id.ts";
+import type { Queue } from "../core/jobs/queue.ts";
+import type { StoredRow } from "../core/store/stored_row.ts";
+import type { Store } from "../core/store/store.ts";
+import type { KeeperMessage } from "../link/keeper_message.ts";
+import { announceMember } from "./announce_member.ts";
+import { MemberServer } from "./member_server.ts";
+import type { NodeOptions } from "./node_options.ts";
+
+const tailWaitMs = 2_000;
+/** How far a standby may lag behind the keeper. */
+const standbyPauseMs = 200;
+const watchEveryMs = 50;
+/** How long neither the keeper nor its stream may stir before another stands. */
+const keeperSilenceMs = 900;
+/** For how long a keeper's word that it cannot reach the store holds. */
+const unsureForMs = 1_000;
+/** Spreads candidates, so that mostly one stands. */
+const mostCampaignDelayMs = 150;
+
+/** An entry: takes jobs, tells how they stand, and may keep the cell. */
+export class EntryNode {
+  readonly directory: JobDirectory;
+  readonly jobsTail: StreamTail;
+  readonly #election: Election;
+  #cellTail: StreamTail;
+  #membersTail: StreamTail | undefined;
+  #session: KeeperSession | undefined;
+  readonly #server: MemberServer;
+  #queues: readonly Queue[] = [];
+  #keeperHeardAtMs = 0;
+  /** The newest epoch of which a keeper is connected. */
+  #connectedEpoch = 0;
+  #unsureAtMs = -Infinity;
+  #isClosed = false;
+  #isResigned = false;
+  #isTaking = false;
+
+  constructor(
+    readonly options: NodeOptions,
+    readonly store: Store,
+    readonly log: Logger,
+  ) {
+    const { node, incarnation } = options;
+    this.directory = new JobDirectory(log);
+    this.directory.onSubmitted = (job) => this.#session?.submit(job);
+    this.directory.onCancelled = (id) => this.#session?.cancel(id);
+    this.jobsTail = new StreamTail(
+      store,
+      streams.jobs,
+      { waitMs: tailWaitMs, pauseMs: 0 },
+      (rows) => this.directory.takeJobs(rows),
+      log,
+    );
+    this.#cellTail = this.#newCellTail();
+    this.#election = new Election(store, { node, incarnation }, log);
+    this.#election.onWinner = () => this.#winnerSeen();
+    this.#server = new MemberServer((channel, { epoch, keeper }) => {
+      if (epoch < this.#connectedEpoch) {
+        channel.close("a newer keeper was heard");
+        return;
+      }
+      log.info("keeper_heard", { epoch, keeper });
+      this.#connectedEpoch = epoch;
+      this.#keeperHeardAtMs = performance.now();
+      channel.onMessage = (message) => this.#takeKeeper(message);
+      channel.onClose = (reason) => {
+        log.info("keeper_gone", { epoch, keeper, reason });
+        if (this.#connectedEpoch === epoch) this.#connectedEpoch = 0;
+      };
+    });
+  }
+
+  /** Starts to serve. */
+  async start(): Promise<void> {
+    const { node, host, memberPort, incarnation } = this.options;
+    await this.#server.listen(host, memberPort);
+    const row = { role: "entry", host, port: memberPort, incarnation } as const;
+    void announceMember(this.store, node, row, this.log);
+    void this.jobsTail.run();
+    void this.#cellTail.run();
+    void this.#election.tail.run();
+    void this.#watch();
+  }
+
+  /** The queues of the configuration in force. */
+  setQueues(queues: readonly Queue[]): void {
+    this.#queues = queues;
+    this.#session?.setQueues(queues);
+  }
+
+  /** Whether this entry's own read of the store is fresh enough to say no. */
+  isFresh(withinMs: number): boolean {
+    return this.jobsTail.isCaughtUp &&
+      performance.now() - this.jobsTail.readAtMs < withinMs + tailWaitMs;
+  }
+
+  /** Leaves office, so that another takes over at once. */
+  resign(): void {
+    this.#isResigned = true;
+    this.#endTerm(true);
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.#endTerm(false);
+    this.#server.close();
+    for (
+      const tail of [this.jobsTail, this.#cellTail, this.#election.tail]
+    ) tail.stop();
+  }
+
+  #newCellTail(): StreamTail {
+    return new StreamTail(
+      this.store,
+      streams.cell,
+      { waitMs: 0, pauseMs: standbyPauseMs },
+      (rows) => this.directory.takeProgress(rows),
+      this.log,
+    );
+  }
+
+  #takeKeeper(message: KeeperMessage): void {
+    if (message.kind === "states") {
+      for (const [id, state] of message.jobs) this.directory.note(id, state);
+    } else if (message.kind === "unsure") {
+      this.#unsureAtMs = performance.now();
+    } else if (message.kind === "resigned") {
+      this.#connectedEpoch = 0;
+      void this.#election.campaign("resigned");
+    }
+  }
+
+  async #watch(): Promise<void> {
+    const delayMs = Math.random() * mostCampaignDelayMs;
+    while (!this.#isClosed) {
+      await sleep(watchEveryMs);
+      const reason = this.#whyStand(delayMs);
+      if (reason !== undefined) await this.#election.campaign(reason);
+    }
+  }
+
+  #whyStand(delayMs: number): string | undefined {
+    const { tail, winner, wasSelf, isWon } = this.#election;
+    if (this.#session !== undefined || this.#isTaking || this.#isResigned) {
+      return undefined;
+    }
+    if (!tail.isCaughtUp || !this.#cellTail.isCaughtUp) return undefined;
+    if (!this.jobsTail.isCaughtUp) return undefined;
+    const nowMs = performance.now();
+    if (isWon) return "won_but_deposed";
+    if (winner === undefined) {
+      return nowMs - tail.readAtMs > delayMs ? "first" : undefined;
+    }
+    if (wasSelf) return "restarted";
+    const isConnected = this.#connectedEpoch > 0 &&
+      nowMs - this.#unsureAtMs > unsureForMs;
+    const stirredAtMs = Math.max(
+      isConnected ? nowMs : this.#keeperHeardAtMs,
+      this.#cellTail.grewAtMs,
+    );
+    const silentMs = nowMs - stirredAtMs;
+    return silentMs > keeperSilenceMs + delayMs ? "silent" : undefined;
+  }
+
+  #winnerSeen(): void {
+    if (this.#session !== undefined) this.#endTerm(false);
+    if (this.#election.isWon && !this.#isResigned) void this.#takeOffice();
+    else this.#cellTail.grewAtMs = performance.now();
+  }
+
+  async #takeOffice(): Promise<void> {
+    const { epoch } = this.#election;
+    const { node } = this.options;
+    this.#isTaking = true;
+    const writer = new RowWriter(
+      this.store,
+      streams.cell,
+      epoch,
+      () => ({ key: "keeper", value: JSON.stringify({ node, epoch }) }),
+      () => this.#deposed(epoch),
+      this.log,
+    );
+    const end = await writer.take();
+    const isCurrent = () =>
+      !this.#isClosed && !this.#isResigned && this.#election.epoch === epoch &&
+      !writer.isDeposed;
+    while (end !== undefined && isCurrent()) {
+      if (await this.#cellTail.reach(end) && isCurrent()) {
+        this.#beginTerm(epoch, writer);
+        break;
+      }
+      await sleep(watchEveryMs);
+    }
+    if (this.#session === undefined) writer.close();
+    this.#isTaking = false;
+  }
+
+  #beginTerm(epoch: number, writer: RowWriter): void {
+    const { bounds, node } = this.options;
+    this.#cellTail.stop();
+    const session = new KeeperSession(
+      epoch,
+      writer,
+      this.directory,
+      bounds,
+      this.log,
+      node,
+    );
+    session.load(this.#queues);
+    this.#session = session;
+    writer.write([], () => {});
+    this.#membersTail = new StreamTail(
+      this.store,
+      streams.members,
+      { waitMs: tailWaitMs, pauseMs: 0 },
+      (rows) => this.#takeMembers(session, rows),
+      this.log,
+    );
+    void this.#membersTail.run();
+  }
+
+  #takeMembers(session: KeeperSession, rows: readonly StoredRow[]): void {
+    for (const { key, value } of rows) {
+      if (value === undefined || key === this.options.node) continue;
+      const row = parseJsonRow<MemberRow>(value, key, this.log);
+      if (row !== undefined) session.setMember(key as NodeId, row);
+    }
+  }
+
+  #deposed(epoch: number): void {
+    if (this.#session?.epoch === epoch) this.#endTerm(false);
+  }
+
+  #endTerm(isResigned: boolean): void {
+    const session = this.#session;
+    if (session === undefined) return;
+    this.#session = undefined;
+    this.#membersTail?.stop();
+    session.close(isResigned);
+    this.directory.rows.clear();
+    this.#cellTail = this.#newCellTail();
+    if (!this.#isClosed) void this.#cellTail.run();
+  }
+}
--- /dev/null
+++ b/src/nodes/member_server.ts
@@ -0,0 +1,41 @@
+import { createServer, type Server } from "node:net";
+import { Channel } from "../link/channel.ts";
+import type { KeeperMessage } from "../link/keeper_message.ts";
+import type { MemberMessage } from "../link/member_message.ts";
+
+type KeeperChannel = Channel<MemberMessage, KeeperMessage>;
+
+/** Takes keepers' connections; tells of one once it has named its epoch. */
+export class MemberServer {
+  readonly #server: Server;
+  readonly #channels = new Set<KeeperChannel>();
+
+  constructor(
+    readonly onKeeper: (
+      channel: KeeperChannel,
+      hello: Extract<KeeperMessage, { kind: "hello" }>,
+    ) => void,
+  ) {
+    this.#server = createServer((socket) => {
+      const channel: KeeperChannel = new Channel(socket);
+      this.#channels.add(channel);
+      channel.onClose = () => this.#channels.delete(channel);
+      channel.onMessage = (message) => {
+        if (message.kind === "hello") this.onKeeper(channel, message);
+        else channel.close("no hello");
+      };
+    });
+  }
+
+  async listen(host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this.#server.close();
+    for (const channel of this.#channels) channel.close("leaving");
+  }
+}
--- /dev/null
+++ b/src/nodes/sidecar_node.ts
@@ -0,0 +1,62 @@
+import type { NodeId } from "../core/jobs/node_id.ts";
+import type { Store } from "../core/store/store.ts";
+import type { Logger } from "../adapters/logger.ts";
+import { Gate } from "../gate/gate.ts";
+import type { RunnerClient } from "../gate/runner_client.ts";
+import { announceMember } from "./announce_member.ts";
+import { MemberServer } from "./member_server.ts";
+import type { NodeOptions } from "./node_options.ts";
+
+/** The process beside a runner. */
+export class SidecarNode {
+  readonly gate: Gate;
+  readonly #server: MemberServer;
+
+  constructor(
+    readonly options: NodeOptions,
+    readonly store: Store,
+    runner: RunnerClient,
+    readonly log: Logger,
+  ) {
+    this.gate = new Gate(runner, options.bounds.maxHoldMs, log);
+    this.#server = new MemberServer((channel, { epoch, keeper }) => {
+      const isTaken = this.gate.attach(
+        epoch,
+        (message) => channel.send(message),
+      );
+      if (!isTaken) {
+        channel.close("a newer keeper was heard");
+        return;
+      }
+      log.info("keeper_heard", { epoch, keeper });
+      channel.onMessage = (message) => {
+        if (epoch === this.gate.epoch) this.gate.take(message);
+        else channel.close("a newer keeper was heard");
+      };
+      channel.onClose = (reason) => {
+        log.info("keeper_gone", { epoch, keeper, reason });
+        this.gate.detach(epoch);
+      };
+    });
+  }
+
+  /** Starts to serve. */
+  async start(): Promise<void> {
+    const { node, host, memberPort, incarnation } = this.options;
+    await this.#server.listen(host, memberPort);
+    const row = {
+      role: "sidecar",
+      host,
+      port: memberPort,
+      incarnation,
+    } as const;
+    void announceMember(this.store, node as NodeId, row, this.log);
+    void this.gate.run();
+  }
+
+  /** Stops serving; the runner's lease runs on until a new process holds it. */
+  close(): void {
+    this.gate.stop();
+    this.#server.close();
+  }
+}
