--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -16,6 +16,7 @@
 import type { KeeperBounds } from "./keeper_bounds.ts";
 import { MemberLink } from "./member_link.ts";
 import type { MemberRow } from "./member_row.ts";
+import { pressuresOn } from "./pressures_on.ts";
 import { OrderBox } from "./order_box.ts";
 import { progressKeyOf } from "./progress_key_of.ts";
 import type { RowWriter } from "./row_writer.ts";
@@ -138,7 +139,8 @@
         if (isFirst && worker.isAdopted) this.#introduce(link);
         if (!this.#hasAuthority()) return;
         this.#renewedAtMs.set(node, nowMs);
-        link.send({ kind: "renew", report: message.number });
+        const pressures = pressuresOn(worker, this.cell.pressure);
+        link.send({ kind: "renew", report: message.number, pressures });
         if (isFirst) this.#noteRenewed();
         return;
       }
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -18,6 +18,8 @@
 import { stopStuck } from "./stop_stuck.ts";
 import type { Task } from "./task.ts";
 import { observeWorker } from "./observe_worker.ts";
+import { PairPressure } from "../interfere/pair_pressure.ts";
+import { relieve } from "./relieve.ts";
 import { Worker } from "./worker.ts";
 import type { WorkerReport } from "./worker_report.ts";
 
@@ -37,6 +39,8 @@
   readonly live = new Set<Job>();
   readonly workers = new Map<NodeId, Worker>();
 
+  readonly pressure = new PairPressure();
+
   constructor(readonly options: CellOptions) {}
 
   /** Takes a job over from the store as it stands there. */
@@ -92,7 +96,8 @@
     }
     yield* this.#compare(worker, runs, nowMs);
     worker.isAdopted = true;
-    observeWorker(worker, runs);
+    if (!observeWorker(worker, runs, this.pressure, nowMs)) return;
+    yield* relieve(this, worker, nowMs);
   }
 
   /** The worker's lease has surely run out and nobody renews it. */
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -1,13 +1,17 @@
+import type { PairPressure } from "../interfere/pair_pressure.ts";
 import { fits } from "../resources/fits.ts";
 import type { Queue } from "../jobs/queue.ts";
+import { expectedStrain } from "./expected_strain.ts";
 import { fillerRoom } from "./filler_room.ts";
 import type { Group } from "./group.ts";
 import { strainOf } from "./strain_of.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
-/** Fillers are not put where a service's latency is over this part of its target. */
-const mostStrain = 0.75;
+/** Fillers are not put where a service should come over this part of its target. */
+const mostStrain = 0.85;
+/** How much the latency of the moment counts beside what is expected. */
+const strainWeight = 0.5;
 /** The least part of its processors that a filler is to get. */
 const leastFillerShare = 0.85;
 /** A worker that is slower than this counts as ill. */
@@ -21,13 +25,14 @@
   task: Task,
   queue: Queue,
   workers: Iterable<Worker>,
+  pressure: PairPressure,
   nowMs: number,
 ): Worker | undefined {
   let best: Worker | undefined;
   let bestCost = Infinity;
   for (const worker of workers) {
-    if (!mayRun(task, queue, worker, nowMs)) continue;
-    const cost = costOf(task, worker);
+    if (!mayRun(task, queue, worker, pressure, nowMs)) continue;
+    const cost = costOf(task, worker, pressure);
     if (cost >= bestCost) continue;
     best = worker;
     bestCost = cost;
@@ -39,6 +44,7 @@
   task: Task,
   queue: Queue,
   worker: Worker,
+  pressure: PairPressure,
   nowMs: number,
 ): boolean {
   const { report } = worker;
@@ -54,18 +60,22 @@
   }
   const need = isFiller ? { ...resources, cpuMilli: 0 } : resources;
   if (!fits(need, worker.free)) return false;
-  return !isFiller || hasFillerRoom(task, worker);
+  return !isFiller || hasFillerRoom(task, worker, pressure);
 }
 
-function hasFillerRoom(task: Task, worker: Worker): boolean {
-  if (strainOf(worker) > mostStrain) return false;
+function hasFillerRoom(
+  task: Task,
+  worker: Worker,
+  pressure: PairPressure,
+): boolean {
+  if (expectedStrain(worker, task, pressure) > mostStrain) return false;
   const { askedMilli, unusedMilli } = fillerRoom(worker);
   const { cpuMilli } = task.group.definition.resources;
   const wantedMilli = cpuMilli * leastFillerShare;
   return askedMilli + wantedMilli <= unusedMilli;
 }
 
-function costOf(task: Task, worker: Worker): number {
+function costOf(task: Task, worker: Worker, pressure: PairPressure): number {
   const { definition } = task.group;
   const { report } = worker;
   let cost = worker.slowness >= slowFrom ? slowPenalty * worker.slowness : 0;
@@ -74,9 +84,23 @@
   const capacityMilli = Math.max(1, report?.capacity.cpuMilli ?? 1);
   if (definition.isFiller) {
     const { askedMilli, unusedMilli } = fillerRoom(worker);
-    return cost + strainOf(worker) + askedMilli / Math.max(1, unusedMilli);
+    return cost + expectedStrain(worker, task, pressure) +
+      strainWeight * strainOf(worker) + askedMilli / Math.max(1, unusedMilli);
+  }
+  const usedPart = worker.used.cpuMilli / capacityMilli;
+  if (!definition.isService) return cost + usedPart;
+  return cost + otherImages(task, worker) + usedPart;
+}
+
+/** How many images of services other than the task's the worker serves. */
+function otherImages(task: Task, worker: Worker): number {
+  const images = new Set<string>();
+  for (const { group } of worker.claims.values()) {
+    const { isService, image = "" } = group.definition;
+    if (isService) images.add(image);
   }
-  return cost + worker.used.cpuMilli / capacityMilli;
+  images.delete(task.group.definition.image ?? "");
+  return images.size;
 }
 
 function isFar(task: Task, worker: Worker): boolean {
--- a/src/core/cell/observe_worker.ts
+++ b/src/core/cell/observe_worker.ts
@@ -1,5 +1,7 @@
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
+import type { PairPressure } from "../interfere/pair_pressure.ts";
+import { fillerUse } from "./filler_use.ts";
 import type { Worker } from "./worker.ts";
 
 /** How much a new report weighs in what services are taken to use. */
@@ -9,11 +11,16 @@
 /** Fillers that get less than this part of what they ask for are short. */
 const shortShare = 0.9;
 
-/** Takes in what a worker's runs are doing. */
+/** Figures are of the last half second, so that more samples say no more. */
+const observeEveryMs = 300;
+
+/** Takes in what a worker's runs are doing; tells whether it is news. */
 export function observeWorker(
   worker: Worker,
   runs: ReadonlyMap<TaskName, RunStatus>,
-): void {
+  pressure: PairPressure,
+  nowMs: number,
+): boolean {
   worker.statuses.clear();
   let askedMilli = 0;
   let fillerMilli = 0;
@@ -26,16 +33,30 @@
     const { isFiller, isService, resources } = task.group.definition;
     if (isService) serviceMilli += resources.cpuMilli;
     else if (isFiller) {
-      askedMilli += resources.cpuMilli * status.percent / 100;
+      askedMilli += resources.cpuMilli;
       fillerMilli += status.figure;
     } else plainMilli += status.figure;
   }
+  if (nowMs - worker.observedAtMs < observeEveryMs) return false;
+  worker.observedAtMs = nowMs;
+  learnPressure(worker, pressure);
   const capacityMilli = worker.report?.capacity.cpuMilli ?? 0;
-  if (serviceMilli === 0 || askedMilli === 0) return;
+  if (serviceMilli === 0 || askedMilli === 0) return true;
   const leftMilli = capacityMilli - plainMilli - fillerMilli;
   const isShort = fillerMilli < askedMilli * shortShare;
   const load = leftMilli / serviceMilli;
-  if (!isShort && load >= worker.serviceLoad) return;
+  if (!isShort && load >= worker.serviceLoad) return true;
   const bounded = Math.min(mostLoad, Math.max(leastLoad, load));
   worker.serviceLoad += (bounded - worker.serviceLoad) * loadWeight;
+  return true;
+}
+
+function learnPressure(worker: Worker, pressure: PairPressure): void {
+  const use = fillerUse(worker);
+  for (const task of worker.claims.values()) {
+    const { isService, image, targetLatencyMs } = task.group.definition;
+    const status = worker.statuses.get(task.name);
+    if (!isService || targetLatencyMs === 0 || status === undefined) continue;
+    pressure.learn(image ?? "", status.figure / targetLatencyMs, use);
+  }
 }
--- a/src/core/cell/place_waiting.ts
+++ b/src/core/cell/place_waiting.ts
@@ -43,7 +43,13 @@
 ): Effects {
   for (const task of group.tasks) {
     if (!isWaiting(task, nowMs)) continue;
-    const worker = chooseWorker(task, queue, cell.workers.values(), nowMs);
+    const worker = chooseWorker(
+      task,
+      queue,
+      cell.workers.values(),
+      cell.pressure,
+      nowMs,
+    );
     if (worker === undefined) return;
     yield* claim(worker, task, task.run + 1, nowMs);
   }
@@ -62,7 +68,13 @@
     ?.checkpoint ?? "";
   const taken: [Worker, Task][] = [];
   for (const task of group.tasks) {
-    const worker = chooseWorker(task, queue, cell.workers.values(), nowMs);
+    const worker = chooseWorker(
+      task,
+      queue,
+      cell.workers.values(),
+      cell.pressure,
+      nowMs,
+    );
     if (worker === undefined) break;
     task.checkpoint = checkpoint;
     take(worker, task, run, nowMs);
--- /dev/null
+++ b/src/core/cell/relieve.ts
@@ -0,0 +1,67 @@
+import type { Cell } from "./cell.ts";
+import type { CellEffect } from "./cell_effect.ts";
+import { chooseWorker } from "./choose_worker.ts";
+import { fillerUse } from "./filler_use.ts";
+import type { Task } from "./task.ts";
+import type { Worker } from "./worker.ts";
+
+/** The effect of a move shows in the figures after this. */
+const relieveEveryMs = 700;
+/** A filler image that adds less than this to a service's latency is let be. */
+const leastPress = 0.2;
+
+/**
+ * Moves the fillers that press most on a service that is over its target to
+ * where they press less. What cannot move is paced by the worker's gate.
+ */
+export function* relieve(
+  cell: Cell,
+  worker: Worker,
+  nowMs: number,
+): Generator<CellEffect, void> {
+  if (nowMs - worker.relievedAtMs < relieveEveryMs) return;
+  const culprit = worstFiller(cell, worker);
+  if (culprit === undefined) return;
+  for (const task of [...worker.claims.values()]) {
+    if (task.group.definition.image !== culprit) continue;
+    if (!mayMove(cell, worker, task, nowMs)) continue;
+    worker.relievedAtMs = nowMs;
+    yield* cell.stop(task, "relieve", nowMs);
+  }
+}
+
+/** The filler image that adds most to the latency of services over target. */
+function worstFiller(cell: Cell, worker: Worker): string | undefined {
+  const use = fillerUse(worker);
+  let worst: string | undefined;
+  let most = leastPress;
+  for (const task of worker.claims.values()) {
+    const { isService, image = "", targetLatencyMs } = task.group.definition;
+    const figure = worker.statuses.get(task.name)?.figure ?? 0;
+    if (!isService || targetLatencyMs === 0 || figure <= targetLatencyMs) {
+      continue;
+    }
+    for (const [filler, used] of use) {
+      const press = cell.pressure.of(image, filler) * used;
+      if (press <= most) continue;
+      most = press;
+      worst = filler;
+    }
+  }
+  return worst;
+}
+
+function mayMove(
+  cell: Cell,
+  worker: Worker,
+  task: Task,
+  nowMs: number,
+): boolean {
+  const { definition, job } = task.group;
+  if (!definition.isFiller || !definition.savesProgress) return false;
+  if (task.claim?.phase !== "running") return false;
+  const queue = cell.queues.get(job.definition.queue);
+  if (queue === undefined) return false;
+  const others = [...cell.workers.values()].filter((other) => other !== worker);
+  return chooseWorker(task, queue, others, cell.pressure, nowMs) !== undefined;
+}
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -35,6 +35,10 @@
   slowness = 1;
   /** The part of what services reserve that they use, smoothed. */
   serviceLoad = 0.6;
+  /** When its services' figures were last taken in. */
+  observedAtMs = -Infinity;
+  /** When a filler was last stopped here for a service's sake. */
+  relievedAtMs = -Infinity;
   #used: Resources = noResources;
 
   constructor(readonly node: NodeId) {}
--- a/src/core/jobs/run_status.ts
+++ b/src/core/jobs/run_status.ts
@@ -5,7 +5,7 @@
   readonly task: TaskName;
   readonly run: number;
   readonly checkpoint: string;
-  /** The share of its speed that it is let work at; 100 for all. */
+  /** How much of its work is done; 100 for a service at work. */
   readonly percent: number;
   /** A service's latency in ms, else the processors in use in thousandths. */
   readonly figure: number;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -6,12 +6,15 @@
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { TaskName } from "../core/jobs/task_name.ts";
 import type { Logger } from "../adapters/logger.ts";
+import { FillerPace } from "../core/interfere/filler_pace.ts";
+import type { FillerView } from "../core/interfere/filler_view.ts";
+import type { ServiceView } from "../core/interfere/service_view.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import type { MemberMessage } from "../link/member_message.ts";
+import type { Pressure } from "../link/pressure.ts";
 import type { StopOrder } from "../link/stop_order.ts";
 import { hasRoom } from "./has_room.ts";
 import { lifeOf } from "./life_of.ts";
-import { PaceControl } from "./pace_control.ts";
 import type { Run } from "./run.ts";
 import type { RunnerAnswer } from "./runner_answer.ts";
 import type { RunnerClient } from "./runner_client.ts";
@@ -24,6 +27,8 @@
 /** The pause after a look that found ends nobody has stored yet. */
 const pendingEndsPauseMs = 40;
 const failedLookPauseMs = 100;
+/** The pace of a run that was found is not known, so it is told anew. */
+const unknownPace = -1;
 const reportEveryMs = 450;
 /** Figures are of the last half second, so the pace is not set more often. */
 const paceEveryMs = 350;
@@ -43,7 +48,8 @@
   #send: ((message: MemberMessage) => void) | undefined;
   readonly #runs = new Map<string, Run>();
   readonly #clock = new RunnerClock();
-  readonly #pace = new PaceControl();
+  readonly #pace = new FillerPace();
+  #pressures: readonly Pressure[] = [];
   /** The least that the runner's clock showed when each report was sent. */
   readonly #reports = new Map<number, number>();
   #reportNumber = 0;
@@ -127,6 +133,7 @@
     switch (message.kind) {
       case "renew":
         this.#renew(message.report);
+        this.#pressures = message.pressures;
         break;
       case "orders":
         for (const order of message.stops) this.#takeStop(order);
@@ -189,7 +196,7 @@
     this.#ends = [];
     this.#isUp = false;
     this.#isDraining = info.isDraining;
-    this.#pace.percent = 100;
+    this.#pace.clear();
   }
 
   async #look(waitMs: number, isSilent: boolean): Promise<boolean> {
@@ -320,7 +327,7 @@
       isUncertain: false,
       isUnwanted: false,
       stoppedAtMs: undefined,
-      percent: 100,
+      pace: 100,
       isPacing: false,
     };
     const refusal = this.#whyNot(order);
@@ -384,7 +391,7 @@
     if (order.life !== this.#life()) return;
     const key = keyOf(order);
     const known = this.#runs.get(key);
-    const run = known ?? foundRun({ ...order, percent: 100 });
+    const run = known ?? foundRun(order);
     this.#runs.set(key, run);
     if (run.phase === "starting") run.isUnwanted = true;
     else if (run.phase === "running") void this.#stop(run);
@@ -425,33 +432,38 @@
     if (nowMs - this.#pacedAtMs < paceEveryMs) return;
     this.#pacedAtMs = nowMs;
     const statuses = new Map(this.#running.map((run) => [keyOf(run), run]));
-    let worst = 0;
-    const fillers: Run[] = [];
-    for (const [key, run] of this.#runs) {
-      const { order } = run;
+    const capacityMilli = Math.max(1, this.#info?.capacity.cpuMilli ?? 1);
+    const services: ServiceView[] = [];
+    const fillers: FillerView[] = [];
+    for (const [key, { order }] of this.#runs) {
       const status = statuses.get(key);
       if (order === undefined || status === undefined) continue;
-      if (order.isFiller) {
-        run.percent = status.percent;
-        fillers.push(run);
-      } else if (order.isService && order.targetLatencyMs > 0) {
-        worst = Math.max(worst, status.figure / order.targetLatencyMs);
+      const { isFiller, isService, targetLatencyMs, image = "" } = order;
+      const { figure } = status;
+      if (isFiller) fillers.push({ image, use: figure / capacityMilli });
+      else if (isService && targetLatencyMs > 0) {
+        const pressures = this.#pressuresOn(image);
+        services.push({ part: figure / targetLatencyMs, pressures });
       }
     }
-    const before = this.#pace.percent;
-    const percent = this.#pace.observe(worst);
-    if (percent !== before) {
-      this.log.info("pace", { percent, was: before, worst: worst.toFixed(2) });
-    }
-    for (const run of fillers) {
-      if (run.percent !== percent && !run.isPacing) {
-        void this.#setPace(run, percent);
-      }
+    this.#pace.observe(services, fillers, nowMs);
+    for (const [key, run] of this.#runs) {
+      if (!run.order?.isFiller || !statuses.has(key) || run.isPacing) continue;
+      const pace = this.#pace.of(run.order.image ?? "");
+      if (run.pace !== pace) void this.#setPace(run, pace);
     }
   }
 
+  #pressuresOn(image: string): ReadonlyMap<string, number> {
+    return new Map(
+      this.#pressures.filter(([service]) => service === image)
+        .map(([, filler, pressure]) => [filler, pressure]),
+    );
+  }
+
   async #setPace(run: Run, percent: number): Promise<void> {
     run.isPacing = true;
+    this.log.info("pace", { task: run.task, percent, was: run.pace });
     const answer = await this.runner.pace({
       instance: this.#info!.instance,
       epoch: this.#epoch,
@@ -461,6 +473,7 @@
     });
     this.#readClock(answer);
     run.isPacing = false;
+    if (answer.isOk) run.pace = percent;
   }
 
   #refuse(run: Run, reason: StartRefusal): void {
@@ -494,7 +507,7 @@
 }
 
 function foundRun(
-  { task, run, percent }: { task: TaskName; run: number; percent: number },
+  { task, run }: { task: TaskName; run: number },
 ): Run {
   return {
     task,
@@ -504,7 +517,7 @@
     isUncertain: false,
     isUnwanted: false,
     stoppedAtMs: undefined,
-    percent,
+    pace: unknownPace,
     isPacing: false,
   };
 }
--- a/src/gate/run.ts
+++ b/src/gate/run.ts
@@ -15,6 +15,6 @@
   /** When its stop was answered, by our steady clock. */
   stoppedAtMs: number | undefined;
   /** The pace that its runner was last told. */
-  percent: number;
+  pace: number;
   isPacing: boolean;
 }
