Pack services of one image on the same workers

Cause: pressure is by pairs of images, and services of every image stood on nearly every worker, so that no filler image had a place where it does no harm. Also: a report of a runner that does not answer is compared with nothing, since a restarted sidecar would have refused starts of runs that still ran; runs of unknown size are explained whenever a report counts some; stuck runs are told by their progress.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -30,8 +30,9 @@
 /** A keeper that has not heard from the store for so long lets others stand. */
 const unsureAfterMs = 1_200;
 const unsureEveryMs = 400;
-const stuckFactor = 5;
-const stuckLeastMs = 4_000;
+/** A run counts as stuck without progress for this part of its time. */
+const stuckFactor = 0.5;
+const stuckLeastMs = 1_800;
 
 type LaterEffect = Exclude<CellEffect, { kind: "save" | "stop" }>;
 
@@ -136,7 +137,8 @@
         const worker = this.cell.worker(node);
         const isFirst = !worker.isAdopted;
         this.#run(this.cell.report(node, message.report, nowMs));
-        if (isFirst && worker.isAdopted) this.#introduce(link);
+        const isUnsure = isFirst || message.report.unexplained > 0;
+        if (isUnsure && worker.isAdopted) this.#introduce(link);
         if (!this.#hasAuthority()) return;
         this.#renewedAtMs.set(node, nowMs);
         const pressures = pressuresOn(worker, this.cell.pressure);
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -94,6 +94,11 @@
       worker.isAdopted = false;
       return;
     }
+    if (!report.isUp) {
+      // What runs there is not known, so nothing may be concluded from it.
+      worker.isAdopted = false;
+      return;
+    }
     yield* this.#compare(worker, runs, nowMs);
     worker.isAdopted = true;
     if (!observeWorker(worker, runs, this.pressure, nowMs)) return;
@@ -115,6 +120,7 @@
     if (claim?.phase !== "ordered") return;
     claim.phase = "running";
     claim.sinceMs = nowMs;
+    claim.progressAtMs = nowMs;
   }
 
   /** A start was surely not carried out. */
@@ -223,6 +229,7 @@
       if (task !== undefined) {
         if (status.checkpoint !== "") task.checkpoint = status.checkpoint;
         this.started(worker.node, name, status.run, nowMs);
+        noteProgress(task, status.percent, nowMs);
         continue;
       }
       const known = this.task(name)?.group.definition;
@@ -267,3 +274,10 @@
     yield* this.#wind(job, job.outcome ?? "completed", nowMs);
   }
 }
+
+function noteProgress(task: Task, percent: number, nowMs: number): void {
+  const { claim } = task;
+  if (claim === undefined || percent === claim.progress) return;
+  claim.progress = percent;
+  claim.progressAtMs = nowMs;
+}
--- a/src/core/cell/cell_options.ts
+++ b/src/core/cell/cell_options.ts
@@ -2,7 +2,7 @@
 export interface CellOptions {
   /** How much longer a task takes away from its data or its gang's rack. */
   readonly farFactor: number;
-  /** How often a run may be late by its expected time before it counts as stuck. */
+  /** The part of its expected time without progress from which a run is stuck. */
   readonly stuckFactor: number;
   /** The least time before a run counts as stuck. */
   readonly stuckLeastMs: number;
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -19,6 +19,7 @@
 const farPenalty = 2;
 const avoidPenalty = 4;
 const slowPenalty = 10;
+const mixPenalty = 2;
 
 /** The best worker for a task, if any has room. */
 export function chooseWorker(
@@ -89,18 +90,21 @@
   }
   const usedPart = worker.used.cpuMilli / capacityMilli;
   if (!definition.isService) return cost + usedPart;
-  return cost + otherImages(task, worker) + usedPart;
+  return cost + mixPenalty * newMix(task, worker) - usedPart;
 }
 
-/** How many images of services other than the task's the worker serves. */
-function otherImages(task: Task, worker: Worker): number {
+/**
+ * How much less uniform a worker's services become with the task. Services of
+ * one image are packed together, so that each filler image finds workers where
+ * it presses on none.
+ */
+function newMix(task: Task, worker: Worker): number {
   const images = new Set<string>();
   for (const { group } of worker.claims.values()) {
     const { isService, image = "" } = group.definition;
     if (isService) images.add(image);
   }
-  images.delete(task.group.definition.image ?? "");
-  return images.size;
+  return images.has(task.group.definition.image ?? "") ? 0 : 1 + images.size;
 }
 
 function isFar(task: Task, worker: Worker): boolean {
--- a/src/core/cell/claim.ts
+++ b/src/core/cell/claim.ts
@@ -8,6 +8,9 @@
   phase: ClaimPhase;
   /** When the phase began, by the keeper's steady clock. */
   sinceMs: number;
+  /** How much of its work was done, in percent, and when that last grew. */
+  progress: number;
+  progressAtMs: number;
   /** The checkpoint that the run began from. */
   readonly from: string;
 }
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -51,6 +51,8 @@
       life: named[1] as RunnerLife,
       phase: "ordered",
       sinceMs: nowMs,
+      progress: 0,
+      progressAtMs: nowMs,
       from: from ?? "",
     };
   }
--- a/src/core/cell/place_waiting.ts
+++ b/src/core/cell/place_waiting.ts
@@ -104,6 +104,8 @@
     life: worker.report!.life,
     phase: "ordered",
     sinceMs: nowMs,
+    progress: 0,
+    progressAtMs: nowMs,
     from: task.checkpoint,
   };
   worker.add(task);
--- a/src/core/cell/worker_report.ts
+++ b/src/core/cell/worker_report.ts
@@ -19,4 +19,6 @@
   readonly isLapsed: boolean;
   readonly running: readonly RunStatus[];
   readonly ends: readonly RunEnd[];
+  /** How many runs it has found of which it knows nothing more. */
+  readonly unexplained: number;
 }
--- a/src/core/interfere/filler_pace.ts
+++ b/src/core/interfere/filler_pace.ts
@@ -52,7 +52,9 @@
       const culprits = isLong
         ? fillers.map(({ image }) => image)
         : culpritsOf(service, fillers);
-      const factor = service.part >= farOverPart ? farOverFactor : giveWayFactor;
+      const factor = service.part >= farOverPart
+        ? farOverFactor
+        : giveWayFactor;
       for (const image of new Set(culprits)) {
         if (pressed.has(image)) continue;
         pressed.add(image);
--- a/src/core/interfere/pair_pressure.ts
+++ b/src/core/interfere/pair_pressure.ts
@@ -2,19 +2,37 @@
 const firstRest = 0.45;
 const leastRest = 0.2;
 const mostRest = 0.7;
+const restRate = 0.05;
+/** Fillers that use less than this together leave a service at rest. */
+const restUse = 0.01;
+/** Below this part of its target a service is at ease. */
+const easePart = 0.8;
+/** From this part of its target on a service counts as pressed. */
+const pressedPart = 0.95;
+/** A filler that uses less than this says nothing by doing no harm. */
+const tellingUse = 0.04;
 /** How far one sample moves what is believed. */
-const learnRate = 0.35;
-const restRate = 0.03;
-/** Keeps a sample with little use of the processors from moving much. */
-const damping = 0.01;
+const blameRate = 0.6;
+const easeRate = 0.3;
+/** Chance of the moment that a sample at ease is allowed. */
+const easeSlack = 0.2;
+/** What one sample at ease counts against later blame; and how much at most. */
+const mostEased = 12;
+const easedKept = 0.7;
 /** A sample says no more than this, however high it is. */
 const mostPart = 4;
 const mostPressure = 60;
 const mostServices = 256;
 
+interface Pair {
+  pressure: number;
+  /** Samples at ease beside it, less what blame has taken away. */
+  eased: number;
+}
+
 interface Learned {
   rest: number;
-  readonly pressures: Map<string, number>;
+  readonly pairs: Map<string, Pair>;
 }
 
 /** The use that fillers make of a worker: image to part of its processors. */
@@ -23,8 +41,10 @@
 /**
  * Learns which filler images press on which service images. The latency of a
  * service, as a part of its target, is taken as its rest and, for each filler
- * image beside it, pressure times use; samples correct both, and pressures
- * stay at zero or above.
+ * image beside it, pressure times use. A pressed service blames the images
+ * beside it, least those beside which it was mostly at ease; a service at ease
+ * bounds what each of them can press. Blame goes fast and ease slowly, since
+ * latency climbs steeply once it climbs.
  */
 export class PairPressure {
   readonly #services = new Map<string, Learned>();
@@ -32,29 +52,50 @@
   /** Takes in one sample of a service. */
   learn(service: string, part: number, use: FillerUse): void {
     const learned = this.#of(service);
-    const error = Math.min(part, mostPart) - this.expect(service, use);
-    let weight = damping;
-    for (const used of use.values()) weight += used * used;
-    learned.rest += error * restRate * damping / weight;
-    learned.rest = Math.min(mostRest, Math.max(leastRest, learned.rest));
-    for (const [image, used] of use) {
-      const known = learned.pressures.get(image) ?? 0;
-      const next = known + learnRate * error * used / weight;
-      learned.pressures.set(image, Math.min(mostPressure, Math.max(0, next)));
-    }
+    let all = 0;
+    for (const used of use.values()) all += used;
+    if (all < restUse) {
+      learned.rest += (part - learned.rest) * restRate;
+      learned.rest = Math.min(mostRest, Math.max(leastRest, learned.rest));
+    } else if (part <= easePart) ease(learned, part, use);
+    else if (part >= pressedPart) this.#blame(service, learned, part, use);
   }
 
   /** The part of its target that a service's latency should come to. */
   expect(service: string, use: FillerUse): number {
-    const { rest, pressures } = this.#of(service);
+    const { rest, pairs } = this.#of(service);
     let part = rest;
-    for (const [image, used] of use) part += (pressures.get(image) ?? 0) * used;
+    for (const [image, used] of use) {
+      part += (pairs.get(image)?.pressure ?? 0) * used;
+    }
     return part;
   }
 
   /** How much a filler image presses on a service image; 0 where unknown. */
   of(service: string, image: string): number {
-    return this.#services.get(service)?.pressures.get(image) ?? 0;
+    return this.#services.get(service)?.pairs.get(image)?.pressure ?? 0;
+  }
+
+  #blame(
+    service: string,
+    learned: Learned,
+    part: number,
+    use: FillerUse,
+  ): void {
+    const missing = Math.min(part, mostPart) - this.expect(service, use);
+    if (missing <= 0) return;
+    let whole = 0;
+    for (const [image, used] of use) {
+      whole += used * used * doubt(pairOf(learned, image));
+    }
+    if (whole <= 0) return;
+    for (const [image, used] of use) {
+      const pair = pairOf(learned, image);
+      const share = used * doubt(pair) / whole;
+      const next = pair.pressure + blameRate * missing * share;
+      pair.pressure = Math.min(mostPressure, next);
+      pair.eased *= easedKept;
+    }
   }
 
   #of(service: string): Learned {
@@ -63,8 +104,33 @@
     const [oldest] = this.#services.keys();
     const isFull = this.#services.size >= mostServices;
     if (isFull && oldest !== undefined) this.#services.delete(oldest);
-    const learned = { rest: firstRest, pressures: new Map<string, number>() };
+    const learned = { rest: firstRest, pairs: new Map<string, Pair>() };
     this.#services.set(service, learned);
     return learned;
   }
 }
+
+/** A service at ease bounds the pressure of each image beside it. */
+function ease(learned: Learned, part: number, use: FillerUse): void {
+  for (const [image, used] of use) {
+    if (used < tellingUse) continue;
+    const pair = pairOf(learned, image);
+    const most = (Math.max(0, part - learned.rest) + easeSlack) / used;
+    if (pair.pressure > most) {
+      pair.pressure += (most - pair.pressure) * easeRate;
+    }
+    pair.eased = Math.min(mostEased, pair.eased + 1);
+  }
+}
+
+function doubt({ eased }: Pair): number {
+  return 1 / (1 + eased);
+}
+
+function pairOf(learned: Learned, image: string): Pair {
+  const known = learned.pairs.get(image);
+  if (known !== undefined) return known;
+  const pair = { pressure: 0, eased: 0 };
+  learned.pairs.set(image, pair);
+  return pair;
+}
--- /dev/null
+++ b/src/core/jobs/shape_of.ts
@@ -0,0 +1,31 @@
+import type { JobDefinition } from "./job_definition.ts";
+import type { StepDefinition } from "./step_definition.ts";
+
+const bytesPerMb = 1_048_576;
+
+/** A job's steps in a few words, for logs. */
+export function shapeOf({ steps, schedule }: JobDefinition): string {
+  const times = schedule === undefined ? "" : `${schedule.count}*`;
+  return times + steps.map(stepShape).join("+");
+}
+
+function stepShape(step: StepDefinition): string {
+  const { cpuMilli, memoryBytes, accelerators } = step.resources;
+  const memoryMb = Math.round(memoryBytes / bytesPerMb);
+  const words = [
+    `${step.count}x${cpuMilli}m/${memoryMb}MB/${Math.round(step.expectedMs)}ms`,
+    accelerators > 0 ? `acc=${accelerators}` : "",
+    step.isService ? `service<${step.targetLatencyMs}ms` : "",
+    step.isFiller ? "filler" : "",
+    step.image === undefined ? "" : `image=${step.image}`,
+    step.isGang ? "gang" : "",
+    step.sameRack ? "same_rack" : "",
+    step.label === undefined ? "" : `label=${step.label}`,
+    step.dataRack === undefined ? "" : `data=${step.dataRack}`,
+    step.mostPerWorker === 0 ? "" : `apart=${step.mostPerWorker}`,
+    step.isSpeculative ? "speculative" : "",
+    step.savesProgress ? "saves" : "",
+    step.mostAway === 0 ? "" : `away=${step.mostAway}`,
+  ];
+  return words.filter((word) => word !== "").join(",");
+}
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -305,6 +305,8 @@
         isLapsed: !this.#isUp && nowMs > lapsedAtMs,
         running: this.#running,
         ends: this.#ends,
+        unexplained: [...this.#runs.values()]
+          .filter(({ order }) => order === undefined).length,
       },
     });
   }
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -5,6 +5,7 @@
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
+import { shapeOf } from "../core/jobs/shape_of.ts";
 import type { Row } from "../core/store/row.ts";
 import type { Store } from "../core/store/store.ts";
 import type { EntryNode } from "./entry_node.ts";
@@ -42,7 +43,8 @@
     const row = { key: id, value: JSON.stringify(definition) };
     const outcome = await this.#keep(row, withinMs);
     if (outcome === "stored") directory.submit(definition);
-    this.log.info("submit", { job: id, queue, outcome });
+    const shape = shapeOf(definition);
+    this.log.info("submit", { job: id, queue, outcome, shape });
     return outcome;
   }
 
