Services' use is not read off few fillers; an idle job is placed anywhere it fits

Cause 1: tasks ask for more than they use, which counted as a worker without unused processors, so plans waited beside idle workers.

--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -21,6 +21,12 @@
 const slowPenalty = 10;
 const mixPenalty = 2;
 
+/**
+ * Whether a worker that is set aside, or whose services the task would press
+ * on, is passed over.
+ */
+type Care = "gentle" | "any";
+
 /** The best worker for a task, if any has room. */
 export function chooseWorker(
   task: Task,
@@ -28,11 +34,12 @@
   workers: Iterable<Worker>,
   pressure: PairPressure,
   nowMs: number,
+  care: Care,
 ): Worker | undefined {
   let best: Worker | undefined;
   let bestCost = Infinity;
   for (const worker of workers) {
-    if (!mayRun(task, queue, worker, pressure, nowMs)) continue;
+    if (!mayRun(task, queue, worker, pressure, nowMs, care)) continue;
     const cost = costOf(task, worker, pressure);
     if (cost >= bestCost) continue;
     best = worker;
@@ -47,13 +54,14 @@
   worker: Worker,
   pressure: PairPressure,
   nowMs: number,
+  care: Care,
 ): boolean {
   const { report } = worker;
   if (report === undefined || !worker.isAdopted) return false;
   if (!report.isUp || report.isDraining || report.pool !== queue.pool) {
     return false;
   }
-  if (nowMs < worker.asideUntilMs) return false;
+  if (care === "gentle" && nowMs < worker.asideUntilMs) return false;
   const { label, mostPerWorker, resources, isFiller } = task.group.definition;
   if (label !== undefined && !report.labels.includes(label)) return false;
   if (mostPerWorker > 0 && countOf(task.group, worker) >= mostPerWorker) {
@@ -61,7 +69,8 @@
   }
   const need = isFiller ? { ...resources, cpuMilli: 0 } : resources;
   if (!fits(need, worker.free)) return false;
-  return !isFiller || hasFillerRoom(task, worker, pressure);
+  if (!isFiller || care === "any") return true;
+  return hasFillerRoom(task, worker, pressure);
 }
 
 function hasFillerRoom(
--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -14,6 +14,8 @@
   /** The first occurrence that has not been opened. */
   nextOccurrence = 0;
   hasBegun = false;
+  /** Since when nothing of it runs though its turn has come; steady clock. */
+  idleSinceMs: number | undefined;
   outcome: "completed" | "failed" | "cancelled" | undefined;
 
   constructor(readonly definition: JobDefinition) {
@@ -86,6 +88,12 @@
     }
   }
 
+  /** Whether any of its tasks has a run. */
+  get isRunning(): boolean {
+    for (const { claim } of this.tasks()) if (claim !== undefined) return true;
+    return false;
+  }
+
   /** All tasks of its open occurrences. */
   *tasks(): Generator<Task> {
     for (const { groups } of this.open.values()) {
--- a/src/core/cell/observe_worker.ts
+++ b/src/core/cell/observe_worker.ts
@@ -7,9 +7,13 @@
 /** How much a new report weighs in what services are taken to use. */
 const loadWeight = 0.2;
 const leastLoad = 0.3;
-const mostLoad = 1;
-/** Fillers that get less than this part of what they ask for are short. */
-const shortShare = 0.9;
+const mostLoad = 0.85;
+/**
+ * Fillers that get less than this part of what they ask for are short. What
+ * tasks ask for is off by a good part, so few of them say nothing.
+ */
+const shortShare = 0.6;
+const fewestFillers = 3;
 
 /** Figures are of the last half second, so that more samples say no more. */
 const observeEveryMs = 300;
@@ -24,6 +28,7 @@
   worker.statuses.clear();
   let askedMilli = 0;
   let fillerMilli = 0;
+  let fillers = 0;
   let plainMilli = 0;
   let serviceMilli = 0;
   for (const task of worker.claims.values()) {
@@ -35,6 +40,7 @@
     else if (isFiller) {
       askedMilli += resources.cpuMilli;
       fillerMilli += status.figure;
+      fillers += 1;
     } else plainMilli += status.figure;
   }
   if (nowMs - worker.observedAtMs < observeEveryMs) return false;
@@ -43,7 +49,8 @@
   const capacityMilli = worker.report?.capacity.cpuMilli ?? 0;
   if (serviceMilli === 0 || askedMilli === 0) return true;
   const leftMilli = capacityMilli - plainMilli - fillerMilli;
-  const isShort = fillerMilli < askedMilli * shortShare;
+  const isShort = fillers >= fewestFillers &&
+    fillerMilli < askedMilli * shortShare;
   const load = leftMilli / serviceMilli;
   if (!isShort && load >= worker.serviceLoad) return true;
   const bounded = Math.min(mostLoad, Math.max(leastLoad, load));
--- a/src/core/cell/place_waiting.ts
+++ b/src/core/cell/place_waiting.ts
@@ -9,6 +9,9 @@
 import { type Urgency, urgencyOf } from "./urgency.ts";
 import type { Worker } from "./worker.ts";
 
+/** A job of which nothing runs for so long is placed even where it presses. */
+const mostIdleMs = 600;
+
 type Effects = Generator<CellEffect, void>;
 
 /** Places what waits, the most urgent first; what does not fit lets others by. */
@@ -43,16 +46,31 @@
 ): Effects {
   for (const task of group.tasks) {
     if (!isWaiting(task, nowMs)) continue;
-    const worker = chooseWorker(
-      task,
-      queue,
-      cell.workers.values(),
-      cell.pressure,
-      nowMs,
-    );
+    const worker = choose(cell, task, queue, nowMs);
     if (worker === undefined) return;
     yield* claim(worker, task, task.run + 1, nowMs);
+    group.job.idleSinceMs = undefined;
+  }
+}
+
+function choose(
+  cell: Cell,
+  task: Task,
+  queue: Queue,
+  nowMs: number,
+): Worker | undefined {
+  const { job } = task.group;
+  const workers = [...cell.workers.values()];
+  const { pressure } = cell;
+  const best = chooseWorker(task, queue, workers, pressure, nowMs, "gentle");
+  if (best !== undefined) return best;
+  if (job.isRunning) {
+    job.idleSinceMs = undefined;
+    return undefined;
   }
+  job.idleSinceMs ??= nowMs;
+  if (nowMs - job.idleSinceMs < mostIdleMs) return undefined;
+  return chooseWorker(task, queue, workers, pressure, nowMs, "any");
 }
 
 /** Places all members of a gang at once, or none. */
@@ -68,13 +86,7 @@
     ?.checkpoint ?? "";
   const taken: [Worker, Task][] = [];
   for (const task of group.tasks) {
-    const worker = chooseWorker(
-      task,
-      queue,
-      cell.workers.values(),
-      cell.pressure,
-      nowMs,
-    );
+    const worker = choose(cell, task, queue, nowMs);
     if (worker === undefined) break;
     task.checkpoint = checkpoint;
     take(worker, task, run, nowMs);
--- a/src/core/cell/relieve.ts
+++ b/src/core/cell/relieve.ts
@@ -63,5 +63,13 @@
   const queue = cell.queues.get(job.definition.queue);
   if (queue === undefined) return false;
   const others = [...cell.workers.values()].filter((other) => other !== worker);
-  return chooseWorker(task, queue, others, cell.pressure, nowMs) !== undefined;
+  const place = chooseWorker(
+    task,
+    queue,
+    others,
+    cell.pressure,
+    nowMs,
+    "gentle",
+  );
+  return place !== undefined;
 }
