--- a/src/core/cell/place_waiting.ts
+++ b/src/core/cell/place_waiting.ts
@@ -10,7 +10,7 @@
 import type { Worker } from "./worker.ts";
 
 /** A job of which nothing runs for so long is placed even where it presses. */
-const mostIdleMs = 600;
+const mostIdleMs = 1_800;
 
 type Effects = Generator<CellEffect, void>;
 
