--- /dev/null
+++ b/stand_ins/store/store_model.ts
@@ -0,0 +1,150 @@
+import { err, ok } from "true-myth/result";
+import type { Appended } from "../../src/core/store/appended.ts";
+import type { NewestPage } from "../../src/core/store/newest_page.ts";
+import type { Row } from "../../src/core/store/row.ts";
+import type { RowPage } from "../../src/core/store/row_page.ts";
+import type { Store } from "../../src/core/store/store.ts";
+import type { StoreFailure } from "../../src/core/store/store_failure.ts";
+import type { StoreResult } from "../../src/core/store/store_result.ts";
+import type { StoredRow } from "../../src/core/store/stored_row.ts";
+import type { WriteGuard } from "../../src/core/store/write_guard.ts";
+
+/** What befalls a call: its answer is lost, or it is turned away or done late. */
+type Fault = "lost" | "refused" | "late" | "hung";
+
+interface Writer {
+  epoch: number;
+  sequence: number;
+  readonly answers: Map<number, Appended>;
+}
+
+interface Stream {
+  readonly rows: StoredRow[];
+  first: number;
+  readonly writers: Map<string, Writer>;
+}
+
+const rememberedAppends = 5;
+
+/** The platform's store in memory, with the faults that its pages name. */
+export class StoreModel implements Store {
+  /** What befalls the next appends, in order; then all goes well. */
+  readonly faults: Fault[] = [];
+  isDown = false;
+  appends = 0;
+  #late: (() => void)[] = [];
+  readonly #streams = new Map<string, Stream>();
+
+  append(
+    stream: string,
+    rows: readonly Row[],
+    guard: WriteGuard,
+  ): Promise<StoreResult<Appended>> {
+    this.appends += 1;
+    const fault = this.isDown ? "refused" : this.faults.shift();
+    const unknown = { kind: "unknown", detail: fault ?? "" } as const;
+    switch (fault) {
+      case undefined:
+        return Promise.resolve(this.#append(stream, rows, guard));
+      case "refused":
+        return fail({ kind: "refused", detail: "down" });
+      case "lost":
+        this.#append(stream, rows, guard);
+        return fail(unknown);
+      case "late":
+        this.#late.push(() => this.#append(stream, rows, guard));
+        return fail(unknown);
+      case "hung":
+        return fail(unknown);
+    }
+  }
+
+  read(stream: string, from: number): Promise<StoreResult<RowPage>> {
+    if (this.isDown) return fail({ kind: "refused", detail: "down" });
+    const { rows, first } = this.#of(stream);
+    if (from < first) return fail({ kind: "trimmed", first });
+    const end = first + rows.length;
+    const page = rows.slice(from - first);
+    return Promise.resolve(ok({ rows: page, unreadable: 0, next: end, end }));
+  }
+
+  newest(stream: string): Promise<StoreResult<NewestPage>> {
+    if (this.isDown) return fail({ kind: "refused", detail: "down" });
+    const { rows, first } = this.#of(stream);
+    const newest = new Map(rows.map((row) => [row.key, row]));
+    const kept = [...newest.values()].filter(({ value }) =>
+      value !== undefined
+    );
+    const end = first + rows.length;
+    return Promise.resolve(
+      ok({ rows: kept, unreadable: 0, end, more: undefined }),
+    );
+  }
+
+  /** Carries out the appends that were put off. */
+  carryOutLate(): void {
+    for (const late of this.#late.splice(0)) late();
+  }
+
+  /** The newest value of a key. */
+  value(stream: string, key: string): string | undefined {
+    return this.#of(stream).rows.findLast((row) => row.key === key)?.value;
+  }
+
+  #append(
+    stream: string,
+    rows: readonly Row[],
+    guard: WriteGuard,
+  ): StoreResult<Appended> {
+    const known = this.#of(stream);
+    const offset = known.first + known.rows.length;
+    if (guard.kind === "at" && guard.end !== offset) {
+      return err({ kind: "conflict", end: offset });
+    }
+    const appended = { offset, end: offset + rows.length };
+    if (guard.kind === "writer") {
+      const earlier = this.#admit(known, guard, appended);
+      if (earlier !== undefined) return earlier;
+    }
+    rows.forEach(({ key, value }, index) => {
+      known.rows.push({ key, value, offset: offset + index });
+    });
+    return ok(appended);
+  }
+
+  /** Checks a writer's epoch and sequence; gives the answer where it is no new append. */
+  #admit(
+    stream: Stream,
+    guard: Extract<WriteGuard, { kind: "writer" }>,
+    appended: Appended,
+  ): StoreResult<Appended> | undefined {
+    const { writer: name, epoch, sequence } = guard;
+    const writer = stream.writers.get(name);
+    if (writer !== undefined && epoch < writer.epoch) {
+      return err({ kind: "fenced" });
+    }
+    if (writer !== undefined && epoch === writer.epoch) {
+      const answer = writer.answers.get(sequence);
+      if (answer !== undefined) return ok(answer);
+      const expected = writer.sequence + 1;
+      if (sequence !== expected) return err({ kind: "sequence", expected });
+    }
+    const answers = writer?.epoch === epoch ? writer.answers : new Map();
+    answers.set(sequence, appended);
+    answers.delete(sequence - rememberedAppends);
+    stream.writers.set(name, { epoch, sequence, answers });
+    return undefined;
+  }
+
+  #of(name: string): Stream {
+    const known = this.#streams.get(name);
+    if (known !== undefined) return known;
+    const stream = { rows: [], first: 0, writers: new Map() };
+    this.#streams.set(name, stream);
+    return stream;
+  }
+}
+
+function fail<T>(failure: StoreFailure): Promise<StoreResult<T>> {
+  return Promise.resolve(err(failure));
+}
--- /dev/null
+++ b/tests/cell_builder.ts
@@ -0,0 +1,188 @@
+import { Cell } from "../src/core/cell/cell.ts";
+import type { CellEffect } from "../src/core/cell/cell_effect.ts";
+import type { StartOrder } from "../src/core/cell/start_order.ts";
+import type { WorkerReport } from "../src/core/cell/worker_report.ts";
+import type { JobDefinition } from "../src/core/jobs/job_definition.ts";
+import type { JobId } from "../src/core/jobs/job_id.ts";
+import type { NodeId } from "../src/core/jobs/node_id.ts";
+import type { RunEnd } from "../src/core/jobs/run_end.ts";
+import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
+import type { RunOutcome } from "../src/core/jobs/run_outcome.ts";
+import type { RunStatus } from "../src/core/jobs/run_status.ts";
+import type { StepDefinition } from "../src/core/jobs/step_definition.ts";
+import type { TaskName } from "../src/core/jobs/task_name.ts";
+
+const bytesPerMb = 1_048_576;
+
+/** A step with nothing special about it. */
+function plainStep(change: Partial<StepDefinition> = {}): StepDefinition {
+  return {
+    count: 1,
+    resources: {
+      cpuMilli: 1_000,
+      memoryBytes: 100 * bytesPerMb,
+      accelerators: 0,
+    },
+    expectedMs: 1_000,
+    after: [],
+    savesProgress: false,
+    isGang: false,
+    sameRack: false,
+    label: undefined,
+    dataRack: undefined,
+    mostPerWorker: 0,
+    isSpeculative: false,
+    isService: false,
+    image: undefined,
+    targetLatencyMs: 0,
+    isFiller: false,
+    mostAway: 0,
+    ...change,
+  };
+}
+
+/** A cell on virtual time, with workers that do as they are told. */
+export class CellBuilder {
+  readonly cell = new Cell({
+    farFactor: 1.5,
+    stuckFactor: 0.5,
+    stuckLeastMs: 2_000,
+  });
+  nowMs = 1_000;
+  wallMs = 1_000_000;
+  effects: CellEffect[] = [];
+  #ends = 0;
+
+  constructor(readonly queue = { maxAttempts: 3 }) {
+    this.cell.queues.set("q", {
+      name: "q",
+      pool: "pool",
+      priority: 0,
+      maxAttempts: queue.maxAttempts,
+      stretch: 2,
+      targetMs: 500,
+      advice: undefined,
+    });
+  }
+
+  static step = plainStep;
+
+  /** Hands a job in. */
+  submit(
+    id: string,
+    steps: readonly StepDefinition[],
+    change: Partial<JobDefinition> = {},
+  ): void {
+    this.run(this.cell.submit({
+      id: id as JobId,
+      queue: "q",
+      payload: "p",
+      steps,
+      schedule: undefined,
+      receivedMs: this.wallMs,
+      ...change,
+    }, this.wallMs));
+  }
+
+  /** Reports a worker. */
+  report(node: string, change: Partial<WorkerReport> = {}): void {
+    const report: WorkerReport = {
+      life: `${node}@1` as RunnerLife,
+      pool: "pool",
+      zone: "z",
+      rack: "r1",
+      labels: ["a", "r1"],
+      capacity: {
+        cpuMilli: 4_000,
+        memoryBytes: 4_000 * bytesPerMb,
+        accelerators: 0,
+      },
+      isDraining: false,
+      isUp: true,
+      isLapsed: false,
+      running: [],
+      ends: [],
+      unexplained: 0,
+      ...change,
+    };
+    this.run(this.cell.report(node as NodeId, report, this.nowMs));
+  }
+
+  /** Reports the end of a run. */
+  end(
+    node: string,
+    task: string,
+    run: number,
+    outcome: RunOutcome,
+    checkpoint = "",
+  ): void {
+    this.#ends += 1;
+    const end: RunEnd = {
+      number: this.#ends,
+      task: task as TaskName,
+      run,
+      outcome,
+      checkpoint,
+    };
+    this.report(node, { ends: [end], running: this.runningOn(node, task) });
+  }
+
+  /** What a well-behaved worker lists: its claims, without one that ended. */
+  runningOn(node: string, without = ""): RunStatus[] {
+    const claims = this.cell.worker(node as NodeId).claims;
+    return [...claims.values()]
+      .filter(({ name }) => name !== without)
+      .map(({ name, run }) => ({
+        task: name,
+        run,
+        checkpoint: "",
+        percent: 0,
+        figure: 0,
+      }));
+  }
+
+  /** Lets time pass and the cell decide. */
+  tick(ms = 0): void {
+    this.nowMs += ms;
+    this.wallMs += ms;
+    this.run(this.cell.tick(this.nowMs, this.wallMs));
+  }
+
+  run(effects: Iterable<CellEffect>): void {
+    this.effects.push(...effects);
+  }
+
+  /** The starts since the last call, as `task#run@node`. */
+  starts(): string[] {
+    return this.#take("start").map(({ node, order }) =>
+      `${order.task}#${order.run}@${node}`
+    );
+  }
+
+  /** The start orders since the last call. */
+  orders(): StartOrder[] {
+    return this.#take("start").map(({ order }) => order);
+  }
+
+  /** The stops since the last call, as `task#run@node`. */
+  stops(): string[] {
+    return this.#take("stop").map(({ node, task, run }) =>
+      `${task}#${run}@${node}`
+    );
+  }
+
+  /** How a job stands. */
+  state(id: string): string {
+    return this.cell.jobs.get(id as JobId)?.state ?? "none";
+  }
+
+  #take<K extends CellEffect["kind"]>(
+    kind: K,
+  ): Extract<CellEffect, { kind: K }>[] {
+    const taken = this.effects.filter((
+      effect,
+    ): effect is Extract<CellEffect, { kind: K }> => effect.kind === kind);
+    this.effects = this.effects.filter((effect) => effect.kind !== kind);
+    return taken;
+  }
+}
