--- /dev/null
+++ b/src/adapters/system_clock.ts
@@ -0,0 +1,9 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Clock } from "../core/clock/clock.ts";
+
+/** The clocks of this machine. */
+export const systemClock: Clock = {
+  nowMs: () => performance.now(),
+  wallMs: () => Date.now(),
+  sleep: (ms) => sleep(ms),
+};
--- a/src/cellhost/row_writer.ts
+++ b/src/cellhost/row_writer.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from "node:timers/promises";
+import type { Clock } from "../core/clock/clock.ts";
 import type { Row } from "../core/store/row.ts";
 import type { Store } from "../core/store/store.ts";
 import type { Logger } from "../adapters/logger.ts";
@@ -32,6 +32,7 @@
     readonly epoch: number,
     readonly beat: () => Row,
     readonly onDeposed: () => void,
+    readonly clock: Clock,
     readonly log: Logger,
   ) {}
 
@@ -81,8 +82,8 @@
   async #append(rows: readonly Row[]): Promise<number | undefined> {
     this.#sequence += 1;
     while (!this.isDeposed) {
-      const sentAtMs = performance.now();
-      const sentAtWallMs = Date.now();
+      const sentAtMs = this.clock.nowMs();
+      const sentAtWallMs = this.clock.wallMs();
       const { epoch } = this;
       const result = await this.store.append(this.stream, rows, {
         kind: "writer",
@@ -103,7 +104,7 @@
         this.onDeposed();
         return undefined;
       }
-      await sleep(retryPauseMs);
+      await this.clock.sleep(retryPauseMs);
     }
     return undefined;
   }
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -10,6 +10,7 @@
 import type { CellEffect } from "./cell_effect.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
+import { leaveDraining } from "./leave_draining.ts";
 import { placeWaiting } from "./place_waiting.ts";
 import { settleEnd } from "./settle_end.ts";
 import { startOrderOf } from "./start_order_of.ts";
@@ -147,6 +148,7 @@
       if (job.openDue(wallMs)) yield { kind: "save", job };
     }
     yield* stopStuck(this, nowMs);
+    yield* leaveDraining(this, nowMs);
     yield* placeWaiting(this, nowMs, wallMs);
   }
 
--- /dev/null
+++ b/src/gate/run_key.ts
@@ -0,0 +1,8 @@
+import type { TaskName } from "../core/jobs/task_name.ts";
+
+/** The key of a run among others. */
+export function runKey(
+  { task, run }: { readonly task: TaskName; readonly run: number },
+): string {
+  return `${task}#${run}`;
+}
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { systemClock } from "../adapters/system_clock.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { Election } from "../cellhost/election.ts";
 import { JobDirectory } from "../cellhost/job_directory.ts";
@@ -189,6 +190,7 @@
       epoch,
       () => ({ key: "keeper", value: JSON.stringify({ node, epoch }) }),
       () => this.#deposed(epoch),
+      systemClock,
       this.log,
     );
     const end = await writer.take();
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -1,5 +1,6 @@
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { Store } from "../core/store/store.ts";
+import { systemClock } from "../adapters/system_clock.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { Gate } from "../gate/gate.ts";
 import type { RunnerClient } from "../gate/runner_client.ts";
@@ -18,7 +19,12 @@
     runner: RunnerClient,
     readonly log: Logger,
   ) {
-    this.gate = new Gate(runner, options.bounds.maxHoldMs, log);
+    this.gate = new Gate(
+      runner,
+      options.bounds.maxHoldMs,
+      systemClock,
+      log,
+    );
     this.#server = new MemberServer((channel, { epoch, keeper }) => {
       const isTaken = this.gate.attach(
         epoch,
--- a/tests/cell_builder.ts
+++ b/tests/cell_builder.ts
@@ -115,6 +115,7 @@
     run: number,
     outcome: RunOutcome,
     checkpoint = "",
+    change: Partial<WorkerReport> = {},
   ): void {
     this.#ends += 1;
     const end: RunEnd = {
@@ -124,7 +125,8 @@
       outcome,
       checkpoint,
     };
-    this.report(node, { ends: [end], running: this.runningOn(node, task) });
+    const running = this.runningOn(node, task);
+    this.report(node, { ends: [end], running, ...change });
   }
 
   /** What a well-behaved worker lists: its claims, without one that ended. */
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -230,6 +230,19 @@
     expect(b.starts()).to.eql([]);
   });
 
+  it("is emptied of what would not end in time once it drains", () => {
+    const b = built(["w"], [step({ isService: true }), step()]);
+    b.report("w", { running: b.runningOn("w") });
+    b.report("v");
+    b.starts();
+    b.report("w", { isDraining: true, running: b.runningOn("w") });
+    b.tick();
+    expect(b.stops()).to.eql(["j.0.0.0#1@w"]);
+    b.end("w", "j.0.0.0", 1, "stopped", "", { isDraining: true });
+    b.tick();
+    expect(b.starts()).to.eql(["j.0.0.0#2@v"]);
+  });
+
   it("is set aside when all that it starts fails, and tried again", () => {
     const b = built(["w"], [step({ count: 3 })], { maxAttempts: 9 });
     b.report("v");
--- /dev/null
+++ b/tests/row_writer_test.ts
@@ -0,0 +1,96 @@
+import { expect } from "chai";
+import { Logger } from "../src/adapters/logger.ts";
+import { RowWriter } from "../src/cellhost/row_writer.ts";
+import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
+import { StoreModel } from "../stand_ins/store/store_model.ts";
+
+const log = new Logger("silent", {});
+
+function writerOf(
+  store: StoreModel,
+  clock: VirtualClock,
+  epoch: number,
+  onDeposed = () => {},
+): RowWriter {
+  const beat = () => ({ key: "keeper", value: String(epoch) });
+  return new RowWriter(store, "cell", epoch, beat, onDeposed, clock, log);
+}
+
+describe("a writer of rows", () => {
+  const cases = [
+    { name: "all goes well", faults: [] },
+    { name: "an answer is lost", faults: ["lost"] },
+    { name: "an append is done late", faults: ["late"] },
+    { name: "it is turned away", faults: ["refused", "refused"] },
+    { name: "a call hangs", faults: ["hung", "lost", "refused"] },
+  ] as const;
+  for (const { name, faults } of cases) {
+    it(`stores each row once, in order, where ${name}`, async () => {
+      const store = new StoreModel();
+      const clock = new VirtualClock();
+      const writer = writerOf(store, clock, 1);
+      await writer.take();
+      store.faults.push(...faults);
+      const stored: string[] = [];
+      writer.write([{ key: "a", value: "1" }], () => stored.push("a1"));
+      writer.write([{ key: "a", value: "2" }], () => stored.push("a2"));
+      await clock.advance(300);
+      store.carryOutLate();
+      writer.write([{ key: "a", value: "3" }], () => stored.push("a3"));
+      await clock.advance(300);
+      store.carryOutLate();
+      expect(stored).to.eql(["a1", "a2", "a3"]);
+      expect(store.value("cell", "a")).to.equal("3");
+      writer.close();
+    });
+  }
+
+  it("calls back only once its rows are stored", async () => {
+    const store = new StoreModel();
+    const clock = new VirtualClock();
+    const writer = writerOf(store, clock, 1);
+    await writer.take();
+    store.isDown = true;
+    let isStored = false;
+    writer.write([{ key: "a", value: "1" }], () => isStored = true);
+    await clock.advance(5_000);
+    expect(isStored).to.equal(false);
+    store.isDown = false;
+    await clock.advance(100);
+    expect(isStored).to.equal(true);
+    writer.close();
+  });
+
+  it("ends once another with a higher epoch has taken the stream", async () => {
+    const store = new StoreModel();
+    const clock = new VirtualClock();
+    let deposed = 0;
+    const old = writerOf(store, clock, 1, () => deposed += 1);
+    await old.take();
+    const next = writerOf(store, clock, 2);
+    await next.take();
+    let isStored = false;
+    old.write([{ key: "a", value: "old" }], () => isStored = true);
+    await clock.advance(500);
+    expect([deposed, isStored]).to.eql([1, false]);
+    expect(store.value("cell", "a")).to.equal(undefined);
+    next.close();
+  });
+
+  it("has no append done late once it was deposed", async () => {
+    const store = new StoreModel();
+    const clock = new VirtualClock();
+    const old = writerOf(store, clock, 1);
+    await old.take();
+    store.faults.push("late", "refused", "refused", "refused");
+    old.write([{ key: "a", value: "old" }], () => {});
+    await clock.advance(10);
+    old.close();
+    const next = writerOf(store, clock, 2);
+    store.faults.length = 0;
+    await next.take();
+    store.carryOutLate();
+    expect(store.value("cell", "a")).to.equal(undefined);
+    next.close();
+  });
+});
