--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -111,7 +111,10 @@
     if (row.role === "sidecar") {
       link.onMessage = (message) => this.#take(link, message);
       link.onLost = () => this.cell.disconnected(node);
-    } else link.onOpen = () => this.#showAll(link);
+    } else {
+      link.onOpen = () => this.#showAll(link);
+      link.onMessage = (message) => this.#take(link, message);
+    }
     link.open();
   }
 
@@ -146,6 +149,9 @@
         if (isFirst) this.#noteRenewed();
         return;
       }
+      case "superseded":
+        if (message.epoch > this.epoch) this.writer.depose("superseded");
+        return;
       case "started":
         this.cell.started(node, message.task, message.run, nowMs);
         return;
--- a/src/cellhost/row_writer.ts
+++ b/src/cellhost/row_writer.ts
@@ -48,6 +48,14 @@
     void this.#drain();
   }
 
+  /** Another has taken over. */
+  depose(reason: string): void {
+    if (this.isDeposed) return;
+    this.log.warn("writer_deposed", { epoch: this.epoch, reason });
+    this.close();
+    this.onDeposed();
+  }
+
   close(): void {
     this.isDeposed = true;
     clearTimeout(this.#timer);
@@ -99,9 +107,7 @@
       const { error } = result;
       if (error.kind === "fenced" || error.kind === "sequence") {
         // A sequence of ours that was passed means another holds our epoch.
-        this.log.warn("writer_deposed", { epoch, reason: error.kind });
-        this.close();
-        this.onDeposed();
+        this.depose(error.kind);
         return undefined;
       }
       await this.clock.sleep(retryPauseMs);
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -26,6 +26,8 @@
 
 type Effects = Generator<CellEffect, void>;
 
+/** New checkpoints are stored so often. */
+const checkpointsEveryMs = 1_000;
 /** A worker whose runner turned a start away gets nothing for this long. */
 const refusedPauseMs = 300;
 
@@ -41,6 +43,9 @@
   readonly workers = new Map<NodeId, Worker>();
 
   readonly pressure = new PairPressure();
+  /** Jobs with checkpoints that the store does not have. */
+  readonly #unsaved = new Set<Job>();
+  #savedAtMs = -Infinity;
 
   constructor(readonly options: CellOptions) {}
 
@@ -147,6 +152,7 @@
       if (job.definition.schedule === undefined) continue;
       if (job.openDue(wallMs)) yield { kind: "save", job };
     }
+    yield* this.#saveCheckpoints(nowMs);
     yield* stopStuck(this, nowMs);
     yield* leaveDraining(this, nowMs);
     yield* placeWaiting(this, nowMs, wallMs);
@@ -219,6 +225,22 @@
     yield* settleEnd(this, worker, task, end, nowMs);
   }
 
+  /** A checkpoint that only a runner knows is lost with its machine. */
+  #noteCheckpoint(task: Task, checkpoint: string): void {
+    if (checkpoint === "" || checkpoint === task.checkpoint) return;
+    task.checkpoint = checkpoint;
+    this.#unsaved.add(task.group.job);
+  }
+
+  *#saveCheckpoints(nowMs: number): Effects {
+    if (nowMs - this.#savedAtMs < checkpointsEveryMs) return;
+    this.#savedAtMs = nowMs;
+    for (const job of this.#unsaved) {
+      if (job.outcome === undefined) yield { kind: "save", job };
+    }
+    this.#unsaved.clear();
+  }
+
   /** Compares claims with what runs: starts what is missing, stops what is stray. */
   *#compare(
     worker: Worker,
@@ -229,7 +251,7 @@
     for (const [name, status] of runs) {
       const task = this.#claimed(worker.node, name, status.run);
       if (task !== undefined) {
-        if (status.checkpoint !== "") task.checkpoint = status.checkpoint;
+        this.#noteCheckpoint(task, status.checkpoint);
         this.started(worker.node, name, status.run, nowMs);
         noteProgress(task, status.percent, nowMs);
         continue;
--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -5,6 +5,7 @@
 const silenceMs = 1_500;
 /** A peer that leaves so much unread is cut off. */
 const mostUnreadBytes = 4_000_000;
+const lingerMs = 200;
 const newline = 10;
 
 /**
@@ -46,7 +47,9 @@
     if (!this.#isOpen) return;
     this.#isOpen = false;
     clearInterval(this.#timer);
-    this.socket.destroy();
+    // What was sent last still goes out, unless the peer takes nothing.
+    this.socket.end();
+    setTimeout(() => this.socket.destroy(), lingerMs).unref();
     this.onClose(reason);
   }
 
--- a/src/link/member_message.ts
+++ b/src/link/member_message.ts
@@ -9,6 +9,8 @@
     readonly number: number;
     readonly report: WorkerReport;
   }
+  /** A keeper with a higher epoch was heard: the receiver is out of office. */
+  | { readonly kind: "superseded"; readonly epoch: number }
   | { readonly kind: "started"; readonly task: TaskName; readonly run: number }
   | {
     readonly kind: "refused";
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -68,6 +68,7 @@
     this.#election.onWinner = () => this.#winnerSeen();
     this.#server = new MemberServer((channel, { epoch, keeper }) => {
       if (epoch < this.#connectedEpoch) {
+        channel.send({ kind: "superseded", epoch: this.#connectedEpoch });
         channel.close("a newer keeper was heard");
         return;
       }
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -31,13 +31,17 @@
         (message) => channel.send(message),
       );
       if (!isTaken) {
+        channel.send({ kind: "superseded", epoch: this.gate.epoch });
         channel.close("a newer keeper was heard");
         return;
       }
       log.info("keeper_heard", { epoch, keeper });
       channel.onMessage = (message) => {
         if (epoch === this.gate.epoch) this.gate.take(message);
-        else channel.close("a newer keeper was heard");
+        else {
+          channel.send({ kind: "superseded", epoch: this.gate.epoch });
+          channel.close("a newer keeper was heard");
+        }
       };
       channel.onClose = (reason) => {
         log.info("keeper_gone", { epoch, keeper, reason });
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -356,3 +356,20 @@
     expect(next.state("j")).to.equal("completed");
   });
 });
+
+describe("a checkpoint", () => {
+  it("is stored within a second, though nothing else changes", () => {
+    const b = built(["w"], [step({ savesProgress: true })]);
+    b.tick(1_000);
+    b.effects = [];
+    const running = b.runningOn("w").map((run) => ({
+      ...run,
+      checkpoint: "c1",
+    }));
+    b.report("w", { running });
+    b.tick(1_000);
+    const job = b.cell.jobs.get("j" as JobId)!;
+    expect(b.effects.map(({ kind }) => kind)).to.eql(["save"]);
+    expect(JSON.stringify(encodeJob(job))).to.include("c1");
+  });
+});
