Bound what images at ease press together; move fillers that starve

Cause: a sample at ease bounded each image beside a service alone, so small blames never went away and, added up, closed workers on which nothing pressed; fillers paced to nothing stayed where they were, since the culprit was sought by what it uses.

--- a/src/core/cell/relieve.ts
+++ b/src/core/cell/relieve.ts
@@ -7,6 +7,9 @@
 
 /** The effect of a move shows in the figures after this. */
 const relieveEveryMs = 700;
+/** A filler that gets less than this part of what it asks for is starved. */
+const starvedShare = 0.2;
+const starvedAfterMs = 1_500;
 /** A filler image that adds less than this to a service's latency is let be. */
 const leastPress = 0.2;
 
@@ -21,15 +24,26 @@
 ): Generator<CellEffect, void> {
   if (nowMs - worker.relievedAtMs < relieveEveryMs) return;
   const culprit = worstFiller(cell, worker);
-  if (culprit === undefined) return;
   for (const task of [...worker.claims.values()]) {
-    if (task.group.definition.image !== culprit) continue;
+    const isCulprit = culprit !== undefined &&
+      task.group.definition.image === culprit;
+    if (!isCulprit && !isStarved(worker, task, nowMs)) continue;
     if (!mayMove(cell, worker, task, nowMs)) continue;
     worker.relievedAtMs = nowMs;
     yield* cell.stop(task, "relieve", nowMs);
   }
 }
 
+/** Whether a filler gets next to nothing where it is. */
+function isStarved(worker: Worker, task: Task, nowMs: number): boolean {
+  const { isFiller, resources } = task.group.definition;
+  const { claim } = task;
+  const figure = worker.statuses.get(task.name)?.figure;
+  if (!isFiller || claim === undefined || figure === undefined) return false;
+  return nowMs - claim.sinceMs >= starvedAfterMs &&
+    figure < resources.cpuMilli * starvedShare;
+}
+
 /** The filler image that adds most to the latency of services over target. */
 function worstFiller(cell: Cell, worker: Worker): string | undefined {
   const use = fillerUse(worker);
--- a/src/core/interfere/filler_pace.ts
+++ b/src/core/interfere/filler_pace.ts
@@ -14,7 +14,7 @@
 /** An image that presses less than this part of the worst is let be. */
 const culpritPart = 0.3;
 /** After so long over its target a service makes all fillers give way. */
-const allGiveWayMs = 1_000;
+const allGiveWayMs = 1_800;
 
 /**
  * How fast each filler image may run beside a worker's services. The images
--- a/src/core/interfere/pair_pressure.ts
+++ b/src/core/interfere/pair_pressure.ts
@@ -15,7 +15,7 @@
 const blameRate = 0.6;
 const easeRate = 0.3;
 /** Chance of the moment that a sample at ease is allowed. */
-const easeSlack = 0.2;
+const easeSlack = 0.1;
 /** What one sample at ease counts against later blame; and how much at most. */
 const mostEased = 12;
 const easedKept = 0.7;
@@ -57,8 +57,9 @@
     if (all < restUse) {
       learned.rest += (part - learned.rest) * restRate;
       learned.rest = Math.min(mostRest, Math.max(leastRest, learned.rest));
-    } else if (part <= easePart) ease(learned, part, use);
-    else if (part >= pressedPart) this.#blame(service, learned, part, use);
+    } else if (part <= easePart) {
+      ease(learned, part, this.expect(service, use), use);
+    } else if (part >= pressedPart) this.#blame(service, learned, part, use);
   }
 
   /** The part of its target that a service's latency should come to. */
@@ -110,16 +111,23 @@
   }
 }
 
-/** A service at ease bounds the pressure of each image beside it. */
-function ease(learned: Learned, part: number, use: FillerUse): void {
+/** A service at ease bounds what the images beside it press together. */
+function ease(
+  learned: Learned,
+  part: number,
+  expected: number,
+  use: FillerUse,
+): void {
+  const excess = expected - part - easeSlack;
+  let whole = 0;
+  for (const used of use.values()) whole += used * used;
   for (const [image, used] of use) {
     if (used < tellingUse) continue;
     const pair = pairOf(learned, image);
-    const most = (Math.max(0, part - learned.rest) + easeSlack) / used;
-    if (pair.pressure > most) {
-      pair.pressure += (most - pair.pressure) * easeRate;
-    }
     pair.eased = Math.min(mostEased, pair.eased + 1);
+    if (excess <= 0) continue;
+    const next = pair.pressure - easeRate * excess * used / whole;
+    pair.pressure = Math.max(0, next);
   }
 }
 
