--- a/src/cellhost/pressures_on.ts
+++ b/src/cellhost/pressures_on.ts
@@ -1,4 +1,4 @@
-import { fillerUse } from "../core/cell/filler_use.ts";
+import { fillerDemand } from "../core/cell/filler_demand.ts";
 import type { Worker } from "../core/cell/worker.ts";
 import type { PairPressure } from "../core/interfere/pair_pressure.ts";
 import type { Pressure } from "../link/pressure.ts";
@@ -10,12 +10,11 @@
     const { isService, image = "" } = group.definition;
     if (isService) services.add(image);
   }
-  const pressures: Pressure[] = [];
-  for (const service of services) {
-    for (const filler of fillerUse(worker).keys()) {
-      const pressure = known.of(service, filler);
-      if (pressure > 0) pressures.push([service, filler, pressure]);
-    }
-  }
-  return pressures;
+  const images = [...fillerDemand(worker).keys()];
+  if (images.length === 0) return [];
+  return [...services].map((service) => ({
+    service,
+    floor: known.floorOf(service),
+    fillers: images.map((image) => [image, known.of(service, image)] as const),
+  }));
 }
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -1,17 +1,17 @@
 import type { PairPressure } from "../interfere/pair_pressure.ts";
 import { fits } from "../resources/fits.ts";
 import type { Queue } from "../jobs/queue.ts";
-import { expectedStrain } from "./expected_strain.ts";
+import { bearingOf } from "./bearing_of.ts";
 import { fillerRoom } from "./filler_room.ts";
 import type { Group } from "./group.ts";
-import { strainOf } from "./strain_of.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
-/** Fillers are not put where a service should come over this part of its target. */
-const mostStrain = 0.85;
-/** How much the latency of the moment counts beside what is expected. */
-const strainWeight = 0.5;
+/** A filler may add this much to a service's load beyond what it bears. */
+const mostExcess = 0.03;
+/** How much what a filler adds to services' loads counts. */
+const addedWeight = 2;
+const excessWeight = 10;
 /** The least part of its processors that a filler is to get. */
 const leastFillerShare = 0.85;
 /** A worker that is slower than this counts as ill. */
@@ -78,7 +78,7 @@
   worker: Worker,
   pressure: PairPressure,
 ): boolean {
-  if (expectedStrain(worker, task, pressure) > mostStrain) return false;
+  if (bearingOf(worker, task, pressure).excess > mostExcess) return false;
   const { askedMilli, unusedMilli } = fillerRoom(worker);
   const { cpuMilli } = task.group.definition.resources;
   const wantedMilli = cpuMilli * leastFillerShare;
@@ -94,8 +94,9 @@
   const capacityMilli = Math.max(1, report?.capacity.cpuMilli ?? 1);
   if (definition.isFiller) {
     const { askedMilli, unusedMilli } = fillerRoom(worker);
-    return cost + expectedStrain(worker, task, pressure) +
-      strainWeight * strainOf(worker) + askedMilli / Math.max(1, unusedMilli);
+    const { excess, added } = bearingOf(worker, task, pressure);
+    return cost + excessWeight * excess + addedWeight * added +
+      askedMilli / Math.max(1, unusedMilli);
   }
   const usedPart = worker.used.cpuMilli / capacityMilli;
   if (!definition.isService) return cost + usedPart;
--- a/src/core/cell/observe_worker.ts
+++ b/src/core/cell/observe_worker.ts
@@ -64,6 +64,8 @@
     const { isService, image, targetLatencyMs } = task.group.definition;
     const status = worker.statuses.get(task.name);
     if (!isService || targetLatencyMs === 0 || status === undefined) continue;
-    pressure.learn(image ?? "", status.figure / targetLatencyMs, use);
+    const part = status.figure / targetLatencyMs;
+    const job = task.group.job.definition.id;
+    pressure.learn(image ?? "", job, part, use);
   }
 }
--- a/src/core/cell/relieve.ts
+++ b/src/core/cell/relieve.ts
@@ -10,8 +10,8 @@
 /** A filler that gets less than this part of what it asks for is starved. */
 const starvedShare = 0.2;
 const starvedAfterMs = 1_500;
-/** A filler image that adds less than this to a service's latency is let be. */
-const leastPress = 0.2;
+/** A filler image that adds less than this to a service's load is let be. */
+const leastPress = 0.08;
 
 /**
  * Moves the fillers that press most on a service that is over its target to
--- a/src/core/interfere/filler_pace.ts
+++ b/src/core/interfere/filler_pace.ts
@@ -1,25 +1,26 @@
 import type { FillerView } from "./filler_view.ts";
+import { latencyLoad } from "./latency_load.ts";
 import type { ServiceView } from "./service_view.ts";
 
-/** A service over this part of its target makes fillers give way. */
-const giveWayFrom = 0.97;
-/** Below this part of its target a service lets fillers speed up. */
-const speedUpBelow = 0.8;
+/** Left free of the load at which a service is at its target. */
+const loadMargin = 0.05;
+/** An image that presses less is let be. */
+const leastPressure = 0.15;
+/** Known pressures explain a service over target from this load on. */
+const tellingLoad = 0.08;
 const giveWayFactor = 0.5;
-const farOverPart = 2;
-const farOverFactor = 0.2;
-const speedUpPercent = 25;
-/** From here fillers stop altogether rather than crawl. */
-const stopBelowPercent = 12;
-/** An image that presses less than this part of the worst is let be. */
-const culpritPart = 0.3;
+/** How far a pace rises at once. */
+const speedUpPercent = 30;
+/** Below this fillers stop rather than crawl; changes under it are not told. */
+const stopBelowPercent = 10;
+const leastChangePercent = 8;
 /** After so long over its target a service makes all fillers give way. */
 const allGiveWayMs = 1_800;
 
 /**
- * How fast each filler image may run beside a worker's services. The images
- * that press on a service that nears its target give way by halves; they speed
- * up by steps once the services they press on are at ease.
+ * How fast each filler image may run beside a worker's services: as fast as
+ * leaves each of them under its target, by what is known of how images press. A
+ * service over target for which nothing known accounts halves all images.
  */
 export class FillerPace {
   readonly #percents = new Map<string, number>();
@@ -42,56 +43,60 @@
     fillers: readonly FillerView[],
     nowMs: number,
   ): void {
-    const isOver = services.some(({ part }) => part > giveWayFrom);
+    const isOver = services.some(({ part }) => part > 1);
     this.#overSinceMs = isOver ? this.#overSinceMs ?? nowMs : undefined;
     const isLong = this.#overSinceMs !== undefined &&
       nowMs - this.#overSinceMs >= allGiveWayMs;
-    const pressed = new Set<string>();
+    const wanted = new Map<string, number>();
+    for (const { image } of fillers) wanted.set(image, 100);
     for (const service of services) {
-      if (service.part <= giveWayFrom) continue;
-      const culprits = isLong
-        ? fillers.map(({ image }) => image)
-        : culpritsOf(service, fillers);
-      const factor = service.part >= farOverPart
-        ? farOverFactor
-        : giveWayFactor;
-      for (const image of new Set(culprits)) {
-        if (pressed.has(image)) continue;
-        pressed.add(image);
-        this.#slow(image, factor);
+      for (const [image, percent] of this.#bearable(service, fillers, isLong)) {
+        wanted.set(image, Math.min(wanted.get(image) ?? 100, percent));
       }
     }
+    for (const [image, percent] of wanted) this.#approach(image, percent);
     for (const image of this.#percents.keys()) {
-      if (pressed.has(image) || isLong) continue;
-      const isEased = services.every(({ part, pressures }) =>
-        part < speedUpBelow || (pressures.get(image) ?? 0) === 0
-      );
-      if (isEased) this.#speedUp(image);
+      if (!wanted.has(image)) this.#percents.delete(image);
     }
   }
 
-  #slow(image: string, factor: number): void {
-    const next = Math.round(this.of(image) * factor);
-    this.#percents.set(image, next < stopBelowPercent ? 0 : next);
+  /** The paces that one service bears. */
+  *#bearable(
+    service: ServiceView,
+    fillers: readonly FillerView[],
+    isLong: boolean,
+  ): Generator<[image: string, percent: number]> {
+    const { part, floor, pressures } = service;
+    const pressing = fillers.filter(({ image }) =>
+      (pressures.get(image) ?? 0) >= leastPressure
+    );
+    let usedLoad = 0;
+    let askedLoad = 0;
+    for (const { image, used, asked } of pressing) {
+      usedLoad += (pressures.get(image) ?? 0) * used;
+      askedLoad += (pressures.get(image) ?? 0) * asked;
+    }
+    const isOver = part > 1;
+    if (isOver && (isLong || usedLoad < tellingLoad)) {
+      for (const { image } of fillers) {
+        yield [image, this.of(image) * giveWayFactor];
+      }
+      return;
+    }
+    if (askedLoad <= 0) return;
+    const ownLoad = latencyLoad(part, floor) - usedLoad;
+    const leftLoad = latencyLoad(1, floor) - loadMargin - ownLoad;
+    const share = Math.max(0, Math.min(1, leftLoad / askedLoad));
+    for (const { image } of pressing) yield [image, share * 100];
   }
 
-  #speedUp(image: string): void {
-    const next = this.of(image) + speedUpPercent;
+  #approach(image: string, wanted: number): void {
+    const now = this.of(image);
+    const next = Math.round(Math.min(wanted, now + speedUpPercent));
     if (next >= 100) this.#percents.delete(image);
-    else this.#percents.set(image, next);
+    else if (next < stopBelowPercent) this.#percents.set(image, 0);
+    else if (Math.abs(next - now) >= leastChangePercent) {
+      this.#percents.set(image, next);
+    }
   }
 }
-
-/** The images that press on the service most; all where none is known to. */
-function culpritsOf(
-  { pressures }: ServiceView,
-  fillers: readonly FillerView[],
-): string[] {
-  const presses = fillers.map(({ image, use }) => ({
-    image,
-    press: (pressures.get(image) ?? 0) * use,
-  }));
-  const worst = Math.max(0, ...presses.map(({ press }) => press));
-  return presses.filter(({ press }) => press >= worst * culpritPart)
-    .map(({ image }) => image);
-}
--- /dev/null
+++ b/src/core/interfere/filler_use.ts
@@ -0,0 +1,2 @@
+/** The use that fillers make of a worker: image to part of its processors. */
+export type FillerUse = ReadonlyMap<string, number>;
--- a/src/core/interfere/filler_view.ts
+++ b/src/core/interfere/filler_view.ts
@@ -1,6 +1,6 @@
-/** A filler image beside services. */
+/** A filler image beside services, in parts of the worker's processors. */
 export interface FillerView {
   readonly image: string;
-  /** The part of the worker's processors that it uses. */
-  readonly use: number;
+  readonly used: number;
+  readonly asked: number;
 }
--- a/src/gate/pace_keeper.ts
+++ b/src/gate/pace_keeper.ts
@@ -11,6 +11,9 @@
 /** Figures are of the last half second, so the pace is not set more often. */
 const paceEveryMs = 350;
 
+/** What an idle service's latency is of its target, where no keeper told. */
+const unknownFloor = 0.25;
+
 /** Keeps a runner's fillers at the pace that the services beside them bear. */
 export class PaceKeeper {
   /** What the keeper knows of how images press on each other. */
@@ -46,26 +49,33 @@
     const { capacity } = this.context.info ?? {};
     const capacityMilli = Math.max(1, capacity?.cpuMilli ?? 1);
     const services: ServiceView[] = [];
-    const fillers: FillerView[] = [];
+    const fillers = new Map<string, FillerView>();
     for (const [key, { order }] of this.book.runs) {
       const status = statuses.get(key);
       if (order === undefined || status === undefined) continue;
       const { isFiller, isService, targetLatencyMs, image = "" } = order;
       const { figure } = status;
-      if (isFiller) fillers.push({ image, use: figure / capacityMilli });
-      else if (isService && targetLatencyMs > 0) {
-        const pressures = this.#pressuresOn(image);
-        services.push({ part: figure / targetLatencyMs, pressures });
+      if (isFiller) {
+        const { cpuMilli } = order.resources;
+        const known = fillers.get(image) ?? { image, used: 0, asked: 0 };
+        fillers.set(image, {
+          image,
+          used: known.used + figure / capacityMilli,
+          asked: known.asked + cpuMilli / capacityMilli,
+        });
+      } else if (isService && targetLatencyMs > 0) {
+        services.push({ part: figure / targetLatencyMs, ...this.#known(image) });
       }
     }
-    return { services, fillers };
+    return { services, fillers: [...fillers.values()] };
   }
 
-  #pressuresOn(image: string): ReadonlyMap<string, number> {
-    return new Map(
-      this.pressures.filter(([service]) => service === image)
-        .map(([, filler, pressure]) => [filler, pressure]),
-    );
+  #known(image: string): Omit<ServiceView, "part"> {
+    const known = this.pressures.find(({ service }) => service === image);
+    return {
+      floor: known?.floor ?? unknownFloor,
+      pressures: new Map(known?.fillers ?? []),
+    };
   }
 
   async #set(run: Run, percent: number): Promise<void> {
--- a/src/link/pressure.ts
+++ b/src/link/pressure.ts
@@ -1,6 +1,6 @@
-/** How much a filler image presses on a service image of the same worker. */
-export type Pressure = readonly [
-  service: string,
-  filler: string,
-  pressure: number,
-];
+/** What is known of a service image beside the fillers of its worker. */
+export interface Pressure {
+  readonly service: string;
+  readonly floor: number;
+  readonly fillers: readonly (readonly [image: string, pressure: number])[];
+}
