--- a/src/core/cell/observe_worker.ts
+++ b/src/core/cell/observe_worker.ts
@@ -14,6 +14,8 @@
  */
 const shortShare = 0.6;
 const fewestFillers = 3;
+/** A service's first figures tell of its start. */
+const settleMs = 1_500;
 
 /** Figures are of the last half second, so that more samples say no more. */
 const observeEveryMs = 300;
@@ -45,7 +47,7 @@
   }
   if (nowMs - worker.observedAtMs < observeEveryMs) return false;
   worker.observedAtMs = nowMs;
-  learnPressure(worker, pressure);
+  learnPressure(worker, pressure, nowMs);
   const capacityMilli = worker.report?.capacity.cpuMilli ?? 0;
   if (serviceMilli === 0 || askedMilli === 0) return true;
   const leftMilli = capacityMilli - plainMilli - fillerMilli;
@@ -58,12 +60,19 @@
   return true;
 }
 
-function learnPressure(worker: Worker, pressure: PairPressure): void {
+function learnPressure(
+  worker: Worker,
+  pressure: PairPressure,
+  nowMs: number,
+): void {
   const use = fillerUse(worker);
   for (const task of worker.claims.values()) {
     const { isService, image, targetLatencyMs } = task.group.definition;
     const status = worker.statuses.get(task.name);
     if (!isService || targetLatencyMs === 0 || status === undefined) continue;
+    const { claim } = task;
+    const isFresh = claim === undefined || nowMs - claim.sinceMs < settleMs;
+    if (isFresh || status.figure <= 0) continue;
     const part = status.figure / targetLatencyMs;
     const job = task.group.job.definition.id;
     pressure.learn(image ?? "", job, part, use);
--- a/src/core/interfere/pair_pressure.ts
+++ b/src/core/interfere/pair_pressure.ts
@@ -4,7 +4,7 @@
 
 /** What an idle service's latency is of its target, until lower was seen. */
 const firstFloor = 0.25;
-const leastFloor = 0.05;
+const floorRate = 0.2;
 /** The load of a job of services before anything was seen of it. */
 const firstLoad = 0.45;
 const mostLoad = 0.75;
@@ -31,7 +31,9 @@
   /** Takes in one sample of a service of the job: latency by target. */
   learn(service: string, job: string, part: number, use: FillerUse): void {
     const learned = this.#of(service);
-    learned.floor = Math.max(leastFloor, Math.min(learned.floor, part));
+    if (part < learned.floor) {
+      learned.floor += (part - learned.floor) * floorRate;
+    }
     const load = this.loadOf(job);
     const { pressures } = learned;
     const error = latencyLoad(part, learned.floor) - load - pressures.sum(use);
--- a/src/gate/pace_keeper.ts
+++ b/src/gate/pace_keeper.ts
@@ -64,7 +64,10 @@
           asked: known.asked + cpuMilli / capacityMilli,
         });
       } else if (isService && targetLatencyMs > 0) {
-        services.push({ part: figure / targetLatencyMs, ...this.#known(image) });
+        services.push({
+          part: figure / targetLatencyMs,
+          ...this.#known(image),
+        });
       }
     }
     return { services, fillers: [...fillers.values()] };
