Learn pressure on load rather than on latency; count what services use by it

Cause: latency climbs as floor / (1 - load), so pressure that adds up in the load does not add up in the latency; linear blame on latency was too weak for bad pairs and too strong for harmless ones. What services leave unused was guessed at a fixed part per worker, and closed workers that were idle. Change: recursive least squares on load for each pair, one load a job of services; fillers' room and pace follow from it.

--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -79,7 +79,7 @@
   pressure: PairPressure,
 ): boolean {
   if (bearingOf(worker, task, pressure).excess > mostExcess) return false;
-  const { askedMilli, unusedMilli } = fillerRoom(worker);
+  const { askedMilli, unusedMilli } = fillerRoom(worker, pressure);
   const { cpuMilli } = task.group.definition.resources;
   const wantedMilli = cpuMilli * leastFillerShare;
   return askedMilli + wantedMilli <= unusedMilli;
@@ -93,7 +93,7 @@
   if (isFar(task, worker)) cost += farPenalty;
   const capacityMilli = Math.max(1, report?.capacity.cpuMilli ?? 1);
   if (definition.isFiller) {
-    const { askedMilli, unusedMilli } = fillerRoom(worker);
+    const { askedMilli, unusedMilli } = fillerRoom(worker, pressure);
     const { excess, added } = bearingOf(worker, task, pressure);
     return cost + excessWeight * excess + addedWeight * added +
       askedMilli / Math.max(1, unusedMilli);
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -33,8 +33,6 @@
   timesAside = 0;
   /** How much longer than expected its runs take, smoothed. */
   slowness = 1;
-  /** The part of what services reserve that they use, smoothed. */
-  serviceLoad = 0.6;
   /** When its services' figures were last taken in. */
   observedAtMs = -Infinity;
   /** When a filler was last stopped here for a service's sake. */
