A new keeper reads the jobs after its fence; only a read shows that no keeper stirs

Change: a term begins once the jobs stream was read after the fence; a row that waits for its definition is kept; a candidate stands only by what it has read lately; a stray is told to stop at most twice a second. Tests: tests/takeover_test.ts.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -91,7 +91,12 @@
   }
 
   submit(definition: JobDefinition): void {
-    this.#run(this.cell.submit(definition, Date.now()));
+    const row = this.directory.rows.get(definition.id);
+    if (row === undefined) this.#run(this.cell.submit(definition, Date.now()));
+    else if (!this.cell.jobs.has(definition.id)) {
+      this.cell.load(decodeJob(definition, row, performance.now()));
+      this.#flushSoon();
+    }
   }
 
   cancel(id: JobId): void {
--- a/src/cellhost/stream_tail.ts
+++ b/src/cellhost/stream_tail.ts
@@ -39,7 +39,7 @@
     while (!this.#isStopped) {
       const isFine = this.#next === undefined
         ? await this.#catchUp()
-        : await this.#read(this.#next);
+        : await this.#read(this.#next) !== "failed";
       if (!isFine) await sleep(failurePauseMs);
       else if (this.options.pauseMs > 0) await sleep(this.options.pauseMs);
     }
@@ -49,17 +49,22 @@
     this.#isStopped = true;
   }
 
-  /** Reads what has been stored by now; tells whether it could. */
+  /** Reads all that has been stored by now; tells whether it could. */
   async refresh(): Promise<boolean> {
-    if (this.#next === undefined) return await this.#catchUp();
-    return await this.#read(this.#next, 0);
+    while (!this.#isStopped) {
+      const from = this.#next;
+      if (from === undefined) return await this.#catchUp();
+      const outcome = await this.#read(from, 0);
+      if (outcome !== "overtaken") return outcome === "read";
+    }
+    return false;
   }
 
   /** Reads on until the offset, whatever the pace; tells whether it got there. */
   async reach(end: number): Promise<boolean> {
     if (this.#next === undefined && !await this.#catchUp()) return false;
     while (this.#next !== undefined && this.#next < end) {
-      if (!await this.#read(this.#next, 0)) return false;
+      if (await this.#read(this.#next, 0) === "failed") return false;
     }
     return this.#next !== undefined;
   }
@@ -87,13 +92,15 @@
   async #read(
     from: number,
     waitMs = this.#isFine ? this.options.waitMs : 0,
-  ): Promise<boolean> {
+  ): Promise<"read" | "overtaken" | "failed"> {
     const page = await this.store.read(this.stream, from, waitMs);
-    if (this.#isStopped || this.#next !== from) return !this.#isStopped;
+    if (this.#isStopped) return "failed";
+    if (this.#next !== from) return "overtaken";
     if (page.isErr) {
-      if (page.error.kind === "trimmed") this.#next = undefined;
       this.#failed("read", page.error.kind);
-      return page.error.kind === "trimmed";
+      if (page.error.kind !== "trimmed") return "failed";
+      this.#next = undefined;
+      return "overtaken";
     }
     const { rows, next, end, unreadable } = page.value;
     if (unreadable > 0) {
@@ -103,7 +110,7 @@
     this.end = Math.max(this.end, end);
     this.#deliver(rows);
     this.#succeeded(rows.length > 0);
-    return true;
+    return "read";
   }
 
   #deliver(rows: readonly StoredRow[]): void {
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -26,6 +26,8 @@
 
 type Effects = Generator<CellEffect, void>;
 
+/** A stray that is still listed is stopped again so often. */
+const strayStopEveryMs = 500;
 /** New checkpoints are stored so often. */
 const checkpointsEveryMs = 1_000;
 /** A worker whose runner turned a start away gets nothing for this long. */
@@ -258,12 +260,19 @@
       }
       const known = this.task(name)?.group.definition;
       const resources = known?.resources ?? noResources;
+      const key = `${name}#${status.run}`;
       worker.strays.set(
-        `${name}#${status.run}`,
+        key,
         known?.isFiller ? { ...resources, cpuMilli: 0 } : resources,
       );
+      const toldAtMs = worker.strayStops.get(key) ?? -Infinity;
+      if (nowMs - toldAtMs < strayStopEveryMs) continue;
+      worker.strayStops.set(key, nowMs);
       yield stopOrderOf(worker, name, status.run, "stray");
     }
+    for (const key of worker.strayStops.keys()) {
+      if (!worker.strays.has(key)) worker.strayStops.delete(key);
+    }
     if (worker.isAdopted) return;
     for (const task of worker.claims.values()) {
       if (task.claim === undefined) continue;
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -22,6 +22,8 @@
   readonly claims = new Map<TaskName, Task>();
   /** Room held by runs that no claim explains. */
   readonly strays = new Map<string, Resources>();
+  /** When each stray was last told to stop. */
+  readonly strayStops = new Map<string, number>();
   readonly statuses = new Map<TaskName, RunStatus>();
   /** Up to where its ends have been taken in. */
   lastEnd = 0;
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -171,7 +171,8 @@
       isConnected ? nowMs : this.#keeperHeardAtMs,
       this.#cellTail.grewAtMs,
     );
-    const silentMs = nowMs - stirredAtMs;
+    // Only what was read tells: a store that is away shows no keeper at work.
+    const silentMs = this.#cellTail.readAtMs - stirredAtMs;
     return silentMs > keeperSilenceMs + delayMs ? "silent" : undefined;
   }
 
@@ -199,7 +200,10 @@
       !this.#isClosed && !this.#isResigned && this.#election.epoch === epoch &&
       !writer.isDeposed;
     while (end !== undefined && isCurrent()) {
-      if (await this.#cellTail.reach(end) && isCurrent()) {
+      // A job's definition was stored before the row that names it.
+      const isRead = await this.#cellTail.reach(end) &&
+        await this.jobsTail.refresh();
+      if (isRead && isCurrent()) {
         this.#beginTerm(epoch, writer);
         break;
       }
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -306,7 +306,7 @@
     ]);
     b.starts();
     for (let sample = 0; sample < 20; sample++) {
-      b.cell.pressure.learn("s", 4, new Map([["f", 0.1]]));
+      b.cell.pressure.learn("s", "j", 4, new Map([["f", 0.1]]));
     }
     b.submit("k", [step({ count: 3, isFiller: true, image: "f" })]);
     b.tick();
--- /dev/null
+++ b/tests/takeover_test.ts
@@ -0,0 +1,89 @@
+import { expect } from "chai";
+import { Logger } from "../src/adapters/logger.ts";
+import { JobDirectory } from "../src/cellhost/job_directory.ts";
+import { KeeperSession } from "../src/cellhost/keeper_session.ts";
+import { RowWriter } from "../src/cellhost/row_writer.ts";
+import { StreamTail } from "../src/cellhost/stream_tail.ts";
+import { encodeJob } from "../src/core/cell/encode_job.ts";
+import type { JobId } from "../src/core/jobs/job_id.ts";
+import type { NodeId } from "../src/core/jobs/node_id.ts";
+import type { StoredRow } from "../src/core/store/stored_row.ts";
+import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
+import { StoreModel } from "../stand_ins/store/store_model.ts";
+import { CellBuilder } from "./cell_builder.ts";
+
+const log = new Logger("silent", {});
+const bounds = { maxHoldMs: 6_000, statusMs: 120_000, farFactor: 1.5 };
+
+function rowsOf(values: Readonly<Record<string, unknown>>): StoredRow[] {
+  return Object.entries(values).map(([key, value], offset) => ({
+    key,
+    value: JSON.stringify(value),
+    offset,
+  }));
+}
+
+describe("a keeper that takes over", () => {
+  const orders = [
+    { name: "the job before its row", isJobLate: false },
+    { name: "the job's row before the job", isJobLate: true },
+  ];
+  for (const { name, isJobLate } of orders) {
+    it(`goes on with a run that it reads of, ${name}`, () => {
+      const earlier = new CellBuilder();
+      earlier.report("w");
+      earlier.submit("j", [CellBuilder.step()]);
+      earlier.tick();
+      const job = earlier.cell.jobs.get("j" as JobId)!;
+
+      const directory = new JobDirectory(log);
+      const clock = new VirtualClock();
+      const beat = () => ({ key: "keeper", value: "" });
+      const store = new StoreModel();
+      const writer = new RowWriter(
+        store,
+        "cell",
+        2,
+        beat,
+        () => {},
+        clock,
+        log,
+      );
+      const keeper = "k" as NodeId;
+      const session = new KeeperSession(
+        2,
+        writer,
+        directory,
+        bounds,
+        log,
+        keeper,
+      );
+      directory.onSubmitted = (definition) => session.submit(definition);
+      directory.takeProgress(rowsOf({ "job j": encodeJob(job) }));
+      const takeJob = () => directory.takeJobs(rowsOf({ j: job.definition }));
+      if (!isJobLate) takeJob();
+      session.load(earlier.cell.queues.values());
+      if (isJobLate) takeJob();
+      const taken = session.cell.jobs.get("j" as JobId)!;
+      session.close(false);
+      expect(encodeJob(taken)).to.eql(encodeJob(job));
+    });
+  }
+});
+
+describe("a tail that refreshes", () => {
+  it("has read all that was stored before, whatever reads beside it", async () => {
+    const store = new StoreModel();
+    const seen: string[] = [];
+    const options = { waitMs: 0, pauseMs: 1 };
+    const take = (rows: readonly StoredRow[]) =>
+      seen.push(...rows.map(({ key }) => key));
+    const tail = new StreamTail(store, "jobs", options, take, log);
+    await tail.refresh();
+    await store.append("jobs", [{ key: "a", value: "1" }], { kind: "none" });
+    const slow = tail.refresh();
+    await store.append("jobs", [{ key: "b", value: "1" }], { kind: "none" });
+    await Promise.all([slow, tail.refresh()]);
+    expect(seen).to.eql(["a", "b"]);
+  });
+});
