--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -7,11 +7,13 @@
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
+import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { Row } from "../core/store/row.ts";
 import type { Logger } from "../adapters/logger.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import type { MemberMessage } from "../link/member_message.ts";
+import type { Advisor } from "./advisor.ts";
 import type { JobDirectory } from "./job_directory.ts";
 import type { KeeperBounds } from "./keeper_bounds.ts";
 import { MemberLink } from "./member_link.ts";
@@ -34,7 +36,7 @@
 const stuckFactor = 0.5;
 const stuckLeastMs = 1_800;
 
-type LaterEffect = Exclude<CellEffect, { kind: "save" | "stop" }>;
+type LaterEffect = Exclude<CellEffect, { kind: "save" | "stop" | "ask" }>;
 
 /** One term of a keeper: from the takeover of its cell's stream until deposed. */
 export class KeeperSession {
@@ -58,6 +60,7 @@
     readonly bounds: KeeperBounds,
     readonly log: Logger,
     readonly keeper: NodeId,
+    readonly advisor: Advisor,
   ) {
     const { farFactor } = bounds;
     this.cell = new Cell({ farFactor, stuckFactor, stuckLeastMs });
@@ -207,7 +210,25 @@
       this.log.info("stop", { node, task, run, reason });
       const stops = [{ task, run, life }];
       this.#links.get(node)?.send({ kind: "orders", starts: [], stops });
-    } else this.#later.push(effect);
+    } else if (effect.kind === "ask") void this.#ask(effect.step, effect.lives);
+    else this.#later.push(effect);
+  }
+
+  async #ask(step: string, lives: readonly RunnerLife[]): Promise<void> {
+    try {
+      const tickets = await this.advisor.ask(step, lives);
+      if (this.#isClosed) return;
+      this.log.info("advised", {
+        step,
+        asked: lives.length,
+        may: tickets.size,
+      });
+      this.cell.advice.answered(step, tickets);
+      this.#flushSoon();
+    } catch (cause) {
+      const reason = (cause as Error).message;
+      this.log.warn("advice_failed", { step, reason });
+    }
   }
 
   #flushSoon(): void {
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -7,6 +7,7 @@
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
 import { noResources } from "../resources/no_resources.ts";
+import { AdviceBook } from "./advice_book.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
@@ -45,6 +46,7 @@
   readonly workers = new Map<NodeId, Worker>();
 
   readonly pressure = new PairPressure();
+  readonly advice = new AdviceBook();
   /** Jobs with checkpoints that the store does not have. */
   readonly #unsaved = new Set<Job>();
   #savedAtMs = -Infinity;
@@ -145,6 +147,7 @@
     if (reason === "unhealthy" || reason === "no_room") {
       worker.asideUntilMs = nowMs + refusedPauseMs;
     }
+    if (reason === "ticket") this.advice.forget(task.group);
     yield* this.#release(worker, task, nowMs);
   }
 
--- a/src/core/cell/cell_effect.ts
+++ b/src/core/cell/cell_effect.ts
@@ -6,7 +6,7 @@
 import type { Job } from "./job.ts";
 import type { StartOrder } from "./start_order.ts";
 
-/** What a cell wants done. All but `stop` wait until the saves before them are stored. */
+/** What a cell wants done. All but `stop` and `ask` wait until the saves before them are stored. */
 export type CellEffect =
   /** The job's row has changed. */
   | { readonly kind: "save"; readonly job: Job }
@@ -30,4 +30,10 @@
     readonly life: RunnerLife;
     readonly end: number;
   }
+  /** Ask the advisor which lives may run the step. */
+  | {
+    readonly kind: "ask";
+    readonly step: string;
+    readonly lives: readonly RunnerLife[];
+  }
   | { readonly kind: "show"; readonly job: JobId; readonly state: JobState };
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -1,6 +1,7 @@
 import type { PairPressure } from "../interfere/pair_pressure.ts";
 import { fits } from "../resources/fits.ts";
 import type { Queue } from "../jobs/queue.ts";
+import type { RunnerLife } from "../jobs/runner_life.ts";
 import { bearingOf } from "./bearing_of.ts";
 import { fillerRoom } from "./filler_room.ts";
 import type { Group } from "./group.ts";
@@ -35,10 +36,15 @@
   pressure: PairPressure,
   nowMs: number,
   care: Care,
+  tickets?: ReadonlyMap<RunnerLife, string>,
 ): Worker | undefined {
   let best: Worker | undefined;
   let bestCost = Infinity;
   for (const worker of workers) {
+    const { life } = worker.report ?? {};
+    if (tickets !== undefined && (life === undefined || !tickets.has(life))) {
+      continue;
+    }
     if (!mayRun(task, queue, worker, pressure, nowMs, care)) continue;
     const cost = costOf(task, worker, pressure);
     if (cost >= bestCost) continue;
--- a/src/core/cell/claim.ts
+++ b/src/core/cell/claim.ts
@@ -8,6 +8,7 @@
   phase: ClaimPhase;
   /** When the phase began, by the keeper's steady clock. */
   sinceMs: number;
+  readonly ticket: string | undefined;
   /** How much of its work was done, in percent, and when that last grew. */
   progress: number;
   progressAtMs: number;
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -51,6 +51,7 @@
       life: named[1] as RunnerLife,
       phase: "ordered",
       sinceMs: nowMs,
+      ticket: undefined,
       progress: 0,
       progressAtMs: nowMs,
       from: from ?? "",
--- a/src/core/cell/place_waiting.ts
+++ b/src/core/cell/place_waiting.ts
@@ -1,4 +1,5 @@
 import type { Queue } from "../jobs/queue.ts";
+import type { RunnerLife } from "../jobs/runner_life.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { chooseWorker } from "./choose_worker.ts";
@@ -12,6 +13,7 @@
 /** A job of which nothing runs for so long is placed even where it presses. */
 const mostIdleMs = 1_800;
 
+type Tickets = ReadonlyMap<RunnerLife, string> | undefined;
 type Effects = Generator<CellEffect, void>;
 
 /** Places what waits, the most urgent first; what does not fit lets others by. */
@@ -44,11 +46,17 @@
   queue: Queue,
   nowMs: number,
 ): Effects {
+  const tickets = yield* cell.advice.ticketsFor(
+    group,
+    queue,
+    cell.workers.values(),
+    nowMs,
+  );
   for (const task of group.tasks) {
     if (!isWaiting(task, nowMs)) continue;
-    const worker = choose(cell, task, queue, nowMs);
+    const worker = choose(cell, task, queue, nowMs, tickets);
     if (worker === undefined) return;
-    yield* claim(worker, task, task.run + 1, nowMs);
+    yield* claim(worker, task, task.run + 1, nowMs, tickets);
     group.job.idleSinceMs = undefined;
   }
 }
@@ -58,11 +66,20 @@
   task: Task,
   queue: Queue,
   nowMs: number,
+  tickets: Tickets,
 ): Worker | undefined {
   const { job } = task.group;
   const workers = [...cell.workers.values()];
   const { pressure } = cell;
-  const best = chooseWorker(task, queue, workers, pressure, nowMs, "gentle");
+  const best = chooseWorker(
+    task,
+    queue,
+    workers,
+    pressure,
+    nowMs,
+    "gentle",
+    tickets,
+  );
   if (best !== undefined) return best;
   if (job.isRunning) {
     job.idleSinceMs = undefined;
@@ -70,7 +87,7 @@
   }
   job.idleSinceMs ??= nowMs;
   if (nowMs - job.idleSinceMs < mostIdleMs) return undefined;
-  return chooseWorker(task, queue, workers, pressure, nowMs, "any");
+  return chooseWorker(task, queue, workers, pressure, nowMs, "any", tickets);
 }
 
 /** Places all members of a gang at once, or none. */
@@ -85,11 +102,17 @@
   const checkpoint = group.tasks.find((task) => task.checkpoint !== "")
     ?.checkpoint ?? "";
   const taken: [Worker, Task][] = [];
+  const tickets = yield* cell.advice.ticketsFor(
+    group,
+    queue,
+    cell.workers.values(),
+    nowMs,
+  );
   for (const task of group.tasks) {
-    const worker = choose(cell, task, queue, nowMs);
+    const worker = choose(cell, task, queue, nowMs, tickets);
     if (worker === undefined) break;
     task.checkpoint = checkpoint;
-    take(worker, task, run, nowMs);
+    take(worker, task, run, nowMs, tickets);
     taken.push([worker, task]);
   }
   if (taken.length < group.tasks.length) {
@@ -104,18 +127,26 @@
   task: Task,
   run: number,
   nowMs: number,
+  tickets: Tickets,
 ): Effects {
-  take(worker, task, run, nowMs);
+  take(worker, task, run, nowMs, tickets);
   yield* order(worker, task);
 }
 
-function take(worker: Worker, task: Task, run: number, nowMs: number): void {
+function take(
+  worker: Worker,
+  task: Task,
+  run: number,
+  nowMs: number,
+  tickets: Tickets,
+): void {
   task.run = run;
   task.claim = {
     node: worker.node,
     life: worker.report!.life,
     phase: "ordered",
     sinceMs: nowMs,
+    ticket: tickets?.get(worker.report!.life),
     progress: 0,
     progressAtMs: nowMs,
     from: task.checkpoint,
--- a/src/core/cell/start_order.ts
+++ b/src/core/cell/start_order.ts
@@ -10,6 +10,8 @@
   readonly life: RunnerLife;
   readonly payload: string;
   readonly checkpoint: string;
+  /** An advisor's leave for the runner to run the step, where it takes one. */
+  readonly ticket: string | undefined;
   readonly resources: Resources;
   readonly isService: boolean;
   readonly isFiller: boolean;
--- a/src/core/cell/start_order_of.ts
+++ b/src/core/cell/start_order_of.ts
@@ -12,6 +12,7 @@
     life: task.claim?.life ?? ("" as RunnerLife),
     payload: job.definition.payload,
     checkpoint: task.claim?.from ?? "",
+    ticket: task.claim?.ticket,
     resources: definition.resources,
     isService: definition.isService,
     isFiller: definition.isFiller,
--- a/src/core/cell/start_refusal.ts
+++ b/src/core/cell/start_refusal.ts
@@ -5,6 +5,8 @@
   /** The lease that the order carried has passed. */
   | "late"
   | "no_room"
+  /** The advisor's ticket is missing or no longer good. */
+  | "ticket"
   /** The runner does not start anything now. */
   | "unhealthy"
   /** The order was for an earlier life of the runner. */
--- a/src/core/interfere/filler_pace.ts
+++ b/src/core/interfere/filler_pace.ts
@@ -3,7 +3,7 @@
 import type { ServiceView } from "./service_view.ts";
 
 /** Left free of the load at which a service is at its target. */
-const loadMargin = 0.05;
+const loadMargin = 0.08;
 /** An image that presses less is let be. */
 const leastPressure = 0.15;
 /** Known pressures explain a service over target from this load on. */
--- a/src/gate/run_book.ts
+++ b/src/gate/run_book.ts
@@ -112,7 +112,7 @@
         task: run.task,
         run: run.run,
         payload: order.payload,
-        ticket: undefined,
+        ticket: order.ticket,
         checkpoint: order.checkpoint,
         untilClockMs: context.lease.grant() ?? 0,
       });
@@ -201,6 +201,7 @@
     case "old":
     case "late":
     case "no_room":
+    case "ticket":
     case "other_life":
     case "rejected":
       return failure;
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { systemClock } from "../adapters/system_clock.ts";
 import type { Logger } from "../adapters/logger.ts";
+import type { Advisor } from "../cellhost/advisor.ts";
 import { Election } from "../cellhost/election.ts";
 import { JobDirectory } from "../cellhost/job_directory.ts";
 import { KeeperSession } from "../cellhost/keeper_session.ts";
@@ -50,6 +51,7 @@
   constructor(
     readonly options: NodeOptions,
     readonly store: Store,
+    readonly advisor: Advisor,
     readonly log: Logger,
   ) {
     const { node, incarnation } = options;
@@ -223,6 +225,7 @@
       bounds,
       this.log,
       node,
+      this.advisor,
     );
     session.load(this.#queues);
     this.#session = session;
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -316,6 +316,52 @@
   });
 });
 
+describe("a queue with a policy", () => {
+  function advised(): CellBuilder {
+    const b = new CellBuilder();
+    const advice = { decideMs: 50, perWorkerMs: 5, validMs: 10_000 };
+    b.cell.queues.set("q", { ...b.cell.queues.get("q")!, advice });
+    b.report("w");
+    b.report("v");
+    b.submit("j", [step()]);
+    b.tick();
+    return b;
+  }
+
+  it("asks before it starts anything, and once", () => {
+    const b = advised();
+    b.tick(100);
+    expect(b.starts()).to.eql([]);
+    const asked = b.effects.filter(({ kind }) => kind === "ask");
+    expect(asked).to.eql([
+      { kind: "ask", step: "j.0.0", lives: ["w@1", "v@1"] },
+    ]);
+  });
+
+  it("starts where it may, with the ticket", () => {
+    const b = advised();
+    b.cell.advice.answered("j.0.0", new Map([["v@1" as RunnerLife, "t1"]]));
+    b.tick();
+    const [order] = b.orders();
+    expect([order?.task, order?.life, order?.ticket]).to.eql([
+      "j.0.0.0",
+      "v@1",
+      "t1",
+    ]);
+  });
+
+  it("asks again where a ticket was refused", () => {
+    const b = advised();
+    b.cell.advice.answered("j.0.0", new Map([["v@1" as RunnerLife, "t1"]]));
+    b.tick();
+    b.effects = [];
+    const name = "j.0.0.0" as TaskName;
+    b.run(b.cell.refused("v" as NodeId, name, 1, "ticket", b.nowMs));
+    b.tick();
+    expect(b.effects.some(({ kind }) => kind === "ask")).to.equal(true);
+  });
+});
+
 describe("a job's row", () => {
   const cases: { name: string; prepare: (b: CellBuilder) => void }[] = [
     { name: "untouched", prepare: () => {} },
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -60,6 +60,7 @@
       life: `${instance}@${bornMs}` as RunnerLife,
       payload: "p",
       checkpoint: "",
+      ticket: undefined,
       resources: {
         cpuMilli: 1_000,
         memoryBytes: 100 * bytesPerMb,
--- a/tests/takeover_test.ts
+++ b/tests/takeover_test.ts
@@ -57,6 +57,7 @@
         bounds,
         log,
         keeper,
+        { ask: () => Promise.reject(new Error("not asked")) },
       );
       directory.onSubmitted = (definition) => session.submit(definition);
       directory.takeProgress(rowsOf({ "job j": encodeJob(job) }));
