--- a/src/adapters/logger.ts
+++ b/src/adapters/logger.ts
@@ -1,5 +1,34 @@
 import loglevel from "loglevel";
 
+/** Lines a second; more are dropped and counted, so that logs stay cheap. */
+const budgetPerS = 500;
+/** A reader that leaves so much unread gets no more until it reads. */
+const mostUnreadBytes = 1_000_000;
+const secondMs = 1_000;
+
+const budget = { fromMs: 0, lines: 0, dropped: 0 };
+
+function write(line: string): void {
+  const nowMs = performance.now();
+  if (nowMs - budget.fromMs >= secondMs) {
+    budget.fromMs = nowMs;
+    budget.lines = 0;
+  }
+  const isFull = process.stdout.writableLength > mostUnreadBytes;
+  if (isFull || budget.lines >= budgetPerS) {
+    budget.dropped += 1;
+    return;
+  }
+  budget.lines += 1;
+  if (budget.dropped > 0) {
+    process.stdout.write(
+      `level=warn event=log_dropped lines=${budget.dropped}\n`,
+    );
+    budget.dropped = 0;
+  }
+  process.stdout.write(`${line}\n`);
+}
+
 type Fields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /** Writes one line of key=value pairs for each event. */
@@ -8,7 +37,7 @@
 
   constructor(level: loglevel.LogLevelDesc, readonly base: Fields) {
     this.#log.methodFactory = () => (line: string) => {
-      process.stdout.write(`${line}\n`);
+      write(line);
     };
     this.#log.setLevel(level, false);
   }
--- /dev/null
+++ b/src/adapters/process_metrics.ts
@@ -0,0 +1,96 @@
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from "prom-client";
+
+const prefix = "gypsumpond_";
+const msPerSecond = 1_000;
+const latencyBucketsS = [
+  0.002,
+  0.005,
+  0.01,
+  0.02,
+  0.05,
+  0.1,
+  0.25,
+  0.5,
+  1,
+  2.5,
+];
+
+/** The counters: name, what it counts, labels. */
+const counters = {
+  requests: ["Callers' requests", ["call", "outcome"]],
+  store_calls: ["Calls to the store", ["call", "outcome"]],
+  starts: ["Runs that were ordered", []],
+  start_refusals: ["Runs that were surely not started", ["reason"]],
+  stops: ["Runs that were told to stop", ["reason"]],
+  ends: ["Runs that ended", ["outcome"]],
+  workers_lost: ["Workers whose leases ran out unseen", []],
+  terms: ["Terms of office begun", []],
+} as const;
+
+/** The gauges: name and what it shows. */
+const gauges = {
+  epoch: "Epoch of the newest keeper that was heard",
+  in_office: "1 while this process keeps the cell",
+  configuration_version: "Version of the configuration in force",
+  jobs_live: "Jobs without outcome that the keeper knows",
+  workers: "Workers that the keeper has adopted",
+} as const;
+
+/** What a process counts, as text in the format of Prometheus. */
+export class ProcessMetrics {
+  readonly #registry = new Registry();
+  readonly #counters = new Map<string, Counter>();
+  readonly #gauges = new Map<string, Gauge>();
+  readonly #storeSeconds: Histogram;
+
+  constructor() {
+    const registers = [this.#registry];
+    for (const [name, [help, labelNames]] of Object.entries(counters)) {
+      const options = { name: `${prefix}${name}_total`, help, registers };
+      const counter = new Counter({ ...options, labelNames: [...labelNames] });
+      this.#counters.set(name, counter);
+    }
+    for (const [name, help] of Object.entries(gauges)) {
+      const gauge = new Gauge({ name: `${prefix}${name}`, help, registers });
+      this.#gauges.set(name, gauge);
+    }
+    this.#storeSeconds = new Histogram({
+      name: `${prefix}store_call_seconds`,
+      help: "How long calls to the store took",
+      labelNames: ["call"],
+      buckets: latencyBucketsS,
+      registers,
+    });
+    collectDefaultMetrics({ register: this.#registry, prefix });
+  }
+
+  /** Counts one event. */
+  count(
+    name: keyof typeof counters,
+    labels: Readonly<Record<string, string>> = {},
+  ): void {
+    this.#counters.get(name)?.inc(labels);
+  }
+
+  /** Shows a value. */
+  show(name: keyof typeof gauges, value: number): void {
+    this.#gauges.get(name)?.set(value);
+  }
+
+  /** Takes in how a call to the store went. */
+  storeCall(call: string, outcome: string, tookMs: number): void {
+    this.count("store_calls", { call, outcome });
+    this.#storeSeconds.observe({ call }, tookMs / msPerSecond);
+  }
+
+  /** All of it as text. */
+  async text(): Promise<string> {
+    return await this.#registry.metrics();
+  }
+}
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -3,6 +3,7 @@
 import { decodeJob } from "../core/cell/decode_job.ts";
 import { encodeJob } from "../core/cell/encode_job.ts";
 import type { Job } from "../core/cell/job.ts";
+import type { WorkerReport } from "../core/cell/worker_report.ts";
 import { startOrderOf } from "../core/cell/start_order_of.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
@@ -10,6 +11,7 @@
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { Row } from "../core/store/row.ts";
+import type { ProcessMetrics } from "../adapters/process_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import type { MemberMessage } from "../link/member_message.ts";
@@ -61,6 +63,7 @@
     readonly log: Logger,
     readonly keeper: NodeId,
     readonly advisor: Advisor,
+    readonly metrics: ProcessMetrics,
   ) {
     const { farFactor } = bounds;
     this.cell = new Cell({ farFactor, stuckFactor, stuckLeastMs });
@@ -80,6 +83,9 @@
       this.#renewedAtMs.set(worker.node, nowMs + authorityMs);
     }
     for (const job of this.cell.live) job.openDue(Date.now());
+    this.metrics.count("terms");
+    this.metrics.show("epoch", this.epoch);
+    this.metrics.show("in_office", 1);
     this.log.info("term_begun", {
       epoch: this.epoch,
       jobs: this.cell.live.size,
@@ -136,6 +142,7 @@
       if (isResigned) link.send({ kind: "resigned" });
       link.close();
     }
+    this.metrics.show("in_office", 0);
     this.log.info("term_ended", { epoch: this.epoch, resigned: isResigned });
   }
 
@@ -147,6 +154,7 @@
       case "report": {
         const worker = this.cell.worker(node);
         const isFirst = !worker.isAdopted;
+        this.#noteEnds(node, message.report);
         this.#run(this.cell.report(node, message.report, nowMs));
         const isUnsure = isFirst || message.report.unexplained > 0;
         if (isUnsure && worker.isAdopted) this.#introduce(link);
@@ -165,6 +173,7 @@
         return;
       case "refused": {
         const { task, run, reason } = message;
+        this.metrics.count("start_refusals", { reason });
         this.log.info("start_refused", { node, task, run, reason });
         this.#run(this.cell.refused(node, task, run, reason, nowMs));
         return;
@@ -172,6 +181,17 @@
     }
   }
 
+  /** One line for each end that is heard of for the first time. */
+  #noteEnds(node: NodeId, report: WorkerReport): void {
+    const { lastEnd, report: known } = this.cell.worker(node);
+    const from = known?.life === report.life ? lastEnd : 0;
+    for (const { number, task, run, outcome, checkpoint } of report.ends) {
+      if (number <= from) continue;
+      this.metrics.count("ends", { outcome });
+      this.log.info("end", { node, task, run, outcome, checkpoint });
+    }
+  }
+
   /** Tells a sidecar what it must know of the runs it holds. */
   #introduce(link: MemberLink): void {
     const worker = this.cell.worker(link.node);
@@ -207,6 +227,7 @@
     if (effect.kind === "save") this.#dirty.add(effect.job);
     else if (effect.kind === "stop") {
       const { node, task, run, reason, life } = effect;
+      this.metrics.count("stops", { reason });
       this.log.info("stop", { node, task, run, reason });
       const stops = [{ task, run, life }];
       this.#links.get(node)?.send({ kind: "orders", starts: [], stops });
@@ -243,6 +264,7 @@
     const nowMs = performance.now();
     this.#checkLost(nowMs);
     this.#checkStore(nowMs);
+    this.metrics.show("jobs_live", this.cell.live.size);
     for (const effect of this.cell.tick(nowMs, Date.now())) this.#note(effect);
     if (this.#dirty.size === 0 && this.#later.length === 0) return;
     const rows: Row[] = [...this.#dirty].map((job) => ({
@@ -262,6 +284,7 @@
       if (worker.isAdopted || worker.claims.size === 0) continue;
       const renewedAtMs = this.#renewedAtMs.get(worker.node) ?? nowMs;
       if (nowMs - renewedAtMs < graceMs) continue;
+      this.metrics.count("workers_lost");
       this.log.warn("worker_lost", {
         node: worker.node,
         claims: worker.claims.size,
@@ -305,6 +328,7 @@
     }
     for (const [node, starts] of box.starts) {
       for (const { task, run, checkpoint } of starts) {
+        this.metrics.count("starts");
         this.log.info("start", { node, task, run, checkpoint });
       }
       this.#links.get(node)?.send({ kind: "orders", starts, stops: [] });
--- /dev/null
+++ b/src/http/metrics_server.ts
@@ -0,0 +1,16 @@
+import { createServer, type Server } from "node:http";
+import type { ProcessMetrics } from "../adapters/process_metrics.ts";
+
+const contentType = "text/plain; version=0.0.4; charset=utf-8";
+
+/** Serves a process's metrics as text, whatever the path. */
+export function metricsServer(metrics: ProcessMetrics): Server {
+  return createServer((_request, response) => {
+    metrics.text().then(
+      (text) => {
+        response.writeHead(200, { "content-type": contentType }).end(text);
+      },
+      () => response.writeHead(500).end(),
+    );
+  });
+}
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { systemClock } from "../adapters/system_clock.ts";
+import type { ProcessMetrics } from "../adapters/process_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import type { Advisor } from "../cellhost/advisor.ts";
 import { Election } from "../cellhost/election.ts";
@@ -52,6 +53,7 @@
     readonly options: NodeOptions,
     readonly store: Store,
     readonly advisor: Advisor,
+    readonly metrics: ProcessMetrics,
     readonly log: Logger,
   ) {
     const { node, incarnation } = options;
@@ -226,6 +228,7 @@
       this.log,
       node,
       this.advisor,
+      this.metrics,
     );
     session.load(this.#queues);
     this.#session = session;
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import type { ProcessMetrics } from "../adapters/process_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { cancelKeyOf } from "../cellhost/cancel_key_of.ts";
 import { streams } from "../cellhost/streams.ts";
@@ -32,6 +33,7 @@
     readonly entry: EntryNode,
     readonly store: Store,
     readonly health: StoreHealth,
+    readonly metrics: ProcessMetrics,
     readonly log: Logger,
   ) {}
 
@@ -43,6 +45,7 @@
     const row = { key: id, value: JSON.stringify(definition) };
     const outcome = await this.#keep(row, withinMs);
     if (outcome === "stored") directory.submit(definition);
+    this.metrics.count("requests", { call: "submit", outcome });
     const shape = shapeOf(definition);
     this.log.info("submit", { job: id, queue, outcome, shape });
     return outcome;
@@ -67,6 +70,7 @@
     const row = { key: cancelKeyOf(id), value: JSON.stringify(Date.now()) };
     const outcome = await this.#keep(row, withinMs);
     if (outcome === "stored") this.entry.directory.cancel(id);
+    this.metrics.count("requests", { call: "cancel", outcome });
     this.log.info("cancel", { job: id, outcome });
     return outcome;
   }
--- a/tests/takeover_test.ts
+++ b/tests/takeover_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { Logger } from "../src/adapters/logger.ts";
+import { ProcessMetrics } from "../src/adapters/process_metrics.ts";
 import { JobDirectory } from "../src/cellhost/job_directory.ts";
 import { KeeperSession } from "../src/cellhost/keeper_session.ts";
 import { RowWriter } from "../src/cellhost/row_writer.ts";
@@ -58,6 +59,7 @@
         log,
         keeper,
         { ask: () => Promise.reject(new Error("not asked")) },
+        new ProcessMetrics(),
       );
       directory.onSubmitted = (definition) => session.submit(definition);
       directory.takeProgress(rowsOf({ "job j": encodeJob(job) }));
