--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -11,6 +11,7 @@
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { Row } from "../core/store/row.ts";
+import { systemClock } from "../adapters/system_clock.ts";
 import type { ProcessMetrics } from "../adapters/process_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
@@ -18,19 +19,16 @@
 import type { Advisor } from "./advisor.ts";
 import type { JobDirectory } from "./job_directory.ts";
 import type { KeeperBounds } from "./keeper_bounds.ts";
+import { carryOut } from "./carry_out.ts";
+import type { LaterEffect } from "./later_effect.ts";
+import { LeaseWatch } from "./lease_watch.ts";
 import { MemberLink } from "./member_link.ts";
 import type { MemberRow } from "./member_row.ts";
 import { pressuresOn } from "./pressures_on.ts";
-import { OrderBox } from "./order_box.ts";
 import { progressKeyOf } from "./progress_key_of.ts";
 import type { RowWriter } from "./row_writer.ts";
 
 const tickEveryMs = 50;
-/** A keeper without the store's word for so long renews no lease any more. */
-const authorityMs = 8_000;
-/** How much slower a runner's clock may be than ours. */
-const clockDrift = 0.02;
-const marginMs = 250;
 /** A keeper that has not heard from the store for so long lets others stand. */
 const unsureAfterMs = 1_200;
 const unsureEveryMs = 400;
@@ -38,14 +36,11 @@
 const stuckFactor = 0.5;
 const stuckLeastMs = 1_800;
 
-type LaterEffect = Exclude<CellEffect, { kind: "save" | "stop" | "ask" }>;
-
 /** One term of a keeper: from the takeover of its cell's stream until deposed. */
 export class KeeperSession {
   readonly cell: Cell;
   readonly #links = new Map<NodeId, MemberLink>();
-  /** When each worker's lease was last renewed, by our steady clock. */
-  readonly #renewedAtMs = new Map<NodeId, number>();
+  readonly #leases: LeaseWatch;
   readonly #openedAtMs = performance.now();
   readonly #dirty = new Set<Job>();
   #later: LaterEffect[] = [];
@@ -65,7 +60,8 @@
     readonly advisor: Advisor,
     readonly metrics: ProcessMetrics,
   ) {
-    const { farFactor } = bounds;
+    const { farFactor, maxHoldMs } = bounds;
+    this.#leases = new LeaseWatch(writer, maxHoldMs, systemClock);
     this.cell = new Cell({ farFactor, stuckFactor, stuckLeastMs });
     this.#timer = setInterval(() => this.#flushSoon(), tickEveryMs);
   }
@@ -80,7 +76,7 @@
     }
     for (const id of cancelled) this.#run(this.cell.cancel(id, nowMs));
     for (const worker of this.cell.workers.values()) {
-      this.#renewedAtMs.set(worker.node, nowMs + authorityMs);
+      this.#leases.inherit(worker.node);
     }
     for (const job of this.cell.live) job.openDue(Date.now());
     this.metrics.count("terms");
@@ -158,8 +154,8 @@
         this.#run(this.cell.report(node, message.report, nowMs));
         const isUnsure = isFirst || message.report.unexplained > 0;
         if (isUnsure && worker.isAdopted) this.#introduce(link);
-        if (!this.#hasAuthority()) return;
-        this.#renewedAtMs.set(node, nowMs);
+        if (!this.#leases.hasAuthority) return;
+        this.#leases.renew(node);
         const pressures = pressuresOn(worker, this.cell.pressure);
         link.send({ kind: "renew", report: message.number, pressures });
         if (isFirst) this.#noteRenewed();
@@ -212,12 +208,6 @@
     });
   }
 
-  #hasAuthority(): boolean {
-    const { confirmedAtMs, confirmedAtWallMs } = this.writer;
-    return performance.now() - confirmedAtMs < authorityMs &&
-      Date.now() - confirmedAtWallMs < authorityMs;
-  }
-
   #run(effects: Iterable<CellEffect>): void {
     for (const effect of effects) this.#note(effect);
     this.#flushSoon();
@@ -274,16 +264,17 @@
     const later = this.#later;
     this.#dirty.clear();
     this.#later = [];
-    this.writer.write(rows, () => this.#carryOut(later));
+    this.writer.write(rows, () => {
+      if (this.#isClosed) return;
+      carryOut(later, this.#links, this.directory, this.metrics, this.log);
+    });
   }
 
   /** Gives up workers whose leases must have run out by any clock. */
   #checkLost(nowMs: number): void {
-    const graceMs = this.bounds.maxHoldMs * (1 + clockDrift) + marginMs;
     for (const worker of this.cell.workers.values()) {
       if (worker.isAdopted || worker.claims.size === 0) continue;
-      const renewedAtMs = this.#renewedAtMs.get(worker.node) ?? nowMs;
-      if (nowMs - renewedAtMs < graceMs) continue;
+      if (!this.#leases.hasRunOut(worker.node)) continue;
       this.metrics.count("workers_lost");
       this.log.warn("worker_lost", {
         node: worker.node,
@@ -304,42 +295,6 @@
     }
   }
 
-  #carryOut(effects: readonly LaterEffect[]): void {
-    if (this.#isClosed) return;
-    const box = new OrderBox();
-    const shown: (readonly [JobId, ReturnType<JobDirectory["state"]>])[] = [];
-    for (const effect of effects) {
-      switch (effect.kind) {
-        case "start":
-          box.start(effect.node, effect.order);
-          break;
-        case "forget":
-          this.#links.get(effect.node)?.send({
-            kind: "forget",
-            life: effect.life,
-            end: effect.end,
-          });
-          break;
-        case "show":
-          this.directory.note(effect.job, effect.state);
-          shown.push([effect.job, effect.state]);
-          break;
-      }
-    }
-    for (const [node, starts] of box.starts) {
-      for (const { task, run, checkpoint } of starts) {
-        this.metrics.count("starts");
-        this.log.info("start", { node, task, run, checkpoint });
-      }
-      this.#links.get(node)?.send({ kind: "orders", starts, stops: [] });
-    }
-    if (shown.length === 0) return;
-    const jobs = shown as Extract<KeeperMessage, { kind: "states" }>["jobs"];
-    for (const link of this.#links.values()) {
-      if (link.row.role === "entry") link.send({ kind: "states", jobs });
-    }
-  }
-
   #showAll(link: MemberLink): void {
     const jobs = [...this.cell.jobs.values()].map((job) =>
       [job.definition.id, this.directory.state(job.definition.id)!] as const
--- a/src/core/cell/place_waiting.ts
+++ b/src/core/cell/place_waiting.ts
@@ -7,7 +7,8 @@
 import type { Group } from "./group.ts";
 import { startOrderOf } from "./start_order_of.ts";
 import type { Task } from "./task.ts";
-import { type Urgency, urgencyOf } from "./urgency.ts";
+import type { Urgency } from "./urgency.ts";
+import { urgencyOf } from "./urgency_of.ts";
 import type { Worker } from "./worker.ts";
 
 /** A job of which nothing runs for so long is placed even where it presses. */
--- a/tests/platform/decode_test.ts
+++ b/tests/platform/decode_test.ts
@@ -5,8 +5,8 @@
 import { decodeNewest } from "../../platform/decode_newest.ts";
 import { decodeRecords } from "../../platform/decode_records.ts";
 import { encodeRecords } from "../../platform/encode_records.ts";
-import { routeRequest } from "../../platform/queue_router.ts";
-import { parseSettings } from "../../platform/settings.ts";
+import { routeRequest } from "../../platform/route_request.ts";
+import { parseSettings } from "../../platform/parse_settings.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
 
 const id = "5c0e7a21d94b36f8" as JobId;
--- a/tests/style_test.ts
+++ b/tests/style_test.ts
@@ -2,7 +2,7 @@
 import { join } from "node:path";
 import { expect } from "chai";
 
-const folders = ["src", "stand_ins", "scenarios", "demo", "bench"];
+const folders = ["src", "platform", "stand_ins", "scenarios", "demo", "bench"];
 const longestFileLines = 320;
 
 function* sources(): Generator<{ file: string; text: string }> {
@@ -36,6 +36,23 @@
     expect(long.map(({ file }) => file)).to.eql([]);
   });
 
+  it("keeps the platform's names in platform/", () => {
+    const names =
+      /fencingToken|memMb|dependsOn|longRunning|antiAffinity|estimatedMs|mayMiss|runCount|firstRunMs|targetCompletionMs|pathPrefix|keyed\.|log-append|log-read|run-start|run-stop|coldRemainingMs|Deadline-Ms|GYPSUMPOND_BOOT/;
+    const knowing = [...sources()]
+      .filter(({ file }) => !file.startsWith("platform"))
+      .filter(({ text }) => names.test(text));
+    expect(knowing.map(({ file }) => file)).to.eql([]);
+  });
+
+  it("keeps the platform's folder small", () => {
+    const mostLines = 1_500;
+    const lines = [...sources()]
+      .filter(({ file }) => file.startsWith("platform"))
+      .reduce((sum, { text }) => sum + text.split("\n").length, 0);
+    expect(lines).to.be.at.most(mostLines);
+  });
+
   it("keeps the core free of libraries and of the platform", () => {
     const imports = [...sources()]
       .filter(({ file }) => file.startsWith("src/core/"))
