--- a/src/core/cell/bearing_of.ts
+++ b/src/core/cell/bearing_of.ts
@@ -6,6 +6,8 @@
 /** Left free of the load at which a service is at its target. */
 const loadMargin = 0.06;
 
+const leastOwn = 0.01;
+
 /** How a worker's services would bear a filler more. */
 interface Bearing {
   /** The worst load beyond what a service bears; none of it below 0. */
@@ -35,8 +37,8 @@
     added += own;
     const load = pressure.expect(service, group.job.definition.id, demand);
     const over = load - pressure.limitOf(service) + loadMargin;
-    // A service that is too busy by itself is no reason against this filler.
-    excess = Math.max(excess, Math.min(over, own));
+    // What adds next to nothing is not kept off a service that is too busy.
+    if (own >= leastOwn) excess = Math.max(excess, over);
   }
   return { excess, added };
 }
--- a/src/core/cell/urgency.ts
+++ b/src/core/cell/urgency.ts
@@ -6,6 +6,6 @@
   /** 0 services, 1 what can be in time, 2 what is late, 3 what is of no use. */
   readonly band: 0 | 1 | 2 | 3;
   readonly priority: number;
-  /** By when its tasks must start for its job to be in time, wall clock. */
-  readonly startByMs: number;
+  /** Its place within band and priority; see urgency_of.ts. */
+  readonly rankMs: number;
 }
