--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -20,6 +20,8 @@
 const pendingEndsPauseMs = 40;
 const failedLookPauseMs = 100;
 const reportEveryMs = 450;
+/** Looks in a row without answer before a runner counts as down. */
+const looksBeforeDown = 2;
 
 /**
  * The last gate before a runner: carries orders out, holds the runner's lease
@@ -39,6 +41,7 @@
   #reportedAtMs = -Infinity;
   #reportedEnd = 0;
   #forgetUpTo = 0;
+  #looksFailed = 0;
   #lookSentAtMs = -Infinity;
   #running: readonly RunStatus[] = [];
   #ends: readonly RunEnd[] = [];
@@ -193,6 +196,7 @@
       this.#lookFailed(answer.isOk ? "other_life" : answer.failure);
       return false;
     }
+    this.#looksFailed = 0;
     if (!this.isUp) this.log.info("runner_up", { life: lifeOf(info) });
     this.isUp = true;
     this.heard(answer);
@@ -200,8 +204,11 @@
     return true;
   }
 
+  /** A look may go unanswered though its runner is well. */
   #lookFailed(failure: string): void {
+    this.#looksFailed += 1;
     if (!this.isUp) return;
+    if (failure === "unknown" && this.#looksFailed < looksBeforeDown) return;
     this.isUp = false;
     this.log.warn("runner_down", { failure });
     this.#report();
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -302,6 +302,29 @@
   });
 });
 
+describe("a gate whose look goes unanswered", () => {
+  const cases = [
+    { silentMs: 300, isUp: true },
+    { silentMs: 2_500, isUp: false },
+  ];
+  for (const { silentMs, isUp } of cases) {
+    it(`for ${silentMs} ms takes its runner for ${isUp ? "up" : "down"}`, async () => {
+      const f = new Fixture();
+      await f.start();
+      f.runner.isSilent = true;
+      await f.clock.advance(silentMs);
+      f.runner.isSilent = !isUp;
+      await f.clock.advance(700);
+      expect(f.report()?.isUp).to.equal(isUp);
+      const downs = f.sent.filter((message) =>
+        message.kind === "report" && !message.report.isUp
+      );
+      expect(downs.length > 0).to.equal(!isUp);
+      f.gate.stop();
+    });
+  }
+});
+
 describe("a gate lists ends until they are stored", () => {
   it("again and again, and then no more", async () => {
     const f = new Fixture();
