A connection that closes late cuts only itself off

The sidecar reported to nobody while the link stayed open, and its worker was given up 14 s later and never used again. Change: a gate's keeper is a connection, not an epoch; likewise in the entry. Tests: tests/gate_test.ts, 'a gate whose keeper connects anew'; one of the three failed before.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -23,6 +23,8 @@
 /** Looks in a row without answer before a runner counts as down. */
 const looksBeforeDown = 2;
 
+type Send = (message: MemberMessage) => void;
+
 /**
  * The last gate before a runner: carries orders out, holds the runner's lease
  * while its keeper renews it, and never lets a run in that does not fit.
@@ -36,7 +38,9 @@
   readonly lease: RunnerLease;
   readonly #book: RunBook;
   readonly #pace: PaceKeeper;
-  #send: ((message: MemberMessage) => void) | undefined;
+  /** The newest connection of a keeper, and the same once it may be sent to. */
+  #attached: Send | undefined;
+  #send: Send | undefined;
   #reportNumber = 0;
   #reportedAtMs = -Infinity;
   #reportedEnd = 0;
@@ -82,21 +86,24 @@
   }
 
   /** A keeper is there: serves it unless a newer one was heard. */
-  attach(epoch: number, send: (message: MemberMessage) => void): boolean {
+  attach(epoch: number, send: Send): boolean {
     if (epoch < this.epoch) return false;
     this.epoch = epoch;
+    this.#attached = send;
     this.#send = undefined;
     void this.#look(0).then(() => {
-      if (this.epoch !== epoch) return;
+      if (this.#attached !== send) return;
       this.#send = send;
       this.#report();
     });
     return true;
   }
 
-  /** The keeper's connection is gone. */
-  detach(epoch: number): void {
-    if (epoch === this.epoch) this.#send = undefined;
+  /** A connection is gone; a keeper may have made another before that. */
+  detach(send: Send): void {
+    if (send !== this.#attached) return;
+    this.#attached = undefined;
+    this.#send = undefined;
   }
 
   /** Carries out what the keeper wants. */
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -42,8 +42,8 @@
   readonly #server: MemberServer;
   #queues: readonly Queue[] = [];
   #keeperHeardAtMs = 0;
-  /** The newest epoch of which a keeper is connected. */
-  #connectedEpoch = 0;
+  /** The newest connection of a keeper. */
+  #keeper: { readonly epoch: number } | undefined;
   #unsureAtMs = -Infinity;
   #isClosed = false;
   #isResigned = false;
@@ -71,18 +71,20 @@
     this.#election = new Election(store, { node, incarnation }, log);
     this.#election.onWinner = () => this.#winnerSeen();
     this.#server = new MemberServer((channel, { epoch, keeper }) => {
-      if (epoch < this.#connectedEpoch) {
-        channel.send({ kind: "superseded", epoch: this.#connectedEpoch });
+      const known = this.#keeper;
+      if (known !== undefined && epoch < known.epoch) {
+        channel.send({ kind: "superseded", epoch: known.epoch });
         channel.close("a newer keeper was heard");
         return;
       }
       log.info("keeper_heard", { epoch, keeper });
-      this.#connectedEpoch = epoch;
+      const connected = { epoch };
+      this.#keeper = connected;
       this.#keeperHeardAtMs = performance.now();
       channel.onMessage = (message) => this.#takeKeeper(message);
       channel.onClose = (reason) => {
         log.info("keeper_gone", { epoch, keeper, reason });
-        if (this.#connectedEpoch === epoch) this.#connectedEpoch = 0;
+        if (this.#keeper === connected) this.#keeper = undefined;
       };
     });
   }
@@ -142,7 +144,7 @@
     } else if (message.kind === "unsure") {
       this.#unsureAtMs = performance.now();
     } else if (message.kind === "resigned") {
-      this.#connectedEpoch = 0;
+      this.#keeper = undefined;
       void this.#election.campaign("resigned");
     }
   }
@@ -169,7 +171,7 @@
       return nowMs - tail.readAtMs > delayMs ? "first" : undefined;
     }
     if (wasSelf) return "restarted";
-    const isConnected = this.#connectedEpoch > 0 &&
+    const isConnected = this.#keeper !== undefined &&
       nowMs - this.#unsureAtMs > unsureForMs;
     const stirredAtMs = Math.max(
       isConnected ? nowMs : this.#keeperHeardAtMs,
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -1,3 +1,4 @@
+import type { MemberMessage } from "../link/member_message.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { Store } from "../core/store/store.ts";
 import { systemClock } from "../adapters/system_clock.ts";
@@ -26,10 +27,8 @@
       log,
     );
     this.#server = new MemberServer((channel, { epoch, keeper }) => {
-      const isTaken = this.gate.attach(
-        epoch,
-        (message) => channel.send(message),
-      );
+      const send = (message: MemberMessage) => channel.send(message);
+      const isTaken = this.gate.attach(epoch, send);
       if (!isTaken) {
         channel.send({ kind: "superseded", epoch: this.gate.epoch });
         channel.close("a newer keeper was heard");
@@ -45,7 +44,7 @@
       };
       channel.onClose = (reason) => {
         log.info("keeper_gone", { epoch, keeper, reason });
-        this.gate.detach(epoch);
+        this.gate.detach(send);
       };
     });
   }
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -218,6 +218,47 @@
   });
 });
 
+describe("a gate whose keeper connects anew", () => {
+  const cases = [
+    { name: "before the old connection is seen to close", pauseMs: 0 },
+    { name: "and the old one closes after its look", pauseMs: 1_000 },
+  ];
+  for (const { name, pauseMs } of cases) {
+    it(`reports on the new one, ${name}`, async () => {
+      const f = new Fixture();
+      await f.start();
+      const onOld: MemberMessage[] = [];
+      const onNew: MemberMessage[] = [];
+      const oldSend = (message: MemberMessage) => void onOld.push(message);
+      f.gate.attach(2, oldSend);
+      await f.clock.advance(pauseMs);
+      f.gate.attach(2, (message) => void onNew.push(message));
+      f.gate.detach(oldSend);
+      await f.clock.advance(10);
+      const before = onOld.length;
+      await f.clock.advance(2_000);
+      expect(onNew.filter(({ kind }) => kind === "report")).to.not.eql([]);
+      expect(onOld.length).to.equal(before);
+      f.gate.stop();
+    });
+  }
+
+  it("reports on the new one though the old one closes much later", async () => {
+    const f = new Fixture();
+    await f.start();
+    const onNew: MemberMessage[] = [];
+    const oldSend = () => {};
+    f.gate.attach(2, oldSend);
+    f.gate.attach(2, (message) => void onNew.push(message));
+    await f.clock.advance(1_000);
+    f.gate.detach(oldSend);
+    const before = onNew.length;
+    await f.clock.advance(1_000);
+    expect(onNew.length).to.be.above(before);
+    f.gate.stop();
+  });
+});
+
 describe("a gate holds its runner's lease", () => {
   for (const rate of [1, 0.98]) {
     it(`while its keeper renews it, on a clock at ${rate}`, async () => {
