A tail forgets offsets once reading has passed them, as its comment says

Found in the read-through: the offset of every key was kept for ever. Rows are handed on as before; test in tests/takeover_test.ts.

--- a/src/cellhost/stream_tail.ts
+++ b/src/cellhost/stream_tail.ts
@@ -25,6 +25,8 @@
   #isStopped = false;
   /** Offsets of rows from the newest pages, until reading has passed them. */
   readonly #seen = new Map<string, number>();
+  /** The highest of them. */
+  #seenUpTo = -1;
 
   constructor(
     readonly store: Store,
@@ -81,7 +83,11 @@
       }
       from ??= page.value.end;
       after = page.value.more;
-      this.#deliver(page.value.rows);
+      const fresh = this.#deliver(page.value.rows);
+      for (const { key, offset } of fresh) {
+        this.#seen.set(key, offset);
+        this.#seenUpTo = Math.max(this.#seenUpTo, offset);
+      }
     } while (after !== undefined);
     this.#next ??= from;
     this.end = Math.max(this.end, from ?? 0);
@@ -109,16 +115,18 @@
     this.#next = next;
     this.end = Math.max(this.end, end);
     this.#deliver(rows);
+    if (next > this.#seenUpTo) this.#seen.clear();
     this.#succeeded(rows.length > 0);
     return "read";
   }
 
-  #deliver(rows: readonly StoredRow[]): void {
+  /** Hands on what is newer than was seen; gives that. */
+  #deliver(rows: readonly StoredRow[]): readonly StoredRow[] {
     const fresh = rows.filter(({ key, offset }) =>
       offset > (this.#seen.get(key) ?? -1)
     );
-    for (const { key, offset } of fresh) this.#seen.set(key, offset);
     if (fresh.length > 0) this.onRows(fresh);
+    return fresh;
   }
 
   #succeeded(hasGrown: boolean): void {
--- a/tests/takeover_test.ts
+++ b/tests/takeover_test.ts
@@ -75,6 +75,27 @@
 });
 
 describe("a tail that refreshes", () => {
+  it("hands each row on once, and none older than its newest", async () => {
+    const store = new StoreModel();
+    const write = (key: string, value: string) =>
+      store.append("jobs", [{ key, value }], { kind: "none" });
+    await write("a", "1");
+    await write("a", "2");
+    const seen: string[] = [];
+    const options = { waitMs: 0, pauseMs: 1 };
+    const take = (rows: readonly StoredRow[]) =>
+      seen.push(...rows.map(({ key, value }) => `${key}=${value}`));
+    const tail = new StreamTail(store, "jobs", options, take, log);
+    await tail.refresh();
+    await tail.refresh();
+    await write("a", "3");
+    await write("b", "1");
+    await tail.refresh();
+    await write("a", "4");
+    await tail.refresh();
+    expect(seen).to.eql(["a=2", "a=3", "b=1", "a=4"]);
+  });
+
   it("has read all that was stored before, whatever reads beside it", async () => {
     const store = new StoreModel();
     const seen: string[] = [];
