A new keeper stops what a cancelled job still claims, never starts it

Cause: a cancelled job's row keeps its claims, so that a successor can stop them, but decoding gave each the phase 'ordered'; the first report without the run was answered with a start. A start that had not arrived before the cancellation would have run. Change: claims of a job that is over are decoded as stopping; the row is saved without them once the last run has ended. Ruled out: a start by the deposed keeper (the epoch of the orders is the new one's). Before: cell_test 'a cancelled job' fails twice.

--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -22,6 +22,12 @@
     occurrence.groups.forEach((group, step) => {
       fillGroup(group, groups[step] ?? 0, row.w, nowMs);
     });
+    // What a job that is over still claims is there to be stopped.
+    for (const { claim } of job.tasks()) {
+      if (claim !== undefined && job.outcome !== undefined) {
+        claim.phase = "stopping";
+      }
+    }
   }
   job.nextOccurrence = Math.max(job.nextOccurrence, row.n);
   return job;
--- a/src/core/cell/settle_end.ts
+++ b/src/core/cell/settle_end.ts
@@ -28,7 +28,11 @@
   learn(cell, worker, task, end, nowMs);
   task.claim = undefined;
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
-  if (job.outcome !== undefined) return;
+  if (job.outcome !== undefined) {
+    // A later keeper has nothing left to stop.
+    if (!job.isRunning) yield { kind: "save", job };
+    return;
+  }
   yield { kind: "save", job };
   if (end.outcome === "done" && !group.definition.isService) {
     yield* settleDone(cell, task, nowMs);
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -403,6 +403,29 @@
   });
 });
 
+describe("a cancelled job", () => {
+  it("is not started again by a new keeper, but stopped", () => {
+    const b = built(["w"], [step()]);
+    b.run(b.cell.cancel("j" as JobId, b.nowMs));
+    const job = b.cell.jobs.get("j" as JobId)!;
+    const next = new CellBuilder();
+    next.cell.load(decodeJob(job.definition, encodeJob(job), 0));
+    next.report("w");
+    next.tick();
+    expect([next.starts(), next.stops()]).to.eql([[], ["j.0.0.0#1@w"]]);
+  });
+
+  it("leaves nothing to stop once all its runs have ended", () => {
+    const b = built(["w"], [step()]);
+    b.run(b.cell.cancel("j" as JobId, b.nowMs));
+    b.effects = [];
+    b.end("w", "j.0.0.0", 1, "stopped");
+    const job = b.cell.jobs.get("j" as JobId)!;
+    expect(b.effects.map(({ kind }) => kind)).to.include("save");
+    expect(encodeJob(job).w).to.eql([]);
+  });
+});
+
 describe("a checkpoint", () => {
   it("is stored within a second, though nothing else changes", () => {
     const b = built(["w"], [step({ savesProgress: true })]);
