Submissions are appended together, one append at a time; a leaving entry stands no more

Each submission was an append of its own, given up after 0.7 s and sent again, so the line grew, and callers got 503 or a 504 near their time limit. A caller whose row may be stored is told after half its time. A resignation counts for its own epoch only.

--- a/src/cellhost/election.ts
+++ b/src/cellhost/election.ts
@@ -38,9 +38,11 @@
       this.winner.incarnation === this.self.incarnation;
   }
 
-  /** Whether the newest winner is an earlier life of this process. */
-  get wasSelf(): boolean {
-    return this.winner?.node === this.self.node && !this.isWon;
+  /** Who won last, as this process sees it. */
+  get winnerIs(): "none" | "other" | "self" | "earlier_self" {
+    if (this.winner === undefined) return "none";
+    if (this.winner.node !== this.self.node) return "other";
+    return this.isWon ? "self" : "earlier_self";
   }
 
   /** Stands for office, unless somebody else has done so meanwhile. */
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -13,6 +13,8 @@
 import { streams } from "../cellhost/streams.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { Queue } from "../core/jobs/queue.ts";
+import type { KeeperView } from "../cellhost/keeper_view.ts";
+import { whyStand } from "../cellhost/why_stand.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Store } from "../core/store/store.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
@@ -24,8 +26,6 @@
 /** How far a standby may lag behind the keeper. */
 const standbyPauseMs = 200;
 const watchEveryMs = 50;
-/** How long neither the keeper nor its stream may stir before another stands. */
-const keeperSilenceMs = 900;
 /** For how long a keeper's word that it cannot reach the store holds. */
 const unsureForMs = 1_000;
 /** Spreads candidates, so that mostly one stands. */
@@ -45,6 +45,8 @@
   /** The newest connection of a keeper. */
   #keeper: { readonly epoch: number } | undefined;
   #unsureAtMs = -Infinity;
+  /** The newest term whose keeper has said that it leaves. */
+  #resignedEpoch = 0;
   #isClosed = false;
   #isResigned = false;
   #isTaking = false;
@@ -81,7 +83,7 @@
       const connected = { epoch };
       this.#keeper = connected;
       this.#keeperHeardAtMs = performance.now();
-      channel.onMessage = (message) => this.#takeKeeper(message);
+      channel.onMessage = (message) => this.#takeKeeper(message, epoch);
       channel.onClose = (reason) => {
         log.info("keeper_gone", { epoch, keeper, reason });
         if (this.#keeper === connected) this.#keeper = undefined;
@@ -138,14 +140,15 @@
     );
   }
 
-  #takeKeeper(message: KeeperMessage): void {
+  #takeKeeper(message: KeeperMessage, epoch: number): void {
     if (message.kind === "states") {
       for (const [id, state] of message.jobs) this.directory.note(id, state);
     } else if (message.kind === "unsure") {
       this.#unsureAtMs = performance.now();
     } else if (message.kind === "resigned") {
       this.#keeper = undefined;
-      void this.#election.campaign("resigned");
+      this.#resignedEpoch = epoch;
+      void this.#standIfDue(0);
     }
   }
 
@@ -153,33 +156,34 @@
     const delayMs = Math.random() * mostCampaignDelayMs;
     while (!this.#isClosed) {
       await sleep(watchEveryMs);
-      const reason = this.#whyStand(delayMs);
-      if (reason !== undefined) await this.#election.campaign(reason);
+      await this.#standIfDue(delayMs);
     }
   }
 
-  #whyStand(delayMs: number): string | undefined {
-    const { tail, winner, wasSelf, isWon } = this.#election;
-    if (this.#session !== undefined || this.#isTaking || this.#isResigned) {
-      return undefined;
-    }
-    if (!tail.isCaughtUp || !this.#cellTail.isCaughtUp) return undefined;
-    if (!this.jobsTail.isCaughtUp) return undefined;
+  async #standIfDue(delayMs: number): Promise<void> {
+    const reason = whyStand(this.#view(delayMs));
+    if (reason !== undefined) await this.#election.campaign(reason);
+  }
+
+  #view(delayMs: number): KeeperView {
+    const { tail } = this.#election;
     const nowMs = performance.now();
-    if (isWon) return "won_but_deposed";
-    if (winner === undefined) {
-      return nowMs - tail.readAtMs > delayMs ? "first" : undefined;
-    }
-    if (wasSelf) return "restarted";
-    const isConnected = this.#keeper !== undefined &&
-      nowMs - this.#unsureAtMs > unsureForMs;
-    const stirredAtMs = Math.max(
-      isConnected ? nowMs : this.#keeperHeardAtMs,
-      this.#cellTail.grewAtMs,
-    );
-    // Only what was read tells: a store that is away shows no keeper at work.
-    const silentMs = this.#cellTail.readAtMs - stirredAtMs;
-    return silentMs > keeperSilenceMs + delayMs ? "silent" : undefined;
+    return {
+      isBound: this.#session !== undefined || this.#isTaking ||
+        this.#isResigned,
+      isCaughtUp: tail.isCaughtUp && this.#cellTail.isCaughtUp &&
+        this.jobsTail.isCaughtUp,
+      winner: this.#election.winnerIs,
+      hasResigned: this.#resignedEpoch >= this.#election.epoch,
+      isConnected: this.#keeper !== undefined &&
+        nowMs - this.#unsureAtMs > unsureForMs,
+      stirredAtMs: Math.max(this.#keeperHeardAtMs, this.#cellTail.grewAtMs),
+      readAtMs: this.#election.winner === undefined
+        ? tail.readAtMs
+        : this.#cellTail.readAtMs,
+      nowMs,
+      delayMs,
+    };
   }
 
   #winnerSeen(): void {
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -2,18 +2,19 @@
 import type { ProcessMetrics } from "../adapters/process_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { cancelKeyOf } from "../cellhost/cancel_key_of.ts";
-import { streams } from "../cellhost/streams.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
 import { shapeOf } from "../core/jobs/shape_of.ts";
 import type { Row } from "../core/store/row.ts";
-import type { Store } from "../core/store/store.ts";
 import type { EntryNode } from "./entry_node.ts";
 import type { StoreHealth } from "./store_health.ts";
+import type { SubmissionWriter } from "./submission_writer.ts";
 
-const attemptTimeoutMs = 700;
 const retryPauseMs = 15;
+const uncertainPauseMs = 100;
+/** The part of a caller's time after which another entry may do better. */
+const tryForShare = 0.5;
 /** A store that turns everything away is asked this often for one request. */
 const mostRefusals = 3;
 /** A read so old may miss jobs that were handed in elsewhere. */
@@ -31,7 +32,7 @@
 export class JobService {
   constructor(
     readonly entry: EntryNode,
-    readonly store: Store,
+    readonly writer: SubmissionWriter,
     readonly health: StoreHealth,
     readonly metrics: ProcessMetrics,
     readonly log: Logger,
@@ -80,27 +81,18 @@
     return [...this.entry.directory.waiting(queue)].length;
   }
 
+  /** Stores a row; a caller whose row may be stored is told so in good time. */
   async #keep(row: Row, withinMs: number): Promise<Stored> {
     if (this.health.isAway(performance.now())) return "refused";
-    const untilMs = performance.now() + withinMs;
+    const untilMs = performance.now() + withinMs * tryForShare;
     let isUncertain = false;
     let refusals = 0;
-    while (true) {
-      const leftMs = untilMs - performance.now();
-      if (leftMs <= 0) break;
-      const result = await this.store.append(
-        streams.jobs,
-        [row],
-        { kind: "none" },
-        Math.min(leftMs, attemptTimeoutMs),
-      );
+    while (performance.now() < untilMs && refusals < mostRefusals) {
+      const result = await this.writer.append(row);
       if (result.isOk) return "stored";
       if (result.error.kind === "unknown") isUncertain = true;
-      else {
-        refusals += 1;
-        if (refusals >= mostRefusals && !isUncertain) break;
-      }
-      await sleep(retryPauseMs);
+      else if (!isUncertain) refusals += 1;
+      await sleep(isUncertain ? uncertainPauseMs : retryPauseMs);
     }
     return isUncertain ? "unknown" : "refused";
   }
