A keeper that leaves keeps until another has taken over

Cause: a keeper told to stop gave its cell up at once. MemberLinks holds a keeper's connections. Test: takeover_test 'a keeper that leaves'.

--- a/src/cellhost/carry_out.ts
+++ b/src/cellhost/carry_out.ts
@@ -2,16 +2,15 @@
 import type { Logger } from "../adapters/logger.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
-import type { NodeId } from "../core/jobs/node_id.ts";
 import type { JobDirectory } from "./job_directory.ts";
 import type { LaterEffect } from "./later_effect.ts";
-import type { MemberLink } from "./member_link.ts";
+import type { MemberLinks } from "./member_links.ts";
 import { OrderBox } from "./order_box.ts";
 
 /** Carries out effects whose saves are stored: one message a member. */
 export function carryOut(
   effects: readonly LaterEffect[],
-  links: ReadonlyMap<NodeId, MemberLink>,
+  links: MemberLinks,
   directory: JobDirectory,
   metrics: ProcessMetrics,
   log: Logger,
@@ -25,7 +24,7 @@
         break;
       case "forget": {
         const { life, end } = effect;
-        links.get(effect.node)?.send({ kind: "forget", life, end });
+        links.send(effect.node, { kind: "forget", life, end });
         break;
       }
       case "show":
@@ -39,10 +38,7 @@
       metrics.count("starts");
       log.info("start", { node, task, run, checkpoint });
     }
-    links.get(node)?.send({ kind: "orders", starts, stops: [] });
-  }
-  if (jobs.length === 0) return;
-  for (const link of links.values()) {
-    if (link.row.role === "entry") link.send({ kind: "states", jobs });
+    links.send(node, { kind: "orders", starts, stops: [] });
   }
+  if (jobs.length > 0) links.sendEntries({ kind: "states", jobs });
 }
--- a/src/cellhost/election.ts
+++ b/src/cellhost/election.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Store } from "../core/store/store.ts";
 import type { Logger } from "../adapters/logger.ts";
@@ -8,6 +9,8 @@
 
 const waitMs = 3_000;
 const appendTimeoutMs = 700;
+/** The pause after a campaign that did not go well. */
+const pauseMs = 100;
 const cellKey = "cell";
 
 /**
@@ -58,10 +61,11 @@
       guard,
       appendTimeoutMs,
     );
-    this.#isCampaigning = false;
     if (result.isErr) {
       this.log.info("campaign_failed", { reason: result.error.kind });
+      await sleep(pauseMs);
     }
+    this.#isCampaigning = false;
   }
 
   #take(rows: readonly StoredRow[]): void {
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -14,7 +14,6 @@
 import { systemClock } from "../adapters/system_clock.ts";
 import type { ProcessMetrics } from "../adapters/process_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
-import type { KeeperMessage } from "../link/keeper_message.ts";
 import type { MemberMessage } from "../link/member_message.ts";
 import type { Advisor } from "./advisor.ts";
 import type { JobDirectory } from "./job_directory.ts";
@@ -22,7 +21,8 @@
 import { carryOut } from "./carry_out.ts";
 import type { LaterEffect } from "./later_effect.ts";
 import { LeaseWatch } from "./lease_watch.ts";
-import { MemberLink } from "./member_link.ts";
+import type { MemberLink } from "./member_link.ts";
+import { MemberLinks } from "./member_links.ts";
 import type { MemberRow } from "./member_row.ts";
 import { pressuresOn } from "./pressures_on.ts";
 import { progressKeyOf } from "./progress_key_of.ts";
@@ -39,13 +39,14 @@
 /** One term of a keeper: from the takeover of its cell's stream until deposed. */
 export class KeeperSession {
   readonly cell: Cell;
-  readonly #links = new Map<NodeId, MemberLink>();
+  readonly #links: MemberLinks;
   readonly #leases: LeaseWatch;
   readonly #openedAtMs = performance.now();
   readonly #dirty = new Set<Job>();
   #later: LaterEffect[] = [];
   #isFlushing = false;
   #isClosed = false;
+  #isLeaving = false;
   #toldUnsureAtMs = 0;
   #firstRenewed = false;
   readonly #timer: NodeJS.Timeout;
@@ -62,6 +63,10 @@
   ) {
     this.#leases = new LeaseWatch(writer, bounds.maxHoldMs, systemClock);
     this.cell = new Cell({ stuckFactor, stuckLeastMs });
+    this.#links = new MemberLinks({ kind: "hello", epoch, keeper }, log);
+    this.#links.onMessage = (link, message) => this.#take(link, message);
+    this.#links.onSidecarLost = (node) => this.cell.disconnected(node);
+    this.#links.onEntry = (link) => this.#welcome(link);
     this.#timer = setInterval(() => this.#flushSoon(), tickEveryMs);
   }
 
@@ -110,35 +115,32 @@
 
   /** Connects to a member, or to the new address of a known one. */
   setMember(node: NodeId, row: MemberRow): void {
-    const known = this.#links.get(node);
-    if (known?.row.incarnation === row.incarnation) return;
-    known?.close();
-    const { epoch, keeper } = this;
-    const hello: KeeperMessage = { kind: "hello", epoch, keeper };
-    const link = new MemberLink(node, row, hello, this.log);
-    this.#links.set(node, link);
-    if (row.role === "sidecar") {
-      link.onMessage = (message) => this.#take(link, message);
-      link.onLost = () => this.cell.disconnected(node);
-    } else {
-      link.onOpen = () => this.#showAll(link);
-      link.onMessage = (message) => this.#take(link, message);
-    }
-    link.open();
+    this.#links.set(node, row);
+  }
+
+  /** Whether the term goes on. */
+  get isOpen(): boolean {
+    return !this.#isClosed;
   }
 
-  /** Ends the term; tells the members where it ends of our own will. */
-  close(isResigned: boolean): void {
+  /** Asks the entries to take over; keeps until one has. */
+  leave(): void {
+    if (this.#isLeaving) return;
+    this.#isLeaving = true;
+    this.log.info("keeper_leaves", { epoch: this.epoch });
+    this.#links.sendEntries({ kind: "resigned" });
+  }
+
+  /** Ends the term. */
+  close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
     clearInterval(this.#timer);
     this.writer.close();
-    for (const link of this.#links.values()) {
-      if (isResigned) link.send({ kind: "resigned" });
-      link.close();
-    }
+    this.#links.close();
     this.metrics.show("in_office", 0);
-    this.log.info("term_ended", { epoch: this.epoch, resigned: isResigned });
+    const { epoch } = this;
+    this.log.info("term_ended", { epoch, leaving: this.#isLeaving });
   }
 
   #take(link: MemberLink, message: MemberMessage): void {
@@ -219,7 +221,7 @@
       this.metrics.count("stops", { reason });
       this.log.info("stop", { node, task, run, reason });
       const stops = [{ task, run, life }];
-      this.#links.get(node)?.send({ kind: "orders", starts: [], stops });
+      this.#links.send(node, { kind: "orders", starts: [], stops });
     } else if (effect.kind === "ask") void this.#ask(effect.step, effect.lives);
     else this.#later.push(effect);
   }
@@ -289,15 +291,14 @@
     if (nowMs - this.writer.confirmedAtMs < unsureAfterMs) return;
     if (nowMs - this.#toldUnsureAtMs < unsureEveryMs) return;
     this.#toldUnsureAtMs = nowMs;
-    for (const link of this.#links.values()) {
-      if (link.row.role === "entry") link.send({ kind: "unsure" });
-    }
+    this.#links.sendEntries({ kind: "unsure" });
   }
 
-  #showAll(link: MemberLink): void {
+  #welcome(link: MemberLink): void {
     const jobs = [...this.cell.jobs.values()].map((job) =>
       [job.definition.id, this.directory.state(job.definition.id)!] as const
     );
     link.send({ kind: "states", jobs });
+    if (this.#isLeaving) link.send({ kind: "resigned" });
   }
 }
--- /dev/null
+++ b/src/cellhost/member_links.ts
@@ -0,0 +1,46 @@
+import type { NodeId } from "../core/jobs/node_id.ts";
+import type { Logger } from "../adapters/logger.ts";
+import type { KeeperMessage } from "../link/keeper_message.ts";
+import type { MemberMessage } from "../link/member_message.ts";
+import { MemberLink } from "./member_link.ts";
+import type { MemberRow } from "./member_row.ts";
+
+/** A keeper's connections to all its members, the newest address of each. */
+export class MemberLinks {
+  /** An entry can be told how all jobs stand. */
+  onEntry: (link: MemberLink) => void = () => {};
+  onMessage: (link: MemberLink, message: MemberMessage) => void = () => {};
+  onSidecarLost: (node: NodeId) => void = () => {};
+  readonly #links = new Map<NodeId, MemberLink>();
+
+  constructor(readonly hello: KeeperMessage, readonly log: Logger) {}
+
+  /** Connects to a member, or to the new address of a known one. */
+  set(node: NodeId, row: MemberRow): void {
+    const known = this.#links.get(node);
+    if (known?.row.incarnation === row.incarnation) return;
+    known?.close();
+    const link = new MemberLink(node, row, this.hello, this.log);
+    this.#links.set(node, link);
+    link.onMessage = (message) => this.onMessage(link, message);
+    if (row.role === "entry") link.onOpen = () => this.onEntry(link);
+    else link.onLost = () => this.onSidecarLost(node);
+    link.open();
+  }
+
+  /** Sends to one member, if it is connected. */
+  send(node: NodeId, message: KeeperMessage): void {
+    this.#links.get(node)?.send(message);
+  }
+
+  /** Sends to all entries. */
+  sendEntries(message: KeeperMessage): void {
+    for (const link of this.#links.values()) {
+      if (link.row.role === "entry") link.send(message);
+    }
+  }
+
+  close(): void {
+    for (const link of this.#links.values()) link.close();
+  }
+}
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -115,15 +115,15 @@
       performance.now() - this.jobsTail.readAtMs < withinMs + tailWaitMs;
   }
 
-  /** Leaves office, so that another takes over at once. */
+  /** Stands no more; a cell that it keeps it keeps until another does. */
   resign(): void {
     this.#isResigned = true;
-    this.#endTerm(true);
+    this.#session?.leave();
   }
 
   close(): void {
     this.#isClosed = true;
-    this.#endTerm(false);
+    this.#endTerm();
     this.#server.close();
     for (
       const tail of [this.jobsTail, this.#cellTail, this.#election.tail]
@@ -187,8 +187,8 @@
   }
 
   #winnerSeen(): void {
-    if (this.#session !== undefined) this.#endTerm(false);
-    if (this.#election.isWon && !this.#isResigned) void this.#takeOffice();
+    if (this.#session !== undefined) this.#endTerm();
+    if (this.#election.isWon) void this.#takeOffice();
     else this.#cellTail.grewAtMs = performance.now();
   }
 
@@ -207,8 +207,7 @@
     );
     const end = await writer.take();
     const isCurrent = () =>
-      !this.#isClosed && !this.#isResigned && this.#election.epoch === epoch &&
-      !writer.isDeposed;
+      !this.#isClosed && this.#election.epoch === epoch && !writer.isDeposed;
     while (end !== undefined && isCurrent()) {
       // A job's definition was stored before the row that names it.
       const isRead = await this.#cellTail.reach(end) &&
@@ -247,6 +246,7 @@
       this.log,
     );
     void this.#membersTail.run();
+    if (this.#isResigned) session.leave();
   }
 
   #takeMembers(session: KeeperSession, rows: readonly StoredRow[]): void {
@@ -258,15 +258,15 @@
   }
 
   #deposed(epoch: number): void {
-    if (this.#session?.epoch === epoch) this.#endTerm(false);
+    if (this.#session?.epoch === epoch) this.#endTerm();
   }
 
-  #endTerm(isResigned: boolean): void {
+  #endTerm(): void {
     const session = this.#session;
     if (session === undefined) return;
     this.#session = undefined;
     this.#membersTail?.stop();
-    session.close(isResigned);
+    session.close();
     this.directory.rows.clear();
     this.#cellTail = this.#newCellTail();
     if (!this.#isClosed) void this.#cellTail.run();
--- a/tests/takeover_test.ts
+++ b/tests/takeover_test.ts
@@ -1,7 +1,12 @@
+import { type AddressInfo, createServer } from "node:net";
 import { expect } from "chai";
 import { Logger } from "../src/adapters/logger.ts";
 import { ProcessMetrics } from "../src/adapters/process_metrics.ts";
 import { JobDirectory } from "../src/cellhost/job_directory.ts";
+import type { MemberRow } from "../src/cellhost/member_row.ts";
+import { Channel } from "../src/link/channel.ts";
+import type { KeeperMessage } from "../src/link/keeper_message.ts";
+import type { MemberMessage } from "../src/link/member_message.ts";
 import { KeeperSession } from "../src/cellhost/keeper_session.ts";
 import { RowWriter } from "../src/cellhost/row_writer.ts";
 import { StreamTail } from "../src/cellhost/stream_tail.ts";
@@ -24,6 +29,76 @@
   }));
 }
 
+function sessionOf(epoch: number) {
+  const directory = new JobDirectory(log);
+  const writer = new RowWriter(
+    new StoreModel(),
+    "cell",
+    epoch,
+    () => ({ key: "keeper", value: "" }),
+    () => {},
+    new VirtualClock(),
+    log,
+  );
+  const session = new KeeperSession(
+    epoch,
+    writer,
+    directory,
+    bounds,
+    log,
+    "k" as NodeId,
+    { ask: () => Promise.reject(new Error("not asked")) },
+    new ProcessMetrics(),
+  );
+  return { session, directory };
+}
+
+/** A member that tells what its keeper says. */
+async function listeningMember() {
+  const heard: string[] = [];
+  let told = () => {};
+  const server = createServer((socket) => {
+    const channel = new Channel<MemberMessage, KeeperMessage>(socket);
+    channel.onMessage = ({ kind }) => {
+      heard.push(kind);
+      told();
+    };
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const hears = async (kind: string) => {
+    while (!heard.includes(kind)) {
+      await new Promise<void>((resolve) => told = resolve);
+    }
+  };
+  const row = (role: MemberRow["role"]): MemberRow => ({
+    role,
+    host: "127.0.0.1",
+    port,
+    incarnation: "1",
+  });
+  return { heard, hears, row, close: () => server.close() };
+}
+
+describe("a keeper that leaves", () => {
+  it("asks each entry to take over, also one that comes later, and keeps on", async () => {
+    const { session } = sessionOf(1);
+    const early = await listeningMember();
+    const late = await listeningMember();
+    session.setMember("early" as NodeId, early.row("entry"));
+    await early.hears("states");
+    expect(early.heard).not.to.include("resigned");
+    session.leave();
+    await early.hears("resigned");
+    session.setMember("late" as NodeId, late.row("entry"));
+    await late.hears("resigned");
+    expect(session.isOpen).to.equal(true);
+    session.close();
+    early.close();
+    late.close();
+  });
+});
+
 describe("a keeper that takes over", () => {
   const orders = [
     { name: "the job before its row", isJobLate: false },
@@ -37,30 +112,7 @@
       earlier.tick();
       const job = earlier.cell.jobs.get("j" as JobId)!;
 
-      const directory = new JobDirectory(log);
-      const clock = new VirtualClock();
-      const beat = () => ({ key: "keeper", value: "" });
-      const store = new StoreModel();
-      const writer = new RowWriter(
-        store,
-        "cell",
-        2,
-        beat,
-        () => {},
-        clock,
-        log,
-      );
-      const keeper = "k" as NodeId;
-      const session = new KeeperSession(
-        2,
-        writer,
-        directory,
-        bounds,
-        log,
-        keeper,
-        { ask: () => Promise.reject(new Error("not asked")) },
-        new ProcessMetrics(),
-      );
+      const { session, directory } = sessionOf(2);
       directory.onSubmitted = (definition) => session.submit(definition);
       directory.takeProgress(rowsOf({ "job j": encodeJob(job) }));
       const takeJob = () => directory.takeJobs(rowsOf({ j: job.definition }));
@@ -68,7 +120,7 @@
       session.load(earlier.cell.queues.values());
       if (isJobLate) takeJob();
       const taken = session.cell.jobs.get("j" as JobId)!;
-      session.close(false);
+      session.close();
       expect(encodeJob(taken)).to.eql(encodeJob(job));
     });
   }
