Strong machines keep: a weak one stands later and hands over

Cause: on the grown sites an entry has from 0.324 to 1.35 cores and from 7 to 140 Mbit/s; which of them keeps was left to chance. Change: a machine's strength (processors, link) delays its candidacy by up to 0.6 s; a weak one does not stand at once after a restart; a weak keeper asks to be replaced once a strong entry is connected. Tests: why_stand_test.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -123,6 +123,16 @@
     return !this.#isClosed;
   }
 
+  /** How long the term has lasted. */
+  get ageMs(): number {
+    return performance.now() - this.#openedAtMs;
+  }
+
+  /** Whether an entry of at least that strength is connected. */
+  hasEntry(strength: number): boolean {
+    return this.#links.hasEntry(strength);
+  }
+
   /** Asks the entries to take over; keeps until one has. */
   leave(): void {
     if (this.#isLeaving) return;
--- a/src/cellhost/keeper_view.ts
+++ b/src/cellhost/keeper_view.ts
@@ -4,6 +4,8 @@
   readonly isBound: boolean;
   /** It has read all streams that a keeper needs. */
   readonly isCaughtUp: boolean;
+  /** Its machine's share suits a keeper. */
+  readonly isStrong: boolean;
   readonly winner: "none" | "other" | "self" | "earlier_self";
   /** The keeper has said that it leaves, and nobody has won since. */
   readonly hasResigned: boolean;
--- a/src/cellhost/member_links.ts
+++ b/src/cellhost/member_links.ts
@@ -40,6 +40,16 @@
     }
   }
 
+  /** Whether an entry of at least that strength is connected. */
+  hasEntry(strength: number): boolean {
+    for (const { row, isOpen } of this.#links.values()) {
+      if (row.role === "entry" && isOpen && row.strength >= strength) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   close(): void {
     for (const link of this.#links.values()) link.close();
   }
--- a/src/cellhost/member_row.ts
+++ b/src/cellhost/member_row.ts
@@ -4,4 +4,6 @@
   readonly host: string;
   readonly port: number;
   readonly incarnation: string;
+  /** How far its machine's share suits a keeper, from 0 to 1. */
+  readonly strength: number;
 }
--- a/src/cellhost/why_stand.ts
+++ b/src/cellhost/why_stand.ts
@@ -12,12 +12,16 @@
     case "self":
       return "won_but_deposed";
     case "earlier_self":
-      return "restarted";
-    case "other": {
-      if (view.hasResigned) return "resigned";
-      const stirredAtMs = view.isConnected ? view.nowMs : view.stirredAtMs;
-      const silentMs = view.readAtMs - stirredAtMs;
-      return silentMs > keeperSilenceMs + view.delayMs ? "silent" : undefined;
-    }
+      // A weak machine leaves the cell to those that notice its silence.
+      return view.isStrong ? "restarted" : whyReplace(view);
+    case "other":
+      return whyReplace(view);
   }
 }
+
+function whyReplace(view: KeeperView): string | undefined {
+  if (view.hasResigned) return "resigned";
+  const stirredAtMs = view.isConnected ? view.nowMs : view.stirredAtMs;
+  const silentMs = view.readAtMs - stirredAtMs;
+  return silentMs > keeperSilenceMs + view.delayMs ? "silent" : undefined;
+}
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -30,6 +30,12 @@
 const unsureForMs = 1_000;
 /** Spreads candidates, so that mostly one stands. */
 const mostCampaignDelayMs = 150;
+/** A machine without any strength stands so much later. */
+const weakDelayMs = 600;
+/** From this strength on a machine counts as strong. */
+const strongFrom = 0.9;
+/** A weak keeper asks stronger entries to take over after this. */
+const weakTermMs = 3_000;
 
 /** An entry: takes jobs, tells how they stand, and may keep the cell. */
 export class EntryNode {
@@ -47,6 +53,7 @@
   #unsureAtMs = -Infinity;
   /** The newest term whose keeper has said that it leaves. */
   #resignedEpoch = 0;
+  #resignedAtMs = -Infinity;
   #isClosed = false;
   #isResigned = false;
   #isTaking = false;
@@ -93,9 +100,15 @@
 
   /** Starts to serve. */
   async start(): Promise<void> {
-    const { node, host, memberPort, incarnation } = this.options;
+    const { node, host, memberPort, incarnation, strength } = this.options;
     await this.#server.listen(host, memberPort);
-    const row = { role: "entry", host, port: memberPort, incarnation } as const;
+    const row = {
+      role: "entry",
+      host,
+      port: memberPort,
+      incarnation,
+      strength,
+    } as const;
     void announceMember(this.store, node, row, this.log);
     void this.jobsTail.run();
     void this.#cellTail.run();
@@ -148,18 +161,31 @@
     } else if (message.kind === "resigned") {
       this.#keeper = undefined;
       this.#resignedEpoch = epoch;
-      void this.#standIfDue(0);
+      this.#resignedAtMs = performance.now();
+      void sleep(this.#weakDelayMs).then(() => this.#standIfDue(0));
     }
   }
 
   async #watch(): Promise<void> {
-    const delayMs = Math.random() * mostCampaignDelayMs;
+    const delayMs = Math.random() * mostCampaignDelayMs + this.#weakDelayMs;
     while (!this.#isClosed) {
       await sleep(watchEveryMs);
       await this.#standIfDue(delayMs);
+      this.#handOverIfWeak();
     }
   }
 
+  get #weakDelayMs(): number {
+    return (1 - this.options.strength) * weakDelayMs;
+  }
+
+  #handOverIfWeak(): void {
+    const session = this.#session;
+    if (session === undefined || session.ageMs < weakTermMs) return;
+    const { strength } = this.options;
+    if (strength < strongFrom && session.hasEntry(strongFrom)) session.leave();
+  }
+
   async #standIfDue(delayMs: number): Promise<void> {
     const reason = whyStand(this.#view(delayMs));
     if (reason !== undefined) await this.#election.campaign(reason);
@@ -173,8 +199,10 @@
         this.#isResigned,
       isCaughtUp: tail.isCaughtUp && this.#cellTail.isCaughtUp &&
         this.jobsTail.isCaughtUp,
+      isStrong: this.options.strength >= strongFrom,
       winner: this.#election.winnerIs,
-      hasResigned: this.#resignedEpoch >= this.#election.epoch,
+      hasResigned: this.#resignedEpoch >= this.#election.epoch &&
+        nowMs - this.#resignedAtMs >= this.#weakDelayMs,
       isConnected: this.#keeper !== undefined &&
         nowMs - this.#unsureAtMs > unsureForMs,
       stirredAtMs: Math.max(this.#keeperHeardAtMs, this.#cellTail.grewAtMs),
--- a/src/nodes/node_options.ts
+++ b/src/nodes/node_options.ts
@@ -10,4 +10,6 @@
   /** Where it takes its keeper's connection. */
   readonly memberPort: number;
   readonly bounds: KeeperBounds;
+  /** How far the machine's share suits a keeper, from 0 to 1. */
+  readonly strength: number;
 }
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -51,13 +51,14 @@
 
   /** Starts to serve. */
   async start(): Promise<void> {
-    const { node, host, memberPort, incarnation } = this.options;
+    const { node, host, memberPort, incarnation, strength } = this.options;
     await this.#server.listen(host, memberPort);
     const row = {
       role: "sidecar",
       host,
       port: memberPort,
       incarnation,
+      strength,
     } as const;
     void announceMember(this.store, node as NodeId, row, this.log);
     void this.gate.run();
--- a/tests/takeover_test.ts
+++ b/tests/takeover_test.ts
@@ -76,6 +76,7 @@
     host: "127.0.0.1",
     port,
     incarnation: "1",
+    strength: 1,
   });
   return { heard, hears, row, close: () => server.close() };
 }
--- a/tests/why_stand_test.ts
+++ b/tests/why_stand_test.ts
@@ -5,6 +5,7 @@
 const calm: KeeperView = {
   isBound: false,
   isCaughtUp: true,
+  isStrong: true,
   winner: "other",
   hasResigned: false,
   isConnected: true,
@@ -36,6 +37,21 @@
       change: { winner: "earlier_self" },
       reason: "restarted",
     },
+    {
+      name: "not at once after a restart on a weak machine",
+      change: { winner: "earlier_self", isStrong: false },
+      reason: undefined,
+    },
+    {
+      name: "on a weak machine when nobody else has, after a restart",
+      change: {
+        winner: "earlier_self",
+        isStrong: false,
+        isConnected: false,
+        stirredAtMs: 8_999,
+      },
+      reason: "silent",
+    },
     {
       name: "when it has won and was deposed",
       change: { winner: "self" },
