A pace keeper leaves the load that is left to the images that press least

Cause: beside a service near its target all pressing images were paced by one share, so an image that presses 0.3 gave way as much as one that presses 3. Change: images are served in the order of their pressure, the least first. Test: interference_test 'leaves the load that is left to what presses least'.

--- a/src/core/interfere/filler_pace.ts
+++ b/src/core/interfere/filler_pace.ts
@@ -67,15 +67,20 @@
     isLong: boolean,
   ): Generator<[image: string, percent: number]> {
     const { part, floor, pressures } = service;
-    const pressing = fillers.filter(({ image }) =>
-      (pressures.get(image) ?? 0) >= leastPressure
-    );
+    const pressing = fillers
+      .map(({ image, used, asked }) => {
+        const pressure = pressures.get(image) ?? 0;
+        return {
+          image,
+          pressure,
+          used: pressure * used,
+          asked: pressure * asked,
+        };
+      })
+      .filter(({ pressure }) => pressure >= leastPressure)
+      .sort((a, b) => a.pressure - b.pressure);
     let usedLoad = 0;
-    let askedLoad = 0;
-    for (const { image, used, asked } of pressing) {
-      usedLoad += (pressures.get(image) ?? 0) * used;
-      askedLoad += (pressures.get(image) ?? 0) * asked;
-    }
+    for (const { used } of pressing) usedLoad += used;
     const isOver = part > 1;
     if (isOver && (isLong || usedLoad < tellingLoad)) {
       for (const { image } of fillers) {
@@ -83,11 +88,14 @@
       }
       return;
     }
-    if (askedLoad <= 0) return;
     const ownLoad = latencyLoad(part, floor) - usedLoad;
-    const leftLoad = latencyLoad(1, floor) - loadMargin - ownLoad;
-    const share = Math.max(0, Math.min(1, leftLoad / askedLoad));
-    for (const { image } of pressing) yield [image, share * 100];
+    let leftLoad = Math.max(0, latencyLoad(1, floor) - loadMargin - ownLoad);
+    // The load that is left does most work with those that press least.
+    for (const { image, asked } of pressing) {
+      const share = asked <= leftLoad ? 1 : leftLoad / asked;
+      leftLoad = Math.max(0, leftLoad - asked);
+      yield [image, share * 100];
+    }
   }
 
   #approach(image: string, wanted: number): void {
--- a/tests/interference_test.ts
+++ b/tests/interference_test.ts
@@ -110,4 +110,16 @@
     const pace = paces(Array.from({ length: samplesOver }, () => 1.5));
     expect([pace.of("bad"), pace.of("good")]).to.eql([0, 0]);
   });
+
+  it("leaves the load that is left to what presses least", () => {
+    const pressures = new Map([["light", 0.5], ["heavy", 4]]);
+    const fillers = [
+      { image: "heavy", used: 0.2, asked: 0.2 },
+      { image: "light", used: 0.2, asked: 0.2 },
+    ];
+    const pace = new FillerPace();
+    pace.observe([{ part: 1.5, floor: 0.25, pressures }], fillers, 0);
+    expect(pace.of("light")).to.equal(100);
+    expect(pace.of("heavy")).to.be.below(95);
+  });
 });
