A filler leaves workers where other images fit too to those

Change: a worker's closedness, the mean over filler images of how much each presses there, counts for it as a place. Test: cell_test 'leaves the worker where other images fit'.

--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -15,6 +15,8 @@
 /** How much what a filler adds to services' loads counts. */
 const addedWeight = 2;
 const excessWeight = 10;
+/** How much it counts that few other fillers would fit on a worker. */
+const closedWeight = 1;
 /** The least part of its processors that a filler is to get. */
 const leastFillerShare = 0.85;
 /** A worker that is slower than this counts as ill. */
@@ -89,7 +91,8 @@
     askedMilli + cpuMilli * leastFillerShare <= unusedMilli;
   if (care === "gentle" && !isGentle) return Infinity;
   return baseCost(task, worker) + excessWeight * excess +
-    addedWeight * added + askedMilli / Math.max(1, unusedMilli);
+    addedWeight * added + askedMilli / Math.max(1, unusedMilli) -
+    closedWeight * worker.closedness;
 }
 
 function costOf(task: Task, worker: Worker): number {
--- a/src/core/cell/observe_worker.ts
+++ b/src/core/cell/observe_worker.ts
@@ -26,9 +26,28 @@
   if (nowMs - worker.observedAtMs < observeEveryMs) return false;
   worker.observedAtMs = nowMs;
   learnPressure(worker, pressure, nowMs);
+  worker.closedness = closednessOf(worker, pressure);
   return true;
 }
 
+/** The mean over the filler images of how much each presses, at most 1. */
+function closednessOf(worker: Worker, pressure: PairPressure): number {
+  const services = new Set<string>();
+  for (const { group } of worker.claims.values()) {
+    const { isService, targetLatencyMs, image } = group.definition;
+    if (isService && targetLatencyMs > 0) services.add(image ?? "");
+  }
+  let sum = 0;
+  for (const filler of pressure.fillers) {
+    let most = 0;
+    for (const service of services) {
+      most = Math.max(most, pressure.of(service, filler));
+    }
+    sum += Math.min(1, most);
+  }
+  return sum / Math.max(1, pressure.fillers.size);
+}
+
 function learnPressure(
   worker: Worker,
   pressure: PairPressure,
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -30,6 +30,8 @@
   timesAside = 0;
   /** How much longer than expected its runs take, smoothed. */
   slowness = 1;
+  /** How ill filler images in general fit beside its services, 0 to 1. */
+  closedness = 0;
   /** When its services' figures were last taken in. */
   observedAtMs = -Infinity;
   /** When a filler was last stopped here for a service's sake. */
--- a/src/core/interfere/pair_pressure.ts
+++ b/src/core/interfere/pair_pressure.ts
@@ -13,6 +13,7 @@
 const sampleVariance = 0.004;
 const mostServices = 256;
 const mostJobs = 4_096;
+const mostFillers = 256;
 
 interface Learned {
   floor: number;
@@ -27,9 +28,14 @@
 export class PairPressure {
   readonly #services = new Map<string, Learned>();
   readonly #loads = new Map<string, number>();
+  /** The filler images that were seen beside services. */
+  readonly fillers = new Set<string>();
 
   /** Takes in one sample of a service of the job: latency by target. */
   learn(service: string, job: string, part: number, use: FillerUse): void {
+    for (const image of use.keys()) {
+      if (this.fillers.size < mostFillers) this.fillers.add(image);
+    }
     const learned = this.#of(service);
     if (part < learned.floor) {
       learned.floor += (part - learned.floor) * floorRate;
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -316,6 +316,17 @@
   });
 });
 
+describe("a filler", () => {
+  it("leaves the worker where other images fit as well to those", () => {
+    const b = new CellBuilder();
+    for (const node of ["open", "closed"]) b.report(node);
+    b.cell.worker("closed" as NodeId).closedness = 0.8;
+    b.submit("j", [step({ isFiller: true, image: "f" })]);
+    b.tick();
+    expect(b.starts()).to.eql(["j.0.0.0#1@closed"]);
+  });
+});
+
 describe("a queue with a policy", () => {
   function advised(): CellBuilder {
     const b = new CellBuilder();
