An entry calls no submission refused that it may have stored

Change: the writer remembers keys without answer until an append of them goes well; a refusal of one is 'unknown'.

--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -83,7 +83,9 @@
 
   /** Stores a row; a caller whose row may be stored is told so in good time. */
   async #keep(row: Row, withinMs: number): Promise<Stored> {
-    if (this.health.isAway(performance.now())) return "refused";
+    if (this.health.isAway(performance.now())) {
+      return this.writer.mayHave(row.key) ? "unknown" : "refused";
+    }
     const untilMs = performance.now() + withinMs * tryForShare;
     let isUncertain = false;
     let refusals = 0;
--- a/src/nodes/submission_writer.ts
+++ b/src/nodes/submission_writer.ts
@@ -10,6 +10,7 @@
 const tryAgainMs = 250;
 /** Rows of one append; what the store takes in one call is twice that. */
 const mostBatchBytes = 1_000_000;
+const mostUncertain = 10_000;
 
 interface Waiting {
   readonly row: Row;
@@ -24,6 +25,8 @@
   #waiting: Waiting[] = [];
   #isBusy = false;
   #failedAtMs: number | undefined;
+  /** Keys of rows that an append without answer may have stored. */
+  readonly #uncertain = new Set<string>();
 
   constructor(
     readonly store: Store,
@@ -37,11 +40,14 @@
     return this.#isBusy || this.clock.nowMs() - this.#failedAtMs < tryAgainMs;
   }
 
+  /** Whether an append without answer may have stored the key. */
+  mayHave(key: string): boolean {
+    return this.#uncertain.has(key);
+  }
+
   /** Stores a row; `refused` at once while the stream is away. */
   async append(row: Row): Promise<StoreResult<Appended>> {
-    if (this.isAway) {
-      return err({ kind: "refused", detail: "the stream was away just now" });
-    }
+    if (this.isAway) return this.#refuse(row, "the stream was away just now");
     const result = new Promise<StoreResult<Appended>>((done) => {
       this.#waiting.push({ row, done });
     });
@@ -49,6 +55,31 @@
     return await result;
   }
 
+  /** A row that an earlier append may have stored is not said to be refused. */
+  #refuse({ key }: Row, detail: string): StoreResult<Appended> {
+    const kind = this.mayHave(key) ? "unknown" : "refused";
+    return err({ kind, detail });
+  }
+
+  #settle({ row, done }: Waiting, result: StoreResult<Appended>): void {
+    const { key } = row;
+    if (result.isOk) this.#uncertain.delete(key);
+    else if (result.error.kind === "unknown") this.#noteUncertain(key);
+    done(
+      result.isErr && result.error.kind === "refused"
+        ? this.#refuse(row, result.error.detail)
+        : result,
+    );
+  }
+
+  #noteUncertain(key: string): void {
+    const [oldest] = this.#uncertain;
+    if (this.#uncertain.size >= mostUncertain && oldest !== undefined) {
+      this.#uncertain.delete(oldest);
+    }
+    this.#uncertain.add(key);
+  }
+
   async #drain(): Promise<void> {
     if (this.#isBusy) return;
     this.#isBusy = true;
@@ -61,7 +92,7 @@
         appendTimeoutMs,
       );
       this.#failedAtMs = result.isOk ? undefined : this.clock.nowMs();
-      for (const { done } of batch) done(result);
+      for (const waiting of batch) this.#settle(waiting, result);
       if (!result.isOk) this.#refuseWaiting();
     }
     this.#isBusy = false;
@@ -69,8 +100,8 @@
 
   /** What was not sent is surely not stored. */
   #refuseWaiting(): void {
-    for (const { done } of this.#waiting.splice(0)) {
-      done(err({ kind: "refused", detail: "an append before it failed" }));
+    for (const { row, done } of this.#waiting.splice(0)) {
+      done(this.#refuse(row, "an append before it failed"));
     }
   }
 }
--- a/tests/submission_writer_test.ts
+++ b/tests/submission_writer_test.ts
@@ -85,4 +85,21 @@
     await clock.advance(appendMs);
     expect(told.at(-1)).to.equal("e stored");
   });
+
+  it("calls no row refused that it may have stored before", async () => {
+    const { clock, store, told, hand } = built();
+    store.faults.push("lost");
+    hand("a");
+    await clock.advance(appendMs);
+    hand("a");
+    store.isDown = true;
+    await clock.advance(250);
+    hand("a");
+    await clock.advance(appendMs);
+    store.isDown = false;
+    await clock.advance(250);
+    hand("a");
+    await clock.advance(appendMs);
+    expect(told).to.eql(["a unknown", "a unknown", "a unknown", "a stored"]);
+  });
 });
