A fault soak of real processes; what it found at the gate is mended

Now a run that a list shows counts as started. 3. an installation whose settings name no advisor: the entry ended at its start. Each has a test that failed before: cell_test 'keeps a claim whose start reached a new life', gate_test, decode_test.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -65,6 +65,7 @@
       ...mains,
       "scenarios/main.ts",
       "demo/main.ts",
+      "tests/soak/main.ts",
       ...readdirSync("bench").filter((name) => name.endsWith("_bench.ts"))
         .map((name) => join("bench", name)),
     ],
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -96,7 +96,6 @@
       worker.statuses.clear();
     }
     worker.report = report;
-    yield* this.#releaseOthers(worker, report, nowMs);
     const runs = new Map(report.running.map((run) => [run.task, run]));
     yield* this.#takeEnds(worker, report, nowMs);
     if (report.isLapsed) {
@@ -108,6 +107,7 @@
       worker.isAdopted = false;
       return;
     }
+    yield* this.#releaseOthers(worker, report, runs, nowMs);
     yield* this.#compare(worker, runs, nowMs);
     worker.isAdopted = true;
     if (!observeWorker(worker, runs, this.pressure, nowMs)) return;
@@ -184,15 +184,25 @@
     return task?.run === run ? task : undefined;
   }
 
-  /** Claims of earlier lives are over: a new life runs nothing of them. */
+  /**
+   * Claims of earlier lives are over, but for those whose start has reached the
+   * new life, or may yet: an order tells lives with one id not apart.
+   */
   *#releaseOthers(
     worker: Worker,
-    report: WorkerReport,
+    { life, unsettled }: WorkerReport,
+    runs: ReadonlyMap<TaskName, RunStatus>,
     nowMs: number,
   ): Effects {
     for (const task of [...worker.claims.values()]) {
-      if (task.claim?.life === report.life) continue;
-      yield* this.#release(worker, task, nowMs);
+      const { claim } = task;
+      if (claim === undefined || claim.life === life) continue;
+      const isThere = runs.get(task.name)?.run === task.run ||
+        unsettled.includes(runKey({ task: task.name, run: task.run }));
+      if (isThere) {
+        task.claim = { ...claim, life };
+        yield { kind: "save", job: task.group.job };
+      } else yield* this.#release(worker, task, nowMs);
     }
   }
 
--- a/src/core/cell/worker_report.ts
+++ b/src/core/cell/worker_report.ts
@@ -21,4 +21,6 @@
   readonly ends: readonly RunEnd[];
   /** How many runs it has found of which it knows nothing more. */
   readonly unexplained: number;
+  /** Keys of the runs whose start or stop is not settled. */
+  readonly unsettled: readonly string[];
 }
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -68,8 +68,8 @@
     if (known !== undefined && info.bornMs < known.bornMs) return;
     const isSame = known?.bornMs === info.bornMs;
     if (isSame && info.sequence < known.sequence) return;
-    if (!isSame) this.#beginLife(info);
     this.info = info;
+    if (!isSame) this.#beginLife(info);
     if (!info.isDraining || this.isDraining) return;
     this.isDraining = true;
     this.log.info("runner_draining", { life: lifeOf(info) });
@@ -175,9 +175,9 @@
       life: lifeOf(info),
       cpu_milli: info.capacity.cpuMilli,
     });
-    this.#book.runs.clear();
+    this.#book.newLife();
     this.#pace.reset();
-    this.lease.reset();
+    this.lease.reset(this.clock.nowMs());
     this.#forgetUpTo = 0;
     this.#reportedEnd = 0;
     this.#running = [];
@@ -256,6 +256,7 @@
         running: this.#running,
         ends: this.#ends,
         unexplained: this.#book.unexplained,
+        unsettled: this.#book.unsettled,
       },
     });
   }
--- a/src/gate/run_book.ts
+++ b/src/gate/run_book.ts
@@ -35,6 +35,28 @@
     return [...this.runs.values()].some((run) => run.stoppedAtMs !== undefined);
   }
 
+  /** The runs whose start or stop is not settled. */
+  get unsettled(): string[] {
+    return [...this.runs.values()]
+      .filter(({ phase }) => phase !== "running")
+      .map(runKey);
+  }
+
+  /**
+   * The runner has begun a new life, which runs nothing of before. A start that
+   * got no answer may reach the new one, so it is stopped there.
+   */
+  newLife(): void {
+    const starting = [...this.runs.values()]
+      .filter(({ phase }) => phase === "starting");
+    this.runs.clear();
+    for (const run of starting) {
+      const carried = { ...run };
+      this.runs.set(runKey(carried), carried);
+      void this.#stop(carried);
+    }
+  }
+
   /** Compares with what the runner lists; the look was asked for at a time. */
   takeLook(look: RunnerLook, sentAtMs: number): void {
     const listed = new Set(look.running.map(runKey));
@@ -51,7 +73,7 @@
       const key = runKey(status);
       const known = this.runs.get(key);
       if (known === undefined) this.runs.set(key, foundRun(status));
-      else if (known.phase === "starting") known.isUncertain = false;
+      else if (known.phase === "starting") this.#started(known);
     }
   }
 
@@ -105,7 +127,7 @@
   async #start(run: Run, order: StartOrder): Promise<void> {
     const { context } = this;
     const instance = context.info!.instance;
-    while (this.#isCurrent(run)) {
+    while (this.#isStarting(run)) {
       const answer = await context.runner.start({
         instance,
         epoch: context.epoch,
@@ -116,7 +138,8 @@
         checkpoint: order.checkpoint,
         untilClockMs: context.lease.grant() ?? 0,
       });
-      if (!this.#isCurrent(run)) return;
+      // A look may have shown meanwhile that it runs, or has ended.
+      if (!this.#isStarting(run)) return;
       context.heard(answer);
       if (answer.isOk) {
         this.#started(run);
@@ -135,7 +158,7 @@
       this.#refuse(run, refusalOf(answer.failure));
       return;
     }
-    if (this.#isCurrent(run)) await this.#stop(run);
+    if (this.#isStarting(run)) await this.#stop(run);
   }
 
   #started(run: Run): void {
@@ -175,6 +198,10 @@
     this.context.send({ kind: "refused", task, run: run.run, reason });
   }
 
+  #isStarting(run: Run): boolean {
+    return this.#isCurrent(run) && run.phase === "starting";
+  }
+
   #isCurrent(run: Run): boolean {
     return !this.context.isStopped && this.runs.get(runKey(run)) === run;
   }
--- a/src/gate/runner_lease.ts
+++ b/src/gate/runner_lease.ts
@@ -20,17 +20,20 @@
   #grantedClockMs = 0;
   /** The least that the runner's clock showed when each report was sent. */
   readonly #reports = new Map<number, number>();
-  /** Until then a lease that an earlier life of this process gave may last. */
-  readonly #earlierUntilMs: number;
+  /**
+   * Until then a lease may last that is not known here: of an earlier life of
+   * this process, or of a start that reached a new life of the runner.
+   */
+  #earlierUntilMs: number;
 
   constructor(readonly maxHoldMs: number, startedAtMs: number) {
-    this.#earlierUntilMs = startedAtMs + maxHoldMs / (1 - drift) +
-      lapseMarginMs;
+    this.#earlierUntilMs = this.#longestFrom(startedAtMs);
   }
 
   /** Forgets all, for a new life of the runner. */
-  reset(): void {
+  reset(nowMs: number): void {
     this.clock.reset();
+    this.#earlierUntilMs = this.#longestFrom(nowMs);
     this.#reports.clear();
     this.untilClockMs = undefined;
     this.#grantedClockMs = 0;
@@ -65,6 +68,10 @@
     return this.untilClockMs;
   }
 
+  #longestFrom(nowMs: number): number {
+    return nowMs + this.maxHoldMs / (1 - drift) + lapseMarginMs;
+  }
+
   /** Whether all that any call may have set has surely passed. */
   hasLapsed(nowMs: number): boolean {
     const passedAtMs = this.clock.surelyPassedAt(this.#grantedClockMs) +
--- a/tests/cell_builder.ts
+++ b/tests/cell_builder.ts
@@ -102,6 +102,7 @@
       running: [],
       ends: [],
       unexplained: 0,
+      unsettled: [],
       ...change,
     };
     this.run(this.cell.report(node as NodeId, report, this.nowMs));
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -172,6 +172,39 @@
     expect(b.starts()).to.eql(["j.0.0.0#2@w"]);
   });
 
+  const life = "w@2" as RunnerLife;
+  const reached: { name: string; tell: (b: CellBuilder) => void }[] = [
+    {
+      name: "runs there",
+      tell: (b) => b.report("w", { life, running: b.runningOn("w") }),
+    },
+    {
+      name: "may yet run there",
+      tell: (b) => b.report("w", { life, unsettled: ["j.0.0.0#1"] }),
+    },
+    {
+      name: "may run there, which is not known yet",
+      tell: (b) => b.report("w", { life, isUp: false }),
+    },
+  ];
+  for (const { name, tell } of reached) {
+    it(`keeps a claim whose start reached a new life and ${name}`, () => {
+      const b = built(["w", "v"], [step()]);
+      b.report("v", { isDraining: true });
+      b.starts();
+      tell(b);
+      b.report("v");
+      b.tick();
+      expect([b.starts(), b.stops()]).to.eql([[], []]);
+    });
+  }
+
+  it("takes the end of a run in a life that it was not ordered in", () => {
+    const b = built(["w"], [step()]);
+    b.end("w", "j.0.0.0", 1, "done", "", { life });
+    expect(b.state("j")).to.equal("completed");
+  });
+
   it("keeps its claims while its runner does not answer", () => {
     const b = built(["w", "v"], [step()]);
     const [started = ""] = b.starts();
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -133,6 +133,42 @@
     });
   }
 
+  it("and calls a run that was seen and has ended no start refused", async () => {
+    // Whenever a look falls: it may show the run between the first call, which
+    // got no answer, and the second, by which the run has ended.
+    for (let offsetMs = 0; offsetMs < 410; offsetMs += 5) {
+      const f = new Fixture();
+      await f.start();
+      await f.clock.advance(offsetMs);
+      f.runner.faults.push("lost");
+      f.give(f.order());
+      await f.clock.advance(428);
+      f.runner.end("j.0.0.0", "done");
+      await f.clock.advance(1_000);
+      expect(f.refusals(), `${offsetMs}`).to.eql([]);
+      expect(f.report()?.ends.map(({ outcome }) => outcome)).to.eql(["done"]);
+      f.gate.stop();
+    }
+  }).timeout(10_000);
+
+  it("and settles a start without answer in the runner's next life", async () => {
+    const f = new Fixture();
+    await f.start();
+    f.runner.faults.push("ignored");
+    f.give(f.order());
+    await f.clock.advance(50);
+    f.runner.reborn();
+    f.runner.faults.push("ignored");
+    f.beat(1);
+    await f.clock.advance(430);
+    expect(f.report()?.unsettled).to.eql(["j.0.0.0#1"]);
+    await f.clock.advance(1_500);
+    expect(f.runner.starts).to.equal(0);
+    expect(f.refusals()).to.eql(["j.0.0.0#1 old"]);
+    expect(f.report()?.unsettled).to.eql([]);
+    f.gate.stop();
+  });
+
   it("and a stop that overtakes a late start keeps it from running", async () => {
     const f = new Fixture();
     await f.start();
--- a/tests/platform/decode_test.ts
+++ b/tests/platform/decode_test.ts
@@ -6,6 +6,7 @@
 import { decodeRecords } from "../../platform/decode_records.ts";
 import { encodeRecords } from "../../platform/encode_records.ts";
 import { routeRequest } from "../../platform/route_request.ts";
+import { AdvisorHttp } from "../../platform/advisor_http.ts";
 import { parseSettings } from "../../platform/parse_settings.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
 
@@ -308,3 +309,13 @@
     expect(() => parseSettings(text)).to.throw("bounds.maxHoldMs is no number");
   });
 });
+
+describe("an installation without an advisor", () => {
+  it("serves, and says so where it is asked for", async () => {
+    const advisor = new AdvisorHttp("");
+    const why = await advisor.ask("j.0.0", []).catch((cause: Error) =>
+      cause.message
+    );
+    expect(why).to.equal("no advisor is set");
+  });
+});
--- /dev/null
+++ b/tests/soak/callers.ts
@@ -0,0 +1,115 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import type { RandomSource } from "../../src/core/random/random_source.ts";
+import type { Judge } from "./judge.ts";
+import type { SoakJob } from "./soak_job.ts";
+
+/** The host that the configuration's route names. */
+export const callersHost = "soak.example";
+const requestTimeoutMs = 3_000;
+const retryPauseMs = 120;
+const mostAttempts = 8;
+const cancelShare = 0.1;
+const idDigits = 16;
+
+/** Hands jobs in as the platform's callers do, and asks how they stand. */
+export class Callers {
+  constructor(
+    readonly fronts: readonly string[],
+    readonly judge: Judge,
+    readonly random: RandomSource,
+  ) {}
+
+  /** Hands a job in, again under its id until it is answered. */
+  async submit(): Promise<void> {
+    const job = this.#draw();
+    this.judge.jobs.set(job.id, job);
+    const body = {
+      spec: job.payload,
+      steps: job.steps.map(({ count, after, cpuMilli, ms }) => ({
+        count,
+        dependsOn: after,
+        cpu: cpuMilli,
+        memMb: 10,
+        estimatedMs: ms,
+      })),
+    };
+    const statuses: number[] = [];
+    while (statuses.length < mostAttempts) {
+      const { status } = await this.#call("POST", job.id, body);
+      statuses.push(status);
+      if (status === 200) job.isAccepted = true;
+      if (status === 200 || status === 400 || status === 404) break;
+      await sleep(retryPauseMs);
+    }
+    job.isRefused = statuses.every((status) => status === 503);
+    if (!job.isAccepted || this.random.next() > cancelShare) return;
+    await sleep(this.random.next() * requestTimeoutMs);
+    job.isCancelled = true;
+    await this.#call("DELETE", job.id);
+  }
+
+  /** Asks for each job that is not over; tells whether all are. */
+  async ask(): Promise<boolean> {
+    let isOver = true;
+    for (const job of this.judge.jobs.values()) {
+      if (!job.isAccepted) continue;
+      if (job.state === "completed" || job.state === "canceled") continue;
+      isOver = false;
+      const { status, body } = await this.#call("GET", job.id);
+      if (status === 200) this.judge.told(job.id, String(body.state));
+      if (status === 410) this.judge.break("lost", `${job.id} is not known`);
+    }
+    return isOver;
+  }
+
+  async #call(
+    method: "POST" | "GET" | "DELETE",
+    id: string,
+    body?: unknown,
+  ): Promise<{ status: number; body: Record<string, unknown> }> {
+    const at = Math.floor(this.random.next() * this.fronts.length);
+    try {
+      const answer = await request(`http://${this.fronts[at]}/q/${id}`, {
+        method,
+        headers: {
+          host: callersHost,
+          "content-type": "application/json",
+          "deadline-ms": String(requestTimeoutMs),
+        },
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+        signal: AbortSignal.timeout(requestTimeoutMs),
+      });
+      const said = await answer.body.json() as Record<string, unknown>;
+      return { status: answer.statusCode, body: said };
+    } catch {
+      // No answer: the caller does not know, and comes again.
+      return { status: 0, body: {} };
+    }
+  }
+
+  #draw(): SoakJob {
+    const digit = () => Math.floor(this.random.next() * 16).toString(16);
+    const id = Array.from({ length: idDigits }, digit).join("");
+    const steps = Array.from({ length: 1 + this.#upTo(2) }, (_, step) => ({
+      count: 1 + this.#upTo(4),
+      after: step === 0 ? [] : [step - 1],
+      cpuMilli: 200 + 100 * this.#upTo(10),
+      ms: 100 + 100 * this.#upTo(12),
+    }));
+    return {
+      id,
+      payload: `p${id}`,
+      steps,
+      isAccepted: false,
+      isRefused: false,
+      isCancelled: false,
+      hasRun: false,
+      state: "none",
+    };
+  }
+
+  #upTo(most: number): number {
+    return Math.floor(this.random.next() * (most + 1));
+  }
+}
