Orders that are lost with a connection are told again

The keeper had reached a restarted sidecar through its old connection, which leads to the same address; then the sidecar's new member row came, the connection was replaced, and starts sent between the two were lost. Since the worker counted as connected all the while, nothing told them again. Change: a row with the same address keeps its connection; another address makes the sidecar count as lost until it reports; an order of which no report shows anything is told again after 1.5 s, also while connected; a runner's 'old' is told as a refusal only once a look shows no end of that run; a worker that refused for its new life gets nothing until it reports. Tests, failing before: cell_test 'is told again what it shows nothing of', 'gets nothing after a start for an earlier life'; gate_test; takeover_test 'a keeper's connections'.

--- a/src/cellhost/member_link.ts
+++ b/src/cellhost/member_link.ts
@@ -22,7 +22,7 @@
 
   constructor(
     readonly node: NodeId,
-    readonly row: MemberRow,
+    public row: MemberRow,
     readonly hello: KeeperMessage,
     readonly log: Logger,
   ) {}
--- a/src/cellhost/member_links.ts
+++ b/src/cellhost/member_links.ts
@@ -18,8 +18,15 @@
   /** Connects to a member, or to the new address of a known one. */
   set(node: NodeId, row: MemberRow): void {
     const known = this.#links.get(node);
-    if (known?.row.incarnation === row.incarnation) return;
-    known?.close();
+    if (known !== undefined) {
+      const isSame = known.row.host === row.host && known.row.port === row.port;
+      known.row = row;
+      // It has found the new process there, or will.
+      if (isSame) return;
+      known.close();
+      // Orders that were on their way are told again at the next report.
+      if (row.role === "sidecar") this.onSidecarLost(node);
+    }
     const link = new MemberLink(node, row, this.hello, this.log);
     this.#links.set(node, link);
     link.onMessage = (message) => this.onMessage(link, message);
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -7,16 +7,14 @@
 import type { RunEnd } from "../jobs/run_end.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
-import { noResources } from "../resources/no_resources.ts";
 import { AdviceBook } from "./advice_book.ts";
 import type { CellEffect } from "./cell_effect.ts";
+import { compareRuns } from "./compare_runs.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
 import { leaveDraining } from "./leave_draining.ts";
 import { placeWaiting } from "./place_waiting.ts";
-import { roomOf } from "./room_of.ts";
 import { settleEnd } from "./settle_end.ts";
-import { startOrderOf } from "./start_order_of.ts";
 import type { StartRefusal } from "./start_refusal.ts";
 import { stopOrderOf } from "./stop_order_of.ts";
 import { stopStuck } from "./stop_stuck.ts";
@@ -29,8 +27,6 @@
 
 type Effects = Generator<CellEffect, void>;
 
-/** A stray that is still listed is stopped again so often. */
-const strayStopEveryMs = 500;
 /** New checkpoints are stored so often. */
 const checkpointsEveryMs = 1_000;
 /** A worker whose runner turned a start away gets nothing for this long. */
@@ -108,7 +104,7 @@
       return;
     }
     yield* this.#releaseOthers(worker, report, runs, nowMs);
-    yield* this.#compare(worker, runs, nowMs);
+    yield* compareRuns(this, worker, runs, nowMs);
     worker.isAdopted = true;
     if (!observeWorker(worker, runs, this.pressure, nowMs)) return;
     yield* relieve(this, worker, nowMs);
@@ -125,7 +121,7 @@
 
   /** A start was carried out. */
   started(node: NodeId, name: TaskName, run: number, nowMs: number): void {
-    const claim = this.#claimed(node, name, run)?.claim;
+    const claim = this.workers.get(node)?.claimed(name, run)?.claim;
     if (claim?.phase !== "ordered") return;
     claim.phase = "running";
     claim.sinceMs = nowMs;
@@ -140,13 +136,15 @@
     reason: StartRefusal,
     nowMs: number,
   ): Effects {
-    const task = this.#claimed(node, name, run);
-    if (task === undefined) return;
     const worker = this.worker(node);
+    const task = worker.claimed(name, run);
+    if (task === undefined) return;
     if (reason === "unhealthy" || reason === "no_room") {
       worker.asideUntilMs = nowMs + refusedPauseMs;
     }
     if (reason === "ticket") this.advice.forget(task.group);
+    // Until it reports, nothing is known of its runner's new life.
+    if (reason === "other_life") worker.isAdopted = false;
     yield* this.#release(worker, task, nowMs);
   }
 
@@ -179,11 +177,6 @@
     return this.jobs.get(job)?.taskAt(occurrence, step, index);
   }
 
-  #claimed(node: NodeId, name: TaskName, run: number): Task | undefined {
-    const task = this.workers.get(node)?.claims.get(name);
-    return task?.run === run ? task : undefined;
-  }
-
   /**
    * Claims of earlier lives are over, but for those whose start has reached the
    * new life, or may yet: an order tells lives with one id not apart.
@@ -219,7 +212,7 @@
   }
 
   *#takeEnd(worker: Worker, end: RunEnd, nowMs: number): Effects {
-    const task = this.#claimed(worker.node, end.task, end.run);
+    const task = worker.claimed(end.task, end.run);
     if (task === undefined) return;
     worker.remove(task);
     yield* settleEnd(this, worker, task, end, nowMs);
@@ -240,7 +233,7 @@
   }
 
   /** A checkpoint that only a runner knows is lost with its machine. */
-  #noteCheckpoint(task: Task, checkpoint: string): void {
+  noteCheckpoint(task: Task, checkpoint: string): void {
     if (checkpoint === "" || checkpoint === task.checkpoint) return;
     task.checkpoint = checkpoint;
     this.#unsaved.add(task.group.job);
@@ -255,43 +248,6 @@
     this.#unsaved.clear();
   }
 
-  /** Compares claims with what runs: starts what is missing, stops what is stray. */
-  *#compare(
-    worker: Worker,
-    runs: ReadonlyMap<TaskName, RunStatus>,
-    nowMs: number,
-  ): Effects {
-    worker.strays.clear();
-    for (const [name, status] of runs) {
-      const task = this.#claimed(worker.node, name, status.run);
-      if (task !== undefined) {
-        this.#noteCheckpoint(task, status.checkpoint);
-        this.started(worker.node, name, status.run, nowMs);
-        noteProgress(task, status.percent, nowMs);
-        continue;
-      }
-      const known = this.task(name)?.group.definition;
-      const key = runKey(status);
-      worker.strays.set(key, known === undefined ? noResources : roomOf(known));
-      const toldAtMs = worker.strayStops.get(key) ?? -Infinity;
-      if (nowMs - toldAtMs < strayStopEveryMs) continue;
-      worker.strayStops.set(key, nowMs);
-      yield stopOrderOf(worker, name, status.run, "stray");
-    }
-    for (const key of worker.strayStops.keys()) {
-      if (!worker.strays.has(key)) worker.strayStops.delete(key);
-    }
-    if (worker.isAdopted) return;
-    for (const task of worker.claims.values()) {
-      if (task.claim === undefined) continue;
-      if (task.claim.phase === "stopping") {
-        yield stopOrderOf(worker, task.name, task.run, "again");
-      } else if (runs.get(task.name)?.run !== task.run) {
-        yield { kind: "start", node: worker.node, order: startOrderOf(task) };
-      }
-    }
-  }
-
   /** A job got its outcome: all that runs of it is stopped. */
   *finish(job: Job, nowMs: number): Effects {
     this.live.delete(job);
@@ -310,10 +266,3 @@
     yield stopOrderOf(worker, task.name, task.run, reason, claim.life);
   }
 }
-
-function noteProgress(task: Task, percent: number, nowMs: number): void {
-  const { claim } = task;
-  if (claim === undefined || percent === claim.progress) return;
-  claim.progress = percent;
-  claim.progressAtMs = nowMs;
-}
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -57,6 +57,12 @@
     return subtractResources(this.report?.capacity ?? noResources, this.used);
   }
 
+  /** The task of the name, if that run of it is claimed here. */
+  claimed(name: TaskName, run: number): Task | undefined {
+    const task = this.claims.get(name);
+    return task?.run === run ? task : undefined;
+  }
+
   /** Takes a task's room. */
   add(task: Task): void {
     if (this.claims.has(task.name)) return;
--- a/src/gate/run_book.ts
+++ b/src/gate/run_book.ts
@@ -154,6 +154,13 @@
         continue;
       }
       if (run.isUncertain) break;
+      if (answer.failure === "old") {
+        // It may have run and ended: the next look tells.
+        run.phase = "stopping";
+        run.stoppedAtMs = context.clock.nowMs();
+        context.lookSoon();
+        return;
+      }
       this.runs.delete(runKey(run));
       this.#refuse(run, refusalOf(answer.failure));
       return;
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -231,6 +231,33 @@
     expect(b.starts()).to.eql(["j.0.0.0#1@w"]);
   });
 
+  it("is told again what it shows nothing of, while it is connected", () => {
+    const b = built(["w"], [step()]);
+    b.starts();
+    b.report("w");
+    expect(b.starts(), "at once").to.eql([]);
+    b.nowMs += 1_500;
+    b.report("w");
+    expect(b.starts(), "after a while").to.eql(["j.0.0.0#1@w"]);
+    b.run(b.cell.cancel("j" as JobId, b.nowMs));
+    b.stops();
+    b.nowMs += 1_500;
+    b.report("w", { running: b.runningOn("w") });
+    expect(b.stops(), "a stop").to.eql(["j.0.0.0#1@w"]);
+  });
+
+  it("gets nothing after a start for an earlier life until it reports", () => {
+    const b = built(["w"], [step()]);
+    b.starts();
+    const name = "j.0.0.0" as TaskName;
+    b.run(b.cell.refused("w" as NodeId, name, 1, "other_life", b.nowMs));
+    b.tick(50);
+    expect(b.starts()).to.eql([]);
+    b.report("w", { life });
+    b.tick();
+    expect(b.starts()).to.eql(["j.0.0.0#2@w"]);
+  });
+
   it("is told to stop what nobody has claimed", () => {
     const b = built(["w"], [step()]);
     const stray = {
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -151,6 +151,20 @@
     }
   }).timeout(10_000);
 
+  it("and calls a run that has ended refused in no repeat of its start", async () => {
+    const f = new Fixture();
+    await f.start();
+    f.give(f.order());
+    await f.clock.advance(100);
+    f.runner.end("j.0.0.0", "done");
+    await f.clock.advance(1_000);
+    f.give(f.order());
+    await f.clock.advance(1_000);
+    expect(f.refusals()).to.eql([]);
+    expect(f.runner.starts).to.equal(1);
+    f.gate.stop();
+  });
+
   it("and settles a start without answer in the runner's next life", async () => {
     const f = new Fixture();
     await f.start();
--- a/tests/takeover_test.ts
+++ b/tests/takeover_test.ts
@@ -3,6 +3,7 @@
 import { Logger } from "../src/adapters/logger.ts";
 import { ProcessMetrics } from "../src/adapters/process_metrics.ts";
 import { JobDirectory } from "../src/cellhost/job_directory.ts";
+import { MemberLinks } from "../src/cellhost/member_links.ts";
 import type { MemberRow } from "../src/cellhost/member_row.ts";
 import { Channel } from "../src/link/channel.ts";
 import type { KeeperMessage } from "../src/link/keeper_message.ts";
@@ -100,6 +101,38 @@
   });
 });
 
+describe("a keeper's connections", () => {
+  const hello = { kind: "hello", epoch: 1, keeper: "k" } as const;
+
+  it("stay where a new process has the old address", async () => {
+    const links = new MemberLinks(hello, log);
+    const member = await listeningMember();
+    links.set("s" as NodeId, member.row("sidecar"));
+    await member.hears("hello");
+    links.set("s" as NodeId, { ...member.row("sidecar"), incarnation: "2" });
+    links.send("s" as NodeId, { kind: "resigned" });
+    await member.hears("resigned");
+    expect(member.heard).to.eql(["hello", "resigned"]);
+    links.close();
+    member.close();
+  });
+
+  it("tell of a sidecar that has moved, so that orders are told again", async () => {
+    const links = new MemberLinks(hello, log);
+    const [old, now] = [await listeningMember(), await listeningMember()];
+    const lost: string[] = [];
+    links.onSidecarLost = (node) => lost.push(node);
+    links.set("s" as NodeId, old.row("sidecar"));
+    await old.hears("hello");
+    links.set("s" as NodeId, { ...now.row("sidecar"), incarnation: "2" });
+    await now.hears("hello");
+    expect(lost).to.eql(["s"]);
+    links.close();
+    old.close();
+    now.close();
+  });
+});
+
 describe("a keeper that takes over", () => {
   const orders = [
     { name: "the job before its row", isJobLate: false },
