--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -108,4 +108,7 @@
 if (what === "platform") await bundlePlatform();
 else await bundleProduct();
 if (what === "binary") makeBinary();
-if (what === "all") await bundleOthers();
+if (what === "all") {
+  await bundleOthers();
+  await bundlePlatform();
+}
--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -2,10 +2,9 @@
 import { request } from "undici";
 import type { RandomSource } from "../../src/core/random/random_source.ts";
 import type { Judge } from "./judge.ts";
+import { callersHost } from "./callers_host.ts";
 import type { SoakJob } from "./soak_job.ts";
 
-/** The host that the configuration's route names. */
-export const callersHost = "soak.example";
 const requestTimeoutMs = 3_000;
 const retryPauseMs = 120;
 const mostAttempts = 8;
--- /dev/null
+++ b/tests/soak/callers_host.ts
@@ -0,0 +1,2 @@
+/** The host that the configuration's route names. */
+export const callersHost = "soak.example";
--- a/tests/soak/process.ts
+++ b/tests/soak/process.ts
@@ -1,25 +1,25 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createWriteStream, writeFileSync } from "node:fs";
-import { join } from "node:path";
 
+const restartMs = 500;
 const program = "target/gypsumpond.mjs";
 
 /** One of our processes, started again whenever it ends, as the platform does. */
 export class SoakProcess {
   #child: ChildProcess | undefined;
   #isOver = false;
-  #restartMs = 500;
 
   constructor(
     readonly name: string,
     readonly role: "entry" | "sidecar",
     readonly settings: Readonly<Record<string, string | number>>,
-    readonly folder: string,
+    /** Its settings and its log, without their suffixes. */
+    readonly path: string,
   ) {}
 
   start(): void {
     if (this.#isOver) return;
-    const path = join(this.folder, `${this.name}.conf`);
+    const path = `${this.path}.conf`;
     const lines = Object.entries(this.settings).map(([k, v]) => `${k}=${v}`);
     writeFileSync(path, lines.join("\n"));
     const child = spawn(process.execPath, [program, this.role], {
@@ -27,12 +27,11 @@
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.#child = child;
-    const log = join(this.folder, `${this.name}.log`);
-    const out = createWriteStream(log, { flags: "a" });
+    const out = createWriteStream(`${this.path}.log`, { flags: "a" });
     child.stdout?.pipe(out);
     child.stderr?.pipe(out, { end: false });
     child.once("exit", () => {
-      setTimeout(() => this.start(), this.#restartMs);
+      setTimeout(() => this.start(), restartMs);
     });
   }
 
--- a/tests/soak/runner_stand_in.ts
+++ b/tests/soak/runner_stand_in.ts
@@ -72,9 +72,10 @@
   }
 
   async listen(): Promise<void> {
-    await new Promise<void>((done) =>
-      this.#server.listen(this.port, this.host, done)
-    );
+    await new Promise<void>((done, fail) => {
+      this.#server.once("error", fail);
+      this.#server.listen(this.port, this.host, done);
+    });
     this.#timers.push(
       setInterval(() => void this.#beat(), beatEveryMs),
       setInterval(() => this.#watch(), watchEveryMs),
--- a/tests/soak/store_stand_in.ts
+++ b/tests/soak/store_stand_in.ts
@@ -31,7 +31,10 @@
   }
 
   async listen(host: string, port: number): Promise<void> {
-    await new Promise<void>((done) => this.#server.listen(port, host, done));
+    await new Promise<void>((done, fail) => {
+      this.#server.once("error", fail);
+      this.#server.listen(port, host, done);
+    });
   }
 
   close(): void {
