--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -36,12 +36,16 @@
   });
 }
 
-/** The program that the platform runs: the product and its translator. */
+/** The program that the platform runs, and the one that its operators do. */
 async function bundlePlatform() {
   await build({
     ...common,
-    entryPoints: ["platform/main.ts"],
-    outfile: "target/gypsumpond.mjs",
+    entryPoints: {
+      gypsumpond: "platform/main.ts",
+      operator: "platform/operator.ts",
+    },
+    outdir: "target",
+    outExtension: { ".js": ".mjs" },
     format: "esm",
     minifySyntax: true,
     minifyWhitespace: true,
--- /dev/null
+++ b/src/ops/read_rows.ts
@@ -0,0 +1,25 @@
+import { err, ok, type Result } from "true-myth/result";
+import type { Store } from "../core/store/store.ts";
+import type { StoredRow } from "../core/store/stored_row.ts";
+import type { StoreFailure } from "../core/store/store_failure.ts";
+
+/** Reads the newest row of each key of a stream, page by page. */
+export async function readRows(
+  store: Store,
+  stream: string,
+): Promise<Result<ReadonlyMap<string, StoredRow>, StoreFailure>> {
+  const newest = new Map<string, StoredRow>();
+  let after: string | undefined;
+  do {
+    const page = await store.newest(stream, after);
+    if (page.isErr) return err(page.error);
+    for (const row of page.value.rows) {
+      const known = newest.get(row.key);
+      if (known === undefined || known.offset < row.offset) {
+        newest.set(row.key, row);
+      }
+    }
+    after = page.value.more;
+  } while (after !== undefined);
+  return ok(newest);
+}
--- /dev/null
+++ b/tests/platform_view_test.ts
@@ -0,0 +1,68 @@
+import { expect } from "chai";
+import { encodeJob } from "../src/core/cell/encode_job.ts";
+import type { JobId } from "../src/core/jobs/job_id.ts";
+import { PlatformView } from "../src/ops/platform_view.ts";
+import { readRows } from "../src/ops/read_rows.ts";
+import { StoreModel } from "../stand_ins/store/store_model.ts";
+import { CellBuilder } from "./cell_builder.ts";
+
+const guard = { kind: "none" } as const;
+
+/** A deployment with a job at work, one that waits, and one cancelled. */
+async function built(): Promise<PlatformView> {
+  const b = new CellBuilder();
+  b.report("w");
+  b.submit("j", [
+    CellBuilder.step({ count: 2 }),
+    CellBuilder.step({ after: [0] }),
+  ]);
+  b.tick();
+  b.end("w", "j.0.0.0", 1, "done");
+  const store = new StoreModel();
+  const put = (stream: string, key: string, value: unknown) =>
+    store.append(stream, [{ key, value: JSON.stringify(value) }], guard);
+  const job = b.cell.jobs.get("j" as JobId)!;
+  for (const id of ["j", "late", "gone"]) {
+    await put("jobs", id, { ...job.definition, id, receivedMs: id.length });
+  }
+  await put("jobs", "gone!", 1);
+  await put("cell", "job j", encodeJob(job));
+  await put("epochs", "cell", { node: "front-1", incarnation: "1" });
+  const address = { host: "10.0.0.1", port: 7, incarnation: "1", strength: 1 };
+  await put("members", "front-1", { role: "entry", ...address });
+  const streams = ["jobs", "cell", "epochs", "members"];
+  const rows = await Promise.all(streams.map((s) => readRows(store, s)));
+  const [jobs, cell, epochs, members] = rows.map((r) => r.unwrapOr(new Map()));
+  return new PlatformView(jobs!, cell!, epochs!, members!);
+}
+
+describe("an operator's view of the store", () => {
+  it("explains a job by its steps and its tasks", async () => {
+    const job = (await built()).job("j");
+    expect(job?.state).to.equal("running");
+    expect(job?.steps.map(({ count, done, claimed }) => [count, done, claimed]))
+      .to.eql([[2, 1, 1], [1, 0, 0]]);
+    expect(job?.tasks.map(({ task, runs, worker }) => [task, runs, worker]))
+      .to.eql([["j.0.0.1", 1, "w"]]);
+  });
+
+  it("knows no job that nobody has handed in", async () => {
+    expect((await built()).job("none")).to.equal(undefined);
+  });
+
+  it("counts jobs and names the keeper and the members", async () => {
+    const { keeper, epoch, jobs, members } = (await built()).status();
+    expect([keeper, epoch]).to.eql(["front-1", 1]);
+    expect(jobs).to.eql({ running: 1, queued: 1, cancelled: 1 });
+    expect(members.map(({ node, role }) => [node, role])).to.eql([
+      ["front-1", "entry"],
+    ]);
+  });
+
+  it("fails where the store is away", async () => {
+    const store = new StoreModel();
+    store.isDown = true;
+    const read = await readRows(store, "jobs");
+    expect(read.isErr && read.error.kind).to.equal("refused");
+  });
+});
