--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -6,6 +6,7 @@
 
 const mostPauseMs = 1_500;
 const mostLengthMs = 2_500;
+const usualStoreMs = 2;
 const slowStoreMs = 250;
 
 type Fault = (lengthMs: number) => Promise<string>;
@@ -66,10 +67,9 @@
         return `the store was silent for ${Math.round(lengthMs)} ms`;
       },
       async (lengthMs) => {
-        const { delayMs } = store;
         store.delayMs = slowStoreMs;
         await sleep(lengthMs);
-        store.delayMs = Math.min(delayMs, slowStoreMs);
+        store.delayMs = usualStoreMs;
         return `the store was slow for ${Math.round(lengthMs)} ms`;
       },
       async (lengthMs) => {
