Soak: names of tasks by the project's own functions; a start's spec is checked

The judge and the runner stand-in split and built task names by hand beside parseTaskName and taskNameOf. The runner handed the judge the job's own payload instead of what the start carried, so that a wrong spec could not be seen: the check compared a value with itself. Now the spec of each start is kept by its run and judged.

--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
+import type { JobId } from "../../src/core/jobs/job_id.ts";
 import type { RandomSource } from "../../src/core/random/random_source.ts";
 import type { Judge } from "./judge.ts";
 import { callersHost } from "./callers_host.ts";
@@ -89,7 +90,7 @@
 
   #draw(): SoakJob {
     const digit = () => Math.floor(this.random.next() * 16).toString(16);
-    const id = Array.from({ length: idDigits }, digit).join("");
+    const id = Array.from({ length: idDigits }, digit).join("") as JobId;
     const steps = Array.from({ length: 1 + this.#upTo(2) }, (_, step) => ({
       count: 1 + this.#upTo(4),
       after: step === 0 ? [] : [step - 1],
--- a/tests/soak/judge.ts
+++ b/tests/soak/judge.ts
@@ -1,3 +1,5 @@
+import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
+import { taskNameOf } from "../../src/core/jobs/task_name_of.ts";
 import type { RunOutcome } from "../../src/core/jobs/run_outcome.ts";
 import type { SoakJob } from "./soak_job.ts";
 
@@ -21,9 +23,11 @@
 
   /** A runner begins a run. */
   begun(runner: string, task: string, payload: string): void {
-    const [id = "", , step] = task.split(".");
-    const job = this.jobs.get(id);
-    if (job === undefined || job.payload !== payload) {
+    const place = parseTaskName(task);
+    const job = this.jobs.get(place?.job ?? "");
+    if (
+      place === undefined || job === undefined || job.payload !== payload
+    ) {
       this.break("unasked", `${task} on ${runner}`);
       return;
     }
@@ -33,9 +37,8 @@
       this.break("twice", `${task} on ${runner} and ${[...life.at]}`);
     }
     if (life.isNoted) this.break("twice", `${task} again after its end`);
-    for (const earlier of job.steps[Number(step)]?.after ?? []) {
-      for (let index = 0; index < (job.steps[earlier]?.count ?? 0); index++) {
-        const name = `${id}.0.${earlier}.${index}`;
+    for (const earlier of job.steps[place.step]?.after ?? []) {
+      for (const name of tasksOf(job, earlier)) {
         if (!this.#of(name).isDone) this.break("order", `${task}, ${name}`);
       }
     }
@@ -81,12 +84,8 @@
   }
 
   #isDone(job: SoakJob): boolean {
-    return job.steps.every(({ count }, step) =>
-      Array.from(
-        { length: count },
-        (_, index) => `${job.id}.0.${step}.${index}`,
-      )
-        .every((name) => this.#of(name).isDone)
+    return job.steps.every((_, step) =>
+      tasksOf(job, step).every((name) => this.#of(name).isDone)
     );
   }
 
@@ -102,3 +101,11 @@
 function isOver({ state, isCancelled }: SoakJob): boolean {
   return state === "completed" || (isCancelled && state === "canceled");
 }
+
+/** The names of a step's tasks; a job here has no more than one occurrence. */
+function tasksOf({ id, steps }: SoakJob, step: number): string[] {
+  return Array.from(
+    { length: steps[step]?.count ?? 0 },
+    (_, index) => taskNameOf({ job: id, occurrence: 0, step, index }),
+  );
+}
--- a/tests/soak/runner_stand_in.ts
+++ b/tests/soak/runner_stand_in.ts
@@ -1,4 +1,6 @@
 import type { Server } from "node:http";
+import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
+import { runKey } from "../../src/core/jobs/run_key.ts";
 import type { TaskName } from "../../src/core/jobs/task_name.ts";
 import { systemClock } from "../../src/adapters/system_clock.ts";
 import type { RunnerAnswer } from "../../src/gate/runner_answer.ts";
@@ -28,6 +30,8 @@
   readonly #timers: NodeJS.Timeout[] = [];
   /** What runs, as the judge knows it, and when its work is done. */
   readonly #atWork = new Map<string, { doneAtMs: number; cpuMilli: number }>();
+  /** What each start was told to run, by its run's key. */
+  readonly #specs = new Map<string, string>();
   #bornMs = Date.now();
   #ends = 0;
   #sequence = 0;
@@ -46,6 +50,7 @@
       const { task, run, fencingToken: epoch = 0 } = order;
       switch (url.pathname) {
         case "/v1/run-start": {
+          this.#specs.set(runKey(order), order.spec ?? "");
           return this.#reply(
             await this.model.start({
               instance,
@@ -141,9 +146,9 @@
   #watch(): void {
     const { model } = this;
     const isHeld = model.clockMs < model.untilClockMs;
-    for (const task of [...model.running.keys()]) {
+    for (const { task, run } of [...model.running.values()]) {
       const known = this.#atWork.get(task);
-      if (known === undefined) this.#begin(task);
+      if (known === undefined) this.#begin(task, run);
       if (!isHeld) model.end(task, "lapsed");
       else if ((known?.doneAtMs ?? Infinity) <= performance.now()) {
         model.end(task, "done");
@@ -157,11 +162,12 @@
     }
   }
 
-  #begin(task: string): void {
-    const [id = "", , step] = task.split(".");
-    const job = this.judge.jobs.get(id);
-    const work = job?.steps[Number(step)] ?? { ms: 0, cpuMilli: 0 };
-    this.judge.begun(this.name, task, job?.payload ?? "");
+  #begin(task: TaskName, run: number): void {
+    const place = parseTaskName(task);
+    const steps = this.judge.jobs.get(place?.job ?? "")?.steps;
+    const work = steps?.[place?.step ?? -1] ?? { ms: 0, cpuMilli: 0 };
+    const spec = this.#specs.get(runKey({ task, run })) ?? "";
+    this.judge.begun(this.name, task, spec);
     const doneAtMs = performance.now() + work.ms;
     this.#atWork.set(task, { doneAtMs, cpuMilli: work.cpuMilli });
     let used = 0;
--- a/tests/soak/soak_job.ts
+++ b/tests/soak/soak_job.ts
@@ -1,6 +1,8 @@
+import type { JobId } from "../../src/core/jobs/job_id.ts";
+
 /** A job that the soak hands in, and what its caller was told. */
 export interface SoakJob {
-  readonly id: string;
+  readonly id: JobId;
   readonly payload: string;
   readonly steps: readonly {
     readonly count: number;
