The operator's view takes its jobs from JobDirectory

It decoded job, cancellation and progress rows again beside JobDirectory, and told a cancellation by the mark in its key. What it shows is the same; a row that cannot be read is now a warning instead of the program's end.

--- a/src/ops/platform_view.ts
+++ b/src/ops/platform_view.ts
@@ -1,10 +1,7 @@
-import type { JobRow } from "../core/cell/job_row.ts";
-import type { JobDefinition } from "../core/jobs/job_definition.ts";
-import type { JobId } from "../core/jobs/job_id.ts";
-import { cancelKeyOf } from "../cellhost/cancel_key_of.ts";
 import type { EpochRow } from "../cellhost/epoch_row.ts";
+import type { JobDirectory } from "../cellhost/job_directory.ts";
 import type { MemberRow } from "../cellhost/member_row.ts";
-import { progressKeyOf } from "../cellhost/progress_key_of.ts";
+import type { JobId } from "../core/jobs/job_id.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { JobView } from "./job_view.ts";
 import { viewJob } from "./view_job.ts";
@@ -22,26 +19,23 @@
 /** All that the store tells of a deployment; its pages are no snapshot. */
 export class PlatformView {
   constructor(
-    readonly jobRows: Rows,
-    readonly cellRows: Rows,
+    readonly directory: JobDirectory,
     readonly epochRows: Rows,
     readonly memberRows: Rows,
   ) {}
 
   /** A job; undefined where nobody has handed it in. */
-  job(id: string): JobView | undefined {
-    const definition = valueOf<JobDefinition>(this.jobRows, id);
-    if (definition === undefined) return undefined;
-    const row = valueOf<JobRow>(this.cellRows, progressKeyOf(id as JobId));
-    const isCancelled = this.jobRows.has(cancelKeyOf(id as JobId));
-    return viewJob(definition, row, isCancelled);
+  job(id: JobId): JobView | undefined {
+    const definition = this.directory.definitions.get(id);
+    const state = this.directory.state(id);
+    if (definition === undefined || state === undefined) return undefined;
+    return viewJob(definition, this.directory.rows.get(id), state);
   }
 
   /** All jobs, the oldest first. */
   jobs(): JobView[] {
-    return [...this.jobRows.keys()]
-      .filter((key) => !key.endsWith("!"))
-      .map((key) => this.job(key))
+    return [...this.directory.definitions.keys()]
+      .map((id) => this.job(id))
       .filter((job) => job !== undefined)
       .sort((a, b) => a.receivedMs - b.receivedMs);
   }
--- a/src/ops/view_job.ts
+++ b/src/ops/view_job.ts
@@ -1,13 +1,14 @@
 import { decodeJob } from "../core/cell/decode_job.ts";
 import type { JobRow } from "../core/cell/job_row.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
+import type { JobState } from "../core/jobs/job_state.ts";
 import type { JobView } from "./job_view.ts";
 
 /** What the store's rows tell of a job. */
 export function viewJob(
   definition: JobDefinition,
   row: JobRow | undefined,
-  isCancelled: boolean,
+  state: JobState,
 ): JobView {
   const job = decodeJob(definition, row, 0);
   const { id, queue, receivedMs } = definition;
@@ -29,6 +30,5 @@
       checkpoint,
       worker: claim?.node,
     }));
-  const state = isCancelled ? "cancelled" : job.state;
   return { id, queue, state, receivedMs, steps, tasks };
 }
--- a/tests/platform_view_test.ts
+++ b/tests/platform_view_test.ts
@@ -1,4 +1,6 @@
 import { expect } from "chai";
+import { Logger } from "../src/adapters/logger.ts";
+import { JobDirectory } from "../src/cellhost/job_directory.ts";
 import { encodeJob } from "../src/core/cell/encode_job.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
 import { PlatformView } from "../src/ops/platform_view.ts";
@@ -33,12 +35,15 @@
   const streams = ["jobs", "cell", "epochs", "members"];
   const rows = await Promise.all(streams.map((s) => readRows(store, s)));
   const [jobs, cell, epochs, members] = rows.map((r) => r.unwrapOr(new Map()));
-  return new PlatformView(jobs!, cell!, epochs!, members!);
+  const directory = new JobDirectory(new Logger("silent", {}));
+  directory.takeJobs([...jobs!.values()]);
+  directory.takeProgress([...cell!.values()]);
+  return new PlatformView(directory, epochs!, members!);
 }
 
 describe("an operator's view of the store", () => {
   it("explains a job by its steps and its tasks", async () => {
-    const job = (await built()).job("j");
+    const job = (await built()).job("j" as JobId);
     expect(job?.state).to.equal("running");
     expect(job?.steps.map(({ count, done, claimed }) => [count, done, claimed]))
       .to.eql([[2, 1, 1], [1, 0, 0]]);
@@ -47,7 +52,7 @@
   });
 
   it("knows no job that nobody has handed in", async () => {
-    expect((await built()).job("none")).to.equal(undefined);
+    expect((await built()).job("none" as JobId)).to.equal(undefined);
   });
 
   it("counts jobs and names the keeper and the members", async () => {
