Gate: send an end number only to the life that it belongs to

Until the heartbeat of that life the gate kept polling with the highest end number of the earlier life, so the new life forgot its own ends unreported, and the keeper ran their tasks again. Ruled out: the keeper's books (the claims were right), a lost report (no end line in any log). Change: a poll carries an end number only after an answer of the known life, and not again once that life has confirmed it. Before: the two new gate tests fail (the end of the new life is lost). After: 29 gate tests pass.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -48,6 +48,10 @@
   #reportedEndNumber = 0;
   /** The keeper has stored the ends up to this number. */
   #forgetUpTo = 0;
+  /** The runner has confirmed that it forgot the ends up to this number. */
+  #forgottenUpTo = 0;
+  /** Whether the newest poll was answered by the life of the last heartbeat. */
+  #isLifeConfirmed = false;
   #failedPolls = 0;
   #appliedPollSentAtMs = -Infinity;
   #running: readonly RunStatus[] = [];
@@ -189,6 +193,8 @@
     this.#paceController.reset();
     this.lease.reset(this.clock.nowMs());
     this.#forgetUpTo = 0;
+    this.#forgottenUpTo = 0;
+    this.#isLifeConfirmed = false;
     this.#reportedEndNumber = 0;
     this.#running = [];
     this.#ends = [];
@@ -204,10 +210,11 @@
     const { lastHeartbeat: heartbeat } = this;
     if (heartbeat === undefined) return false;
     const sentAtMs = this.clock.nowMs();
+    const forgetUpTo = this.#endsToForget();
     const answer = await this.runner.hold({
       instance: heartbeat.instance,
       epoch: this.epoch,
-      forgetUpTo: this.#forgetUpTo,
+      forgetUpTo,
       leaseEndClockMs: this.lease.grant(),
       waitMs,
     });
@@ -217,6 +224,8 @@
       return false;
     }
     this.#failedPolls = 0;
+    this.#isLifeConfirmed = true;
+    this.#forgottenUpTo = Math.max(this.#forgottenUpTo, forgetUpTo);
     if (!this.isUp) this.log.info("runner_up", { life: lifeOf(heartbeat) });
     this.isUp = true;
     this.recordClock(answer);
@@ -224,12 +233,24 @@
     return true;
   }
 
+  /**
+   * The end number up to which the next poll lets the runner forget its ends; 0
+   * for none. End numbers begin anew in each life of the runner, and a poll may
+   * reach a life that no heartbeat has shown yet. So a number is sent only
+   * after an answer of the known life, and not again once confirmed.
+   */
+  #endsToForget(): number {
+    const isNeeded = this.#forgetUpTo > this.#forgottenUpTo;
+    return isNeeded && this.#isLifeConfirmed ? this.#forgetUpTo : 0;
+  }
+
   /**
    * Counts a failed poll. One without answer does not yet mean that the runner
    * is down, since a healthy runner may cause it too.
    */
   #handleFailedPoll(failure: string): void {
     this.#failedPolls += 1;
+    this.#isLifeConfirmed = false;
     if (!this.isUp) return;
     if (failure === "unknown" && this.#failedPolls < pollsBeforeDown) return;
     this.isUp = false;
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -403,6 +403,40 @@
   });
 });
 
+describe("a gate that polls a next life before its heartbeat", () => {
+  const cases = [
+    { name: "after a poll that this life answered", silentMs: 0 },
+    { name: "after polls without answer", silentMs: 900 },
+  ];
+  for (const { name, silentMs } of cases) {
+    it(`lets it forget no end, ${name}`, async () => {
+      const fixture = new Fixture();
+      await fixture.start();
+      fixture.sendStarts(fixture.startCommand());
+      await fixture.clock.advance(500);
+      fixture.runner.end("j.0.0.0", "done");
+      await fixture.clock.advance(500);
+      const { life } = fixture.lastReport()!;
+      fixture.gate.handleMessage({ kind: "forget", life, end: 1 });
+      await fixture.clock.advance(500);
+      fixture.runner.isSilent = silentMs > 0;
+      await fixture.clock.advance(silentMs);
+      fixture.runner.restart();
+      fixture.runner.isSilent = false;
+      // A start that was sent to the earlier life runs in this one, and ends.
+      fixture.sendStarts(fixture.startCommand({ life, run: 2 }));
+      await fixture.clock.advance(20);
+      fixture.runner.end("j.0.0.0", "done");
+      await fixture.clock.advance(1_500);
+      expect(fixture.runner.ends.map(({ run }) => run)).to.eql([2]);
+      fixture.sendHeartbeat(1);
+      await fixture.clock.advance(1_000);
+      expect(fixture.lastReport()?.ends.map(({ run }) => run)).to.eql([2]);
+      fixture.gate.stop();
+    });
+  }
+});
+
 describe("a gate whose poll goes unanswered", () => {
   const cases = [
     { silentMs: 300, isUp: true },
