Keep what was learned of interference in the cell's stream

Cause: every new keeper began with no pressures, placed fillers beside any service and learned the pairs again at the services' cost. Ruled out: a slow election (0.3 s from the first process to the term) and slow renewals (0.6 s more). Change: the cell saves its pressures and caller loads every 2 s when there are new samples; a new keeper restores them. The load of an ended job is forgotten, and the map no longer evicts the job that it updates.

--- a/src/cellhost/deferred_effect.ts
+++ b/src/cellhost/deferred_effect.ts
@@ -1,7 +1,7 @@
 import type { CellEffect } from "../core/cell/cell_effect.ts";
 
 /** An effect that waits until the rows saved before it are stored. */
-export type DeferredEffect = Exclude<
+export type DeferredEffect = Extract<
   CellEffect,
-  { kind: "save" | "stop" | "ask" }
+  { kind: "start" | "forget" | "show" }
 >;
--- a/src/cellhost/job_directory.ts
+++ b/src/cellhost/job_directory.ts
@@ -2,9 +2,11 @@
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
+import type { PressureRow } from "../core/interfere/pressure_row.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { cancellationKey } from "./cancellation_key.ts";
+import { learnedKey } from "./learned_key.ts";
 import { parseJsonRow } from "./parse_json_row.ts";
 import { progressKey } from "./progress_key.ts";
 
@@ -25,6 +27,8 @@
   readonly cancelled = new Set<JobId>();
   /** The newest progress row of each job, as the keepers stored it. */
   readonly rows = new Map<JobId, JobProgressRow>();
+  /** What the keepers have learned of interference, unparsed. */
+  #learned: string | undefined;
   readonly #states = new Map<JobId, JobState>();
   onSubmitted: (definition: JobDefinition) => void = () => {};
   onCancelled: (id: JobId) => void = () => {};
@@ -37,6 +41,12 @@
     return this.#states.get(id) ?? "queued";
   }
 
+  /** What the keepers have learned of interference, if it was stored. */
+  get learned(): PressureRow | undefined {
+    if (this.#learned === undefined) return undefined;
+    return parseJsonRow<PressureRow>(this.#learned, learnedKey, this.log);
+  }
+
   /** The ids of the queue's jobs that have not started. */
   *waiting(queue: string): Generator<JobId> {
     for (const [id, definition] of this.definitions) {
@@ -81,6 +91,7 @@
   /** Applies the progress rows of the keeper's stream. */
   applyProgressRows(rows: readonly StoredRow[]): void {
     for (const { key, value } of rows) {
+      if (key === learnedKey) this.#learned = value;
       const id = key.slice(progressPrefix.length) as JobId;
       if (!key.startsWith(progressPrefix)) continue;
       if (value === undefined) {
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -1,8 +1,6 @@
 import { Cell } from "../core/cell/cell.ts";
 import type { CellEffect } from "../core/cell/cell_effect.ts";
 import { decodeJob } from "../core/cell/decode_job.ts";
-import { encodeJob } from "../core/cell/encode_job.ts";
-import type { Job } from "../core/cell/job.ts";
 import type { SidecarReport } from "../core/cell/sidecar_report.ts";
 import { buildStart } from "../core/cell/build_start.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
@@ -10,7 +8,6 @@
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Queue } from "../core/jobs/queue.ts";
-import type { Row } from "../core/store/row.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
@@ -25,8 +22,8 @@
 import { PeerLinks } from "./peer_links.ts";
 import type { PeerAddressRow } from "./peer_address_row.ts";
 import { servicePressures } from "./service_pressures.ts";
-import { progressKey } from "./progress_key.ts";
 import type { RowWriter } from "./row_writer.ts";
+import { UnsavedRows } from "./unsaved_rows.ts";
 
 const tickIntervalMs = 50;
 /** After this long without a confirmed append, entries are sent `unsure`. */
@@ -44,7 +41,7 @@
   readonly #links: PeerLinks;
   readonly #leases: LeaseTracker;
   readonly #openedAtMs = performance.now();
-  readonly #dirty = new Set<Job>();
+  readonly #unsaved = new UnsavedRows();
   #deferred: DeferredEffect[] = [];
   #isFlushing = false;
   #isClosed = false;
@@ -76,10 +73,11 @@
   load(queues: Iterable<Queue>): void {
     const nowMs = performance.now();
     this.setQueues(queues);
-    const { definitions, rows, cancelled } = this.directory;
+    const { definitions, rows, cancelled, learned } = this.directory;
     for (const [id, definition] of definitions) {
       this.cell.load(decodeJob(definition, rows.get(id), nowMs));
     }
+    if (learned !== undefined) this.cell.restoreLearned(learned);
     for (const id of cancelled) this.#applyAll(this.cell.cancel(id, nowMs));
     for (const worker of this.cell.workers.values()) {
       this.#leases.inherit(worker.node);
@@ -225,7 +223,8 @@
   }
 
   #apply(effect: CellEffect): void {
-    if (effect.kind === "save") this.#dirty.add(effect.job);
+    if (effect.kind === "save") this.#unsaved.addJob(effect.job);
+    else if (effect.kind === "learned") this.#unsaved.setLearned(effect.row);
     else if (effect.kind === "stop") {
       const { node, task, run, reason, life } = effect;
       this.metrics.count("stops", { reason });
@@ -267,13 +266,9 @@
     this.#reportUnsure(nowMs);
     this.metrics.setGauge("jobs_live", this.cell.liveJobs.size);
     for (const effect of this.cell.tick(nowMs, Date.now())) this.#apply(effect);
-    if (this.#dirty.size === 0 && this.#deferred.length === 0) return;
-    const rows: Row[] = [...this.#dirty].map((job) => ({
-      key: progressKey(job.definition.id),
-      value: JSON.stringify(encodeJob(job)),
-    }));
+    const rows = this.#unsaved.take();
+    if (rows.length === 0 && this.#deferred.length === 0) return;
     const deferred = this.#deferred;
-    this.#dirty.clear();
     this.#deferred = [];
     this.writer.write(rows, () => {
       if (this.#isClosed) return;
--- /dev/null
+++ b/src/cellhost/unsaved_rows.ts
@@ -0,0 +1,34 @@
+import { encodeJob } from "../core/cell/encode_job.ts";
+import type { Job } from "../core/cell/job.ts";
+import type { PressureRow } from "../core/interfere/pressure_row.ts";
+import type { Row } from "../core/store/row.ts";
+import { learnedKey } from "./learned_key.ts";
+import { progressKey } from "./progress_key.ts";
+
+/** What a keeper has to write: the newest state counts, once per key. */
+export class UnsavedRows {
+  readonly #jobs = new Set<Job>();
+  #learned: PressureRow | undefined;
+
+  addJob(job: Job): void {
+    this.#jobs.add(job);
+  }
+
+  setLearned(row: PressureRow): void {
+    this.#learned = row;
+  }
+
+  /** Removes and returns all rows. */
+  take(): Row[] {
+    const rows = [...this.#jobs].map((job) => ({
+      key: progressKey(job.definition.id),
+      value: JSON.stringify(encodeJob(job)),
+    }));
+    this.#jobs.clear();
+    if (this.#learned !== undefined) {
+      rows.push({ key: learnedKey, value: JSON.stringify(this.#learned) });
+    }
+    this.#learned = undefined;
+    return rows;
+  }
+}
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -21,6 +21,7 @@
 import type { Task } from "./task.ts";
 import { sampleWorker } from "./sample_worker.ts";
 import { PressureModel } from "../interfere/pressure_model.ts";
+import type { PressureRow } from "../interfere/pressure_row.ts";
 import { moveFillers } from "./move_fillers.ts";
 import { Worker } from "./worker.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
@@ -29,6 +30,8 @@
 
 /** How often new checkpoints are saved. */
 const checkpointSaveIntervalMs = 1_000;
+/** How often what was learned of interference is saved. */
+const learnedSaveIntervalMs = 2_000;
 /** How long a worker that refused a start as unhealthy or full is suspended. */
 const refusalPauseMs = 300;
 
@@ -48,6 +51,9 @@
   /** Jobs with checkpoints that are not in the store yet. */
   readonly #unsavedJobs = new Set<Job>();
   #checkpointsSavedAtMs = -Infinity;
+  /** The sample count of what was last saved of what was learned. */
+  #savedSampleCount = 0;
+  #learnedSavedAtMs = -Infinity;
 
   constructor(readonly options: CellOptions) {}
 
@@ -60,6 +66,15 @@
     }
   }
 
+  /** Adds what an earlier keeper learned; the jobs must be loaded already. */
+  restoreLearned(row: PressureRow): void {
+    this.pressure.restore(row);
+    const live = new Set([...this.liveJobs].map((job) => job.definition.id));
+    for (const [job] of row.loads) {
+      if (!live.has(job as JobId)) this.pressure.forgetJob(job);
+    }
+  }
+
   /** Adds a new job; does nothing if its id is known. */
   *submit(definition: JobDefinition, wallMs: number): Effects {
     if (this.jobs.has(definition.id)) return;
@@ -162,6 +177,7 @@
       if (job.openDueOccurrences(wallMs)) yield { kind: "save", job };
     }
     yield* this.#saveCheckpoints(nowMs);
+    yield* this.#saveLearned(nowMs);
     yield* stopStuckRuns(this, nowMs);
     yield* drainWorkers(this, nowMs);
     yield* placeWaitingTasks(this, nowMs, wallMs);
@@ -260,9 +276,20 @@
     this.#unsavedJobs.clear();
   }
 
+  /** A keeper that begins without it would place fillers beside any service. */
+  *#saveLearned(nowMs: number): Effects {
+    const isDue = nowMs - this.#learnedSavedAtMs >= learnedSaveIntervalMs;
+    const { sampleCount } = this.pressure;
+    if (sampleCount === this.#savedSampleCount || !isDue) return;
+    this.#savedSampleCount = sampleCount;
+    this.#learnedSavedAtMs = nowMs;
+    yield { kind: "learned", row: this.pressure.encode() };
+  }
+
   /** Saves and publishes a job's outcome and stops its remaining runs. */
   *finishJob(job: Job, nowMs: number): Effects {
     this.liveJobs.delete(job);
+    this.pressure.forgetJob(job.definition.id);
     yield { kind: "save", job };
     yield { kind: "show", job: job.definition.id, state: job.state };
     for (const task of job.tasks()) yield* this.stopRun(task, job.state, nowMs);
--- a/src/core/cell/cell_effect.ts
+++ b/src/core/cell/cell_effect.ts
@@ -1,3 +1,4 @@
+import type { PressureRow } from "../interfere/pressure_row.ts";
 import type { JobId } from "../jobs/job_id.ts";
 import type { JobState } from "../jobs/job_state.ts";
 import type { NodeId } from "../jobs/node_id.ts";
@@ -7,12 +8,14 @@
 import type { StartCommand } from "./start_command.ts";
 
 /**
- * An action that a cell has decided on. All kinds but `stop` and `ask` are
+ * An action that a cell has decided on. `start`, `forget` and `show` are
  * carried out only when the saves before them are in the store.
  */
 export type CellEffect =
   /** Save the job's progress row. */
   | { readonly kind: "save"; readonly job: Job }
+  /** Save what the cell has learned of interference. */
+  | { readonly kind: "learned"; readonly row: PressureRow }
   | {
     readonly kind: "start";
     readonly node: NodeId;
--- a/src/core/interfere/image_pressures.ts
+++ b/src/core/interfere/image_pressures.ts
@@ -23,6 +23,20 @@
     return index === undefined ? 0 : this.#values[index] ?? 0;
   }
 
+  /** Returns the variance of the estimate of an image's pressure. */
+  varianceOf(image: string): number {
+    const index = this.#index.get(image);
+    if (index === undefined) return initialVariance;
+    return this.#covariances[index]?.[index] ?? initialVariance;
+  }
+
+  /** Sets the estimate of an image's pressure, independent of the others. */
+  set(image: string, pressure: number, variance: number): void {
+    const index = this.#indexOf(image);
+    this.#values[index] = pressure;
+    this.#covariances[index]![index] = variance;
+  }
+
   /** Returns the load that the images add to the service. */
   addedLoad(use: FillerUse): number {
     let sum = 0;
--- a/src/core/interfere/pressure_model.ts
+++ b/src/core/interfere/pressure_model.ts
@@ -1,6 +1,7 @@
 import type { FillerUse } from "./filler_use.ts";
 import { ImagePressures } from "./image_pressures.ts";
 import { loadFromLatency } from "./load_from_latency.ts";
+import type { PressureRow } from "./pressure_row.ts";
 
 /** Latency when idle, relative to the target, until a lower one is seen. */
 const initialFloor = 0.25;
@@ -16,6 +17,8 @@
 const maxServices = 256;
 const maxJobs = 4_096;
 const maxFillers = 256;
+/** Stored numbers are rounded to this precision. */
+const storedSteps = 1_000;
 
 interface ServiceModel {
   floor: number;
@@ -34,12 +37,13 @@
   readonly #loads = new Map<string, number>();
   /** The filler images that have run beside services. */
   readonly fillerImages = new Set<string>();
+  /** How many samples it has learned from. */
+  sampleCount = 0;
 
   /** Learns from one sample: a service's latency relative to its target. */
   learn(service: string, job: string, ratio: number, use: FillerUse): void {
-    for (const image of use.keys()) {
-      if (this.fillerImages.size < maxFillers) this.fillerImages.add(image);
-    }
+    this.sampleCount += 1;
+    for (const image of use.keys()) this.#addFiller(image);
     const model = this.#modelOf(service);
     if (ratio < model.floor) {
       model.floor += (ratio - model.floor) * floorSmoothing;
@@ -81,7 +85,49 @@
     return this.#services.get(service)?.pressures.pressureOf(image) ?? 0;
   }
 
+  /** Forgets the caller load of a job that has ended. */
+  forgetJob(job: string): void {
+    this.#loads.delete(job);
+  }
+
+  /** Returns what was learned, for `restore`. */
+  encode(): PressureRow {
+    const fillers = [...this.fillerImages];
+    return {
+      fillers,
+      services: [...this.#services].map(([image, { floor, pressures }]) => [
+        image,
+        rounded(floor),
+        fillers.map((filler) => rounded(pressures.pressureOf(filler))),
+        fillers.map((filler) => rounded(pressures.varianceOf(filler))),
+      ]),
+      loads: [...this.#loads].map(([job, load]) => [job, rounded(load)]),
+    };
+  }
+
+  /** Adds what an earlier keeper learned. */
+  restore({ fillers, services, loads }: PressureRow): void {
+    for (const image of fillers) this.#addFiller(image);
+    for (const [image, floor, pressures, variances] of services) {
+      const model = this.#modelOf(image);
+      model.floor = floor;
+      fillers.forEach((filler, index) => {
+        const pressure = pressures[index];
+        const variance = variances[index];
+        if (pressure === undefined || variance === undefined) return;
+        model.pressures.set(filler, pressure, variance);
+      });
+    }
+    for (const [job, load] of loads) this.#setLoad(job, load);
+  }
+
+  #addFiller(image: string): void {
+    if (this.fillerImages.size < maxFillers) this.fillerImages.add(image);
+  }
+
+  /** Sets a job's load; the job set longest ago gives way to a new one. */
   #setLoad(job: string, load: number): void {
+    this.#loads.delete(job);
     evictOldest(this.#loads, maxJobs);
     this.#loads.set(job, load);
   }
@@ -96,6 +142,10 @@
   }
 }
 
+function rounded(value: number): number {
+  return Math.round(value * storedSteps) / storedSteps;
+}
+
 function evictOldest(entries: Map<string, unknown>, maxSize: number): void {
   const [oldest] = entries.keys();
   if (entries.size >= maxSize && oldest !== undefined) entries.delete(oldest);
--- /dev/null
+++ b/stand_ins/load/load_options.ts
@@ -0,0 +1,60 @@
+/** The load that a `LoadModel` plays, and what happens to the cell meanwhile. */
+export interface LoadOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  /** How many workers there are; every third is half as large again. */
+  readonly workers: number;
+  readonly workerCpuMilli: number;
+  readonly services: ServiceLoad;
+  readonly plans: PlanLoad;
+  readonly checks: CheckLoad;
+  /** When a new keeper replaces the one in office. */
+  readonly keeperChangesAtMs: readonly number[];
+  /** When all workers and the keeper lose power; all runs end. */
+  readonly powerLossesAtMs: readonly number[];
+  /** Whether a keeper begins with what its predecessor has learned. */
+  readonly keepsLearned: boolean;
+}
+
+/** Jobs of services, all submitted at the start. */
+interface ServiceLoad {
+  readonly jobs: number;
+  readonly width: number;
+  readonly cpuMilli: number;
+  readonly images: number;
+  /** The mean load that callers put on a service, from 0 to 1. */
+  readonly callerLoad: number;
+  /** The share by which that load rises and falls in each swing. */
+  readonly swing: number;
+  readonly swingMs: number;
+}
+
+/** Jobs of fillers in steps, each after the one before it. */
+interface PlanLoad {
+  readonly perS: number;
+  readonly steps: number;
+  readonly width: number;
+  readonly cpuMilli: number;
+  readonly taskMs: number;
+  readonly images: number;
+  /** The share of pairs of images in which the filler slows the service. */
+  readonly heavyShare: number;
+  /** The highest load that a filler on a whole worker adds to a service. */
+  readonly maxPressure: number;
+  readonly bursts: readonly Burst[];
+}
+
+/** A time during which plans come at a multiple of their rate. */
+interface Burst {
+  readonly fromMs: number;
+  readonly forMs: number;
+  readonly factor: number;
+}
+
+/** Short jobs that callers wait for. */
+interface CheckLoad {
+  readonly perS: number;
+  readonly width: number;
+  readonly cpuMilli: number;
+  readonly taskMs: number;
+}
--- /dev/null
+++ b/stand_ins/load/load_result.ts
@@ -0,0 +1,35 @@
+/** What callers got of a played load. */
+export interface LoadResult {
+  readonly plans: KindResult;
+  readonly checks: KindResult;
+  readonly services: ServiceResult;
+  /** Work of fillers and checks that was lost, in core-seconds. */
+  readonly wastedCoreS: number;
+  /** Runs stopped to be placed elsewhere. */
+  readonly stops: number;
+}
+
+/** How the jobs of a kind ended, relative to their objective. */
+interface KindResult {
+  readonly submitted: number;
+  readonly inAim: number;
+  readonly late: number;
+  /** Later than three times the objective, or not at all. */
+  readonly failed: number;
+  /** The share of the kind's worth, by work and lateness, that was earned. */
+  readonly worth: number;
+  readonly medianMs: number;
+}
+
+/** How the services fared, in seconds of one task. */
+interface ServiceResult {
+  readonly owedS: number;
+  /** Not at work: waiting, starting or lost. */
+  readonly awayS: number;
+  /** At work, with a latency over the target. */
+  readonly overTargetS: number;
+  /** The same, in the worst 5 s. */
+  readonly worstOverTargetS: number;
+  /** The share of their worth that was earned; harm by fillers counts 4 times. */
+  readonly worth: number;
+}
--- /dev/null
+++ b/stand_ins/load/task_truth.ts
@@ -0,0 +1,6 @@
+/** What the model knows of a task that its definition does not say. */
+export interface TaskTruth {
+  readonly workMs: number;
+  /** The load by callers at a time, for a service. */
+  readonly callerLoad: (nowMs: number) => number;
+}
--- a/tests/interference_test.ts
+++ b/tests/interference_test.ts
@@ -4,6 +4,45 @@
 
 const samples = 30;
 
+describe("what a pressure model has learned", () => {
+  const use = new Map([["bad", 0.2], ["good", 0.2]]);
+
+  it("is the same after it was stored and restored", () => {
+    const learned = new PressureModel();
+    for (let sample = 0; sample < samples; sample++) {
+      learned.learn("s", "j", 3, use);
+      learned.learn("s", "j", 0.5, new Map([["good", 0.2]]));
+    }
+    const restored = new PressureModel();
+    restored.restore(JSON.parse(JSON.stringify(learned.encode())));
+    expect(restored.expectedLoad("s", "j", use)).to.be.closeTo(
+      learned.expectedLoad("s", "j", use),
+      0.01,
+    );
+    expect(restored.targetLoadOf("s")).to.be.closeTo(
+      learned.targetLoadOf("s"),
+      0.01,
+    );
+    expect([...restored.fillerImages]).to.eql([...learned.fillerImages]);
+  });
+
+  it("keeps the load of a job through those of many other jobs", () => {
+    const pressure = new PressureModel();
+    for (let job = 0; job < 5_000; job++) {
+      pressure.learn("s", `${job}`, 1, new Map());
+      pressure.learn("s", "kept", 0.9, new Map());
+    }
+    expect(pressure.callerLoadOf("kept")).to.be.above(0.6);
+  });
+
+  it("no longer holds the load of a job that has ended", () => {
+    const pressure = new PressureModel();
+    pressure.learn("s", "j", 0.9, new Map());
+    pressure.forgetJob("j");
+    expect(pressure.encode().loads).to.eql([]);
+  });
+});
+
 describe("the pressure of a filler image on a service image", () => {
   it("is learned for the image that causes it, not for one beside it", () => {
     const pressure = new PressureModel();
--- a/tests/takeover_test.ts
+++ b/tests/takeover_test.ts
@@ -161,6 +161,37 @@
   }
 });
 
+describe("a new keeper", () => {
+  it("begins with what its predecessor learned, for live jobs", () => {
+    const service = CellFixture.step({ isService: true, image: "s" });
+    const earlier = new CellFixture();
+    earlier.submit("j", [service]);
+    const use = new Map([["f", 0.2]]);
+    for (let sample = 0; sample < 10; sample++) {
+      earlier.cell.pressure.learn("s", "j", 3, use);
+      earlier.cell.pressure.learn("s", "ended", 3, use);
+    }
+    earlier.advance();
+    const rows = earlier.effects.flatMap((effect) =>
+      effect.kind === "learned" ? [effect.row] : []
+    );
+    expect(rows).to.have.length(1);
+
+    const { session, directory } = createSession(2);
+    directory.applyProgressRows(toStoredRows({ learned: rows[0] }));
+    const { definition } = earlier.cell.jobs.get("j" as JobId)!;
+    directory.applyJobRows(toStoredRows({ j: definition }));
+    session.load(earlier.cell.queues.values());
+    const { pressure } = session.cell;
+    session.close();
+    expect(pressure.pressureOf("s", "f")).to.be.closeTo(
+      earlier.cell.pressure.pressureOf("s", "f"),
+      0.001,
+    );
+    expect(pressure.encode().loads.map(([job]) => job)).to.eql(["j"]);
+  });
+});
+
 describe("refreshing a stream tail", () => {
   it("delivers each row once, and no outdated row of a key", async () => {
     const store = new StoreModel();
