Interference: expect it of unknown pairs, and count what fillers use

A pair without samples counted as harmless, and fillers of a new image filled every worker; and the estimates forgot within some 30 samples. Second, from a trace: fillers paced to zero were counted with all they request, so that 70 to 150 of some 250 free cores were used while 110 tasks waited. Change: unknown pairs have pressure 1.5, estimates drift a fifth as fast; a settled filler counts with its use.

--- a/src/cellhost/service_pressures.ts
+++ b/src/cellhost/service_pressures.ts
@@ -1,4 +1,3 @@
-import { fillerCpuRequests } from "../core/cell/filler_cpu_requests.ts";
 import type { Worker } from "../core/cell/worker.ts";
 import type { PressureModel } from "../core/interfere/pressure_model.ts";
 import type { ServicePressure } from "../link/service_pressure.ts";
@@ -12,16 +11,17 @@
   learned: PressureModel,
 ): ServicePressure[] {
   const services = new Set<string>();
+  const images = new Set<string>();
   for (const { group } of worker.claims.values()) {
-    const { isService, image = "" } = group.definition;
+    const { isService, isFiller, image = "" } = group.definition;
     if (isService) services.add(image);
+    if (isFiller) images.add(image);
   }
-  const images = [...fillerCpuRequests(worker).keys()];
-  if (images.length === 0) return [];
+  if (images.size === 0) return [];
   return [...services].map((service) => ({
     service,
     floor: learned.floorOf(service),
-    fillers: images.map((image) =>
+    fillers: [...images].map((image) =>
       [image, learned.pressureOf(service, image)] as const
     ),
   }));
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -51,7 +51,7 @@
     if (!isEligible(task, queue, worker, nowMs, mode)) continue;
     const { isFiller } = task.group.definition;
     const cost = isFiller
-      ? fillerCost(task, worker, pressure, mode)
+      ? fillerCost(task, worker, pressure, mode, nowMs)
       : taskCost(task, worker);
     if (cost >= bestCost) continue;
     best = worker;
@@ -88,11 +88,18 @@
   worker: Worker,
   pressure: PressureModel,
   mode: PlacementMode,
+  nowMs: number,
 ): number {
-  const { excess, added } = estimateFillerImpact(worker, task, pressure);
-  const { requestedMilli: othersMilli, unusedMilli } = fillerCpuBudget(
+  const { excess, added } = estimateFillerImpact(
+    worker,
+    task,
+    pressure,
+    nowMs,
+  );
+  const { demandedMilli: othersMilli, unusedMilli } = fillerCpuBudget(
     worker,
     pressure,
+    nowMs,
   );
   const { cpuMilli } = task.group.definition.resources;
   const isHarmless = excess <= maxExcess &&
--- a/src/core/cell/estimate_filler_impact.ts
+++ b/src/core/cell/estimate_filler_impact.ts
@@ -1,5 +1,5 @@
 import type { PressureModel } from "../interfere/pressure_model.ts";
-import { fillerCpuRequests } from "./filler_cpu_requests.ts";
+import { fillerCpuDemands } from "./filler_cpu_demands.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
@@ -25,11 +25,12 @@
   worker: Worker,
   filler: Task,
   pressure: PressureModel,
+  nowMs: number,
 ): FillerImpact {
   const { image = "", resources } = filler.group.definition;
-  const requests = fillerCpuRequests(worker);
+  const demands = fillerCpuDemands(worker, nowMs);
   const cpuShare = resources.cpuMilli / worker.capacityMilli;
-  requests.set(image, (requests.get(image) ?? 0) + cpuShare);
+  demands.set(image, (demands.get(image) ?? 0) + cpuShare);
   let excess = 0;
   let added = 0;
   for (const { group } of worker.claims.values()) {
@@ -41,7 +42,7 @@
     const load = pressure.expectedLoad(
       service,
       group.job.definition.id,
-      requests,
+      demands,
     );
     const overLoad = load - pressure.targetLoadOf(service) + loadHeadroom;
     if (fillerLoad >= minAddedLoad) excess = Math.max(excess, overLoad);
--- a/src/core/cell/filler_cpu_budget.ts
+++ b/src/core/cell/filler_cpu_budget.ts
@@ -1,9 +1,10 @@
 import type { PressureModel } from "../interfere/pressure_model.ts";
+import { fillerCpuDemand } from "./filler_cpu_demand.ts";
 import type { Worker } from "./worker.ts";
 
-/** The CPU that a worker's fillers request, and what other tasks leave them. */
+/** The CPU that a worker's fillers demand, and what other tasks leave them. */
 interface FillerCpuBudget {
-  readonly requestedMilli: number;
+  readonly demandedMilli: number;
   readonly unusedMilli: number;
 }
 
@@ -14,21 +15,23 @@
 export function fillerCpuBudget(
   worker: Worker,
   pressure: PressureModel,
+  nowMs: number,
 ): FillerCpuBudget {
-  let requestedMilli = 0;
+  let demandedMilli = 0;
   let usedMilli = 0;
-  for (const { group } of worker.claims.values()) {
+  for (const task of worker.claims.values()) {
+    const { group } = task;
     const { isFiller, isService, resources, targetLatencyMs } =
       group.definition;
     const { cpuMilli } = resources;
-    if (isFiller) requestedMilli += cpuMilli;
+    if (isFiller) demandedMilli += fillerCpuDemand(worker, task, nowMs);
     else if (isService && targetLatencyMs > 0) {
       usedMilli += cpuMilli * pressure.callerLoadOf(group.job.definition.id);
     } else usedMilli += cpuMilli;
   }
   const capacityMilli = worker.report?.capacity.cpuMilli ?? 0;
   return {
-    requestedMilli,
+    demandedMilli,
     unusedMilli: Math.max(0, capacityMilli - usedMilli),
   };
 }
--- a/src/core/interfere/image_pressures.ts
+++ b/src/core/interfere/image_pressures.ts
@@ -1,9 +1,10 @@
 import type { FillerUse } from "./filler_use.ts";
+import { unknownPressure } from "./unknown_pressure.ts";
 
 /** Variance of a pressure before any sample of it. */
-const initialVariance = 4;
+const initialVariance = 2;
 /** Added per sample: pressures change, so that old samples lose their value. */
-const driftVariance = 0.01;
+const driftVariance = 0.002;
 
 /**
  * Estimates the pressures of filler images on one service image by recursive
@@ -17,10 +18,12 @@
   /** The covariance matrix of the pressures. */
   readonly #covariances: number[][] = [];
 
-  /** Returns the pressure of an image; 0 if unknown. */
+  /** Returns the pressure of an image. */
   pressureOf(image: string): number {
     const index = this.#index.get(image);
-    return index === undefined ? 0 : this.#values[index] ?? 0;
+    return index === undefined
+      ? unknownPressure
+      : this.#values[index] ?? unknownPressure;
   }
 
   /** Returns the variance of the estimate of an image's pressure. */
@@ -93,7 +96,7 @@
     if (known !== undefined) return known;
     const index = this.#index.size;
     this.#index.set(image, index);
-    this.#values.push(0);
+    this.#values.push(unknownPressure);
     for (const row of this.#covariances) row.push(0);
     this.#covariances.push(Array.from({ length: index + 1 }, () => 0));
     this.#covariances[index]![index] = initialVariance;
--- a/tests/load_test.ts
+++ b/tests/load_test.ts
@@ -33,6 +33,11 @@
   const changing = play({ keeperChangesAtMs });
   const forgetting = play({ keeperChangesAtMs, keepsLearned: false });
 
+  it("leave services five sixths of their worth", () => {
+    expect(steady.servicesWorth).to.be.above(5 / 6);
+    expect(steady.plansWorth).to.be.above(0.7);
+  });
+
   it("disturb services little more than without a change", () => {
     expect(changing.overTargetS).to.be.below(1.4 * steady.overTargetS);
     expect(changing.servicesWorth).to.be.above(steady.servicesWorth - 0.06);
