A new keeper places fillers once all workers have reported

Each report released its services; the workers that had reported first were filled with plans, and services then came beside plans that disturb them (16 and 18 of 48 over target in the first two seconds, with the pressures known). Ruled out: a cost for services beside such fillers (no change on the model). Change: fillers wait while a worker with claims has not reported yet, for at most 1.2 s of a keeper's time. All other tasks are placed as before.

--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -48,6 +48,8 @@
 
   readonly pressure = new PressureModel();
   readonly advice = new AdviceCache();
+  /** When it first decided, by the keeper's monotonic clock. */
+  beganAtMs = Infinity;
   /** Jobs with checkpoints that are not in the store yet. */
   readonly #unsavedJobs = new Set<Job>();
   #checkpointsSavedAtMs = -Infinity;
@@ -172,6 +174,7 @@
    * and places waiting tasks.
    */
   *tick(nowMs: number, wallMs: number): Effects {
+    this.beganAtMs = Math.min(this.beganAtMs, nowMs);
     for (const job of this.liveJobs) {
       if (job.definition.schedule === undefined) continue;
       if (job.openDueOccurrences(wallMs)) yield { kind: "save", job };
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -13,6 +13,8 @@
 
 /** A job without a run for this long is placed in relaxed mode. */
 const maxIdleMs = 1_800;
+/** How long fillers wait at most for the first reports of all workers. */
+const maxSettlingMs = 1_200;
 
 type Tickets = ReadonlyMap<RunnerLife, string> | undefined;
 type Effects = Generator<CellEffect, void>;
@@ -27,11 +29,13 @@
   wallMs: number,
 ): Effects {
   const waiting: Urgency[] = [];
+  const isSettling = isCellSettling(cell, nowMs);
   for (const job of cell.liveJobs) {
     const queue = cell.queues.get(job.definition.queue);
     if (queue === undefined) continue;
     for (const group of job.readyGroups()) {
       if (!hasWaiting(group)) continue;
+      if (isSettling && group.definition.isFiller) continue;
       waiting.push(urgencyOf(group, queue, wallMs));
     }
   }
@@ -44,6 +48,19 @@
   }
 }
 
+/**
+ * Whether a new keeper still waits for workers with claims to report. After a
+ * loss of all workers each report releases services, which need room without
+ * fillers that disturb them; so services are placed first, on all workers.
+ */
+function isCellSettling(cell: Cell, nowMs: number): boolean {
+  if (nowMs - cell.beganAtMs >= maxSettlingMs) return false;
+  for (const { isReconciled, claims } of cell.workers.values()) {
+    if (!isReconciled && claims.size > 0) return true;
+  }
+  return false;
+}
+
 function* placeTasks(
   cell: Cell,
   group: TaskGroup,
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -95,7 +95,7 @@
     const { keeperChangesAtMs, powerLossesAtMs, durationMs } = this.options;
     if (powerLossesAtMs.some((atMs) => this.#isAt(atMs))) this.#losePower();
     if (powerLossesAtMs.some((atMs) => this.#isAt(atMs + darkMs))) {
-      for (const worker of this.#workers.values()) worker.isUp = true;
+      this.#restorePower();
     }
     const isNewKeeper = keeperChangesAtMs.some((atMs) => this.#isAt(atMs)) ||
       powerLossesAtMs.some((atMs) => this.#isAt(atMs + darkMs + restartMs));
@@ -135,6 +135,16 @@
     for (const worker of this.#workers.values()) worker.losePower();
   }
 
+  /** The workers report again one after the other. */
+  #restorePower(): void {
+    let index = 0;
+    for (const worker of this.#workers.values()) {
+      const spreadMs = reportSpreadMs * index / this.#workers.size;
+      worker.restorePower(this.#nowMs + restartMs + spreadMs);
+      index += 1;
+    }
+  }
+
   #changeKeeper(): void {
     this.#cell = newCell();
     for (const [id, { definition }] of this.#callers.jobs) {
--- a/stand_ins/load/load_worker.ts
+++ b/stand_ins/load/load_worker.ts
@@ -101,6 +101,12 @@
     this.isUp = false;
   }
 
+  /** Restores power; the first report comes at the given time. */
+  restorePower(firstReportAtMs: number): void {
+    this.isUp = true;
+    this.#reportedAtMs = firstReportAtMs - reportIntervalMs;
+  }
+
   /** Advances all runs by a step and sets the paces when due. */
   step(nowMs: number, stepMs: number): void {
     const uses = this.#fillerUses(nowMs);
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -419,6 +419,38 @@
   });
 });
 
+describe("a filler, while a new keeper waits for workers", () => {
+  const cases = [
+    { name: "that report soon: waits for them", waitMs: 400, isLate: false },
+    {
+      name: "that stay silent: starts in the end",
+      waitMs: 1_200,
+      isLate: true,
+    },
+  ];
+  for (const { name, waitMs, isLate } of cases) {
+    it(name, () => {
+      const earlier = new CellFixture();
+      earlier.reportWorker("w");
+      earlier.submit("s", [step({ isService: true, image: "s" })]);
+      earlier.advance();
+      const fixture = new CellFixture();
+      const service = earlier.cell.jobs.get("s" as JobId)!;
+      fixture.cell.load(service);
+      fixture.submit("j", [step({ isFiller: true, image: "f" })]);
+      fixture.reportWorker("v");
+      fixture.advance();
+      fixture.advance(waitMs - 50);
+      expect(fixture.newStarts()).to.eql([]);
+      if (!isLate) {
+        fixture.reportWorker("w", { running: earlier.runningOn("w") });
+      }
+      fixture.advance(50);
+      expect(fixture.newStarts()).to.have.length(1);
+    });
+  }
+});
+
 describe("a filler", () => {
   it("prefers a worker on which few other images would fit", () => {
     const fixture = new CellFixture();
--- a/tests/load_test.ts
+++ b/tests/load_test.ts
@@ -43,6 +43,11 @@
     expect(changing.servicesWorth).to.be.above(steady.servicesWorth - 0.06);
   });
 
+  it("disturb services little more after a loss of all power", () => {
+    const dark = play({ powerLossesAtMs: [34_000] });
+    expect(dark.overTargetS).to.be.below(1.15 * steady.overTargetS);
+  });
+
   it("would disturb them far more if each keeper began anew", () => {
     expect(forgetting.overTargetS).to.be.above(1.4 * changing.overTargetS);
     expect(forgetting.plansWorth).to.be.below(changing.plansWorth - 0.05);
