Gangs whose first task fits reach relaxed placement

Cause: the claims of a gang's own attempt made its job count as running, which reset the time since which it has had no run. Change: whether a job is relaxed is decided before the attempt, and its waiting is noted after it was undone. Before: the new cell test fails (no start). After: it passes.

--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -4,6 +4,8 @@
 import type { CellEffect } from "./cell_effect.ts";
 import { chooseWorker } from "./choose_worker.ts";
 import { compareUrgency } from "./compare_urgency.ts";
+import type { Job } from "./job.ts";
+import type { PlacementMode } from "./placement_mode.ts";
 import type { TaskGroup } from "./task_group.ts";
 import { buildStart } from "./build_start.ts";
 import type { Task } from "./task.ts";
@@ -73,51 +75,46 @@
     cell.workers.values(),
     nowMs,
   );
+  const { job } = group;
   for (const task of group.tasks) {
     if (!isWaiting(task)) continue;
-    const worker = chooseForTask(cell, task, queue, nowMs, tickets);
-    if (worker === undefined) return;
+    const mayRelax = isRelaxed(job, nowMs) && !job.hasClaims;
+    const worker = chooseForTask(cell, task, queue, nowMs, tickets, mayRelax);
+    if (worker === undefined) {
+      noteIdle(job, nowMs);
+      return;
+    }
     yield* claimAndStart(worker, task, task.run + 1, nowMs, tickets);
-    group.job.idleSinceMs = undefined;
+    job.idleSinceMs = undefined;
   }
 }
 
-/** Chooses a worker, in relaxed mode if the job has had no run for long. */
+/** Chooses a worker, in relaxed mode if strict mode finds none and it may. */
 function chooseForTask(
   cell: Cell,
   task: Task,
   queue: Queue,
   nowMs: number,
   tickets: Tickets,
+  mayRelax: boolean,
 ): Worker | undefined {
-  const { job } = task.group;
   const workers = [...cell.workers.values()];
   const { pressure } = cell;
-  const best = chooseWorker(
-    task,
-    queue,
-    workers,
-    pressure,
-    nowMs,
-    "strict",
-    tickets,
-  );
-  if (best !== undefined) return best;
-  if (job.hasClaims) {
-    job.idleSinceMs = undefined;
-    return undefined;
-  }
-  job.idleSinceMs ??= nowMs;
-  if (nowMs - job.idleSinceMs < maxIdleMs) return undefined;
-  return chooseWorker(
-    task,
-    queue,
-    workers,
-    pressure,
-    nowMs,
-    "relaxed",
-    tickets,
-  );
+  const choose = (mode: PlacementMode) =>
+    chooseWorker(task, queue, workers, pressure, nowMs, mode, tickets);
+  const best = choose("strict");
+  return best === undefined && mayRelax ? choose("relaxed") : best;
+}
+
+/** Whether a job has waited without a run for so long that it is relaxed. */
+function isRelaxed({ idleSinceMs }: Job, nowMs: number): boolean {
+  return idleSinceMs !== undefined && nowMs - idleSinceMs >= maxIdleMs;
+}
+
+/** Notes since when a job that found no worker has had no run. */
+function noteIdle(job: Job, nowMs: number): void {
+  if (job.hasClaims) job.idleSinceMs = undefined;
+  else job.idleSinceMs ??= nowMs;
 }
 
 /** Places all tasks of a gang at once, or none. */
@@ -138,8 +135,10 @@
     cell.workers.values(),
     nowMs,
   );
+  // Claims of this attempt do not count: they are undone unless all fit.
+  const mayRelax = isRelaxed(group.job, nowMs) && !group.job.hasClaims;
   for (const task of group.tasks) {
-    const worker = chooseForTask(cell, task, queue, nowMs, tickets);
+    const worker = chooseForTask(cell, task, queue, nowMs, tickets, mayRelax);
     if (worker === undefined) break;
     task.checkpoint = checkpoint;
     claimRun(worker, task, run, nowMs, tickets);
@@ -147,8 +146,10 @@
   }
   if (claimed.length < group.tasks.length) {
     for (const [worker, task] of claimed) undoClaim(worker, task);
+    noteIdle(group.job, nowMs);
     return;
   }
+  group.job.idleSinceMs = undefined;
   for (const [worker, task] of claimed) yield* startRun(worker, task);
 }
 
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -419,6 +419,21 @@
   });
 });
 
+describe("a gang that fits on suspended workers alone", () => {
+  it("starts there in the end, though one task fits elsewhere", () => {
+    const fixture = new CellFixture();
+    for (const node of ["w", "v"]) fixture.reportWorker(node);
+    fixture.cell.worker("v" as NodeId).suspendedUntilMs = Infinity;
+    const wide = { cpuMilli: 3_000, memoryBytes: 1, accelerators: 0 };
+    fixture.submit("j", [step({ count: 2, isGang: true, resources: wide })]);
+    fixture.advance();
+    fixture.advance(1_700);
+    expect(fixture.newStarts()).to.eql([]);
+    fixture.advance(100);
+    expect(fixture.newStarts()).to.have.length(2);
+  });
+});
+
 describe("a filler, while a new keeper waits for workers", () => {
   const cases = [
     { name: "that report soon: waits for them", waitMs: 400, isLate: false },
