--- a/bench/load_bench.ts
+++ b/bench/load_bench.ts
@@ -14,6 +14,7 @@
 
 const cases: readonly [name: string, change: Partial<LoadOptions>][] = [
   ["quiet", {}],
+  ["all known", { knowsPressures: true }],
   ["keeper changes", { keeperChangesAtMs: [10_000, 24_000] }],
   ["nothing kept", {
     keeperChangesAtMs: [10_000, 24_000],
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -59,6 +59,7 @@
       this.#workers.set(node, worker);
     }
     this.#cell = newCell();
+    if (options.knowsPressures) this.#cell.restoreLearned(truth.encode());
   }
 
   /** Plays the whole load. */
--- a/stand_ins/load/load_options.ts
+++ b/stand_ins/load/load_options.ts
@@ -14,6 +14,8 @@
   readonly powerLossesAtMs: readonly number[];
   /** Whether a keeper begins with what its predecessor has learned. */
   readonly keepsLearned: boolean;
+  /** Whether the first keeper knows all pressures, for an upper bound. */
+  readonly knowsPressures: boolean;
 }
 
 /** Jobs of services, all submitted at the start. */
--- a/stand_ins/load/site_load.ts
+++ b/stand_ins/load/site_load.ts
@@ -48,6 +48,7 @@
     keeperChangesAtMs: [],
     powerLossesAtMs: [],
     keepsLearned: true,
+    knowsPressures: false,
     ...change,
   };
 }
