A stored row of what was learned is checked before it is restored

A row of another shape, as another build beside this one might write, would have ended each new keeper in its first moment. It is ignored with a log line. Five cases in takeover_test; without the check they throw or restore it.

--- a/src/cellhost/job_directory.ts
+++ b/src/cellhost/job_directory.ts
@@ -2,6 +2,7 @@
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
+import { isPressureRow } from "../core/interfere/is_pressure_row.ts";
 import type { PressureRow } from "../core/interfere/pressure_row.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Logger } from "../adapters/logger.ts";
@@ -44,7 +45,10 @@
   /** What the keepers have learned of interference, if it was stored. */
   get learned(): PressureRow | undefined {
     if (this.#learned === undefined) return undefined;
-    return parseJsonRow<PressureRow>(this.#learned, learnedKey, this.log);
+    const row = parseJsonRow<unknown>(this.#learned, learnedKey, this.log);
+    if (row === undefined || isPressureRow(row)) return row;
+    this.log.warn("row_ignored", { key: learnedKey, reason: "shape" });
+    return undefined;
   }
 
   /** The ids of the queue's jobs that have not started. */
--- a/tests/takeover_test.ts
+++ b/tests/takeover_test.ts
@@ -192,6 +192,34 @@
   });
 });
 
+describe("a new keeper begins without what was learned", () => {
+  const cases: readonly (readonly [name: string, row: unknown])[] = [
+    ["if it is null", null],
+    ["if it is empty", {}],
+    ["if a list is missing", { fillers: ["f"], services: [] }],
+    ["if a number is null", {
+      fillers: ["f"],
+      services: [["s", 0.25, [null], [1]]],
+      loads: [],
+    }],
+    ["if a load is text", {
+      fillers: [],
+      services: [],
+      loads: [["j", "high"]],
+    }],
+  ];
+  for (const [name, row] of cases) {
+    it(name, () => {
+      const { session, directory } = createSession(2);
+      directory.applyProgressRows(toStoredRows({ learned: row }));
+      session.load([]);
+      const { fillerImages } = session.cell.pressure;
+      session.close();
+      expect([directory.learned, fillerImages.size]).to.eql([undefined, 0]);
+    });
+  }
+});
+
 describe("refreshing a stream tail", () => {
   it("delivers each row once, and no outdated row of a key", async () => {
     const store = new StoreModel();
