--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -26,6 +26,7 @@
   requests: ["Callers' requests", ["call", "outcome"]],
   store_calls: ["Calls to the store", ["call", "outcome"]],
   starts: ["Runs that were ordered", []],
+  starts_dropped: ["Starts given up before they left the keeper", []],
   start_refusals: ["Runs that were surely not started", ["reason"]],
   stops: ["Runs that were told to stop", ["reason"]],
   ends: ["Runs that ended", ["outcome"]],
--- a/src/adapters/system_clock.ts
+++ b/src/adapters/system_clock.ts
@@ -1,4 +1,7 @@
-import { setTimeout as sleep } from "node:timers/promises";
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import type { Clock } from "../core/clock/clock.ts";
 
 /** The clock of this machine. */
@@ -6,4 +9,5 @@
   nowMs: () => performance.now(),
   wallMs: () => Date.now(),
   sleep: (ms) => sleep(ms),
+  nextTurn: () => nextTurn(),
 };
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -1,28 +1,25 @@
 import { Cell } from "../core/cell/cell.ts";
 import type { CellEffect } from "../core/cell/cell_effect.ts";
-import { decodeJob } from "../core/cell/decode_job.ts";
+import type { JobProgressRow } from "../core/cell/job_progress_row.ts";
 import type { SidecarReport } from "../core/cell/sidecar_report.ts";
+import { decodeJob } from "../core/cell/decode_job.ts";
+import { applyRefusal } from "../core/cell/apply_refusal.ts";
 import { buildStart } from "../core/cell/build_start.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
+import type { RunId } from "../core/jobs/run_id.ts";
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Queue } from "../core/jobs/queue.ts";
-import { systemClock } from "../adapters/system_clock.ts";
-import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
-import type { Logger } from "../adapters/logger.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
-import type { Advisor } from "./advisor.ts";
-import type { JobDirectory } from "./job_directory.ts";
-import type { KeeperBounds } from "./keeper_bounds.ts";
+import type { KeeperLink } from "./keeper_link.ts";
+import type { KeeperSessionOptions } from "./keeper_session_options.ts";
 import { runEffects } from "./run_effects.ts";
 import type { DeferredEffect } from "./deferred_effect.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
-import type { PeerLink } from "./peer_link.ts";
-import { PeerLinks } from "./peer_links.ts";
 import type { PeerAddressRow } from "./peer_address_row.ts";
 import { servicePressures } from "./service_pressures.ts";
-import type { RowWriter } from "./row_writer.ts";
+import { TermLog } from "./term_log.ts";
 import { UnsavedRows } from "./unsaved_rows.ts";
 
 const tickIntervalMs = 50;
@@ -37,60 +34,47 @@
 
 /** A keeper's epoch: from taking over the cell's stream until it is closed. */
 export class KeeperSession {
-  readonly cell: Cell;
-  readonly #links: PeerLinks;
+  readonly cell = new Cell({ stuckFactor, stuckMinMs });
   readonly #leases: LeaseTracker;
-  readonly #openedAtMs = performance.now();
+  readonly #termLog: TermLog;
+  readonly #openedAtMs: number;
   readonly #unsaved = new UnsavedRows();
   #deferred: DeferredEffect[] = [];
   #isFlushing = false;
   #isClosed = false;
   #isResigning = false;
   #unsureSentAtMs = 0;
-  #hasLoggedRenewal = false;
-  readonly #timer: NodeJS.Timeout;
 
-  constructor(
-    readonly epoch: number,
-    readonly writer: RowWriter,
-    readonly directory: JobDirectory,
-    readonly bounds: KeeperBounds,
-    readonly log: Logger,
-    readonly keeper: NodeId,
-    readonly advisor: Advisor,
-    readonly metrics: PrometheusMetrics,
-  ) {
-    this.#leases = new LeaseTracker(writer, bounds.maxHoldMs, systemClock);
-    this.cell = new Cell({ stuckFactor, stuckMinMs });
-    this.#links = new PeerLinks({ kind: "hello", epoch, keeper }, log);
-    this.#links.onMessage = (link, message) => this.#receive(link, message);
-    this.#links.onSidecarLost = (node) => this.cell.handleDisconnect(node);
-    this.#links.onEntryConnected = (link) => this.#sendStates(link);
-    this.#timer = setInterval(() => this.#flushSoon(), tickIntervalMs);
+  constructor(readonly options: KeeperSessionOptions) {
+    const { epoch, bounds, clock, links, log, metrics, writer } = options;
+    this.#openedAtMs = clock.nowMs();
+    this.#leases = new LeaseTracker(writer, bounds.maxHoldMs, clock);
+    this.#termLog = new TermLog(epoch, log, metrics, clock);
+    links.onMessage = (link, message) =>
+      this.#guard(() => this.#receive(link, message));
+    links.onSidecarLost = (node) => this.cell.handleDisconnect(node);
+    links.onEntryConnected = (link) => this.#sendStates(link);
+    void this.#tickUntilClosed();
   }
 
   /** Loads the cell's jobs, claims and cancellations from the directory. */
   load(queues: Iterable<Queue>): void {
-    const nowMs = performance.now();
+    const { clock, directory } = this.options;
+    const nowMs = clock.nowMs();
     this.setQueues(queues);
-    const { definitions, rows, cancelled, learned } = this.directory;
+    const { definitions, rows, cancelled, learned } = directory;
     for (const [id, definition] of definitions) {
-      this.cell.load(decodeJob(definition, rows.get(id), nowMs));
+      this.#load(definition, rows.get(id), nowMs);
     }
     if (learned !== undefined) this.cell.restoreLearned(learned);
     for (const id of cancelled) this.#applyAll(this.cell.cancel(id, nowMs));
     for (const worker of this.cell.workers.values()) {
       this.#leases.inherit(worker.node);
     }
-    for (const job of this.cell.liveJobs) job.openDueOccurrences(Date.now());
-    this.metrics.count("terms");
-    this.metrics.setGauge("epoch", this.epoch);
-    this.metrics.setGauge("in_office", 1);
-    this.log.info("term_begun", {
-      epoch: this.epoch,
-      jobs: this.cell.liveJobs.size,
-      workers: this.cell.workers.size,
-    });
+    for (const job of this.cell.liveJobs) {
+      job.openDueOccurrences(clock.wallMs());
+    }
+    this.#termLog.begin(this.cell);
   }
 
   /** Applies the current configuration's queues. Removed ones are kept. */
@@ -100,22 +84,43 @@
   }
 
   submit(job: JobDefinition): void {
-    const row = this.directory.rows.get(job.id);
-    if (row === undefined) this.#applyAll(this.cell.submit(job, Date.now()));
-    else if (!this.cell.jobs.has(job.id)) {
-      this.cell.load(decodeJob(job, row, performance.now()));
+    const { clock, directory } = this.options;
+    const row = directory.rows.get(job.id);
+    if (row === undefined) {
+      this.#applyAll(this.cell.submit(job, clock.wallMs()));
+    } else if (!this.cell.jobs.has(job.id)) {
+      this.#load(job, row, clock.nowMs());
       this.#flushSoon();
     }
   }
 
+  /** Loads a job; one that cannot be read is left out, and holds up no other. */
+  #load(
+    job: JobDefinition,
+    row: JobProgressRow | undefined,
+    nowMs: number,
+  ): void {
+    try {
+      this.cell.load(decodeJob(job, row, nowMs));
+    } catch (cause) {
+      const detail = cause instanceof Error ? cause.stack : String(cause);
+      this.options.log.error("job_unreadable", { job: job.id, detail });
+    }
+  }
+
   cancel(id: JobId): void {
-    this.log.info("job_cancelled", { job: id });
-    this.#applyAll(this.cell.cancel(id, performance.now()));
+    const { clock, log } = this.options;
+    log.info("job_cancelled", { job: id });
+    this.#applyAll(this.cell.cancel(id, clock.nowMs()));
   }
 
   /** Connects to a peer, or to the new address of a known one. */
   setPeer(node: NodeId, row: PeerAddressRow): void {
-    this.#links.set(node, row);
+    this.options.links.set(node, row);
+  }
+
+  get epoch(): number {
+    return this.options.epoch;
   }
 
   get isOpen(): boolean {
@@ -123,100 +128,83 @@
   }
 
   get ageMs(): number {
-    return performance.now() - this.#openedAtMs;
+    return this.options.clock.nowMs() - this.#openedAtMs;
   }
 
   /** Whether an entry of at least the given strength is connected. */
   hasEntry(strength: number): boolean {
-    return this.#links.hasEntry(strength);
+    return this.options.links.hasEntry(strength);
   }
 
   /** Asks the entries to campaign; remains keeper until one is elected. */
   resign(): void {
     if (this.#isResigning) return;
     this.#isResigning = true;
-    this.log.info("keeper_leaves", { epoch: this.epoch });
-    this.#links.sendToEntries({ kind: "resigned" });
+    const { epoch, links, log } = this.options;
+    log.info("keeper_leaves", { epoch });
+    links.sendToEntries({ kind: "resigned" });
   }
 
   /** Ends the session: stops the writer and closes all connections. */
   close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
-    clearInterval(this.#timer);
-    this.writer.close();
-    this.#links.close();
-    this.metrics.setGauge("in_office", 0);
-    const { epoch } = this;
-    this.log.info("term_ended", { epoch, leaving: this.#isResigning });
+    this.options.writer.close();
+    this.options.links.close();
+    this.#termLog.end(this.#isResigning);
   }
 
-  #receive(link: PeerLink, message: PeerMessage): void {
+  #receive(link: KeeperLink, message: PeerMessage): void {
     if (this.#isClosed) return;
-    const nowMs = performance.now();
+    const { clock, writer } = this.options;
     const { node } = link;
     switch (message.kind) {
-      case "report": {
-        const worker = this.cell.worker(node);
-        const isFirst = !worker.isReconciled;
-        this.#logNewEnds(node, message.report);
-        this.#applyAll(this.cell.handleReport(node, message.report, nowMs));
-        const isUnsure = isFirst || message.report.unexplained > 0;
-        if (isUnsure && worker.isReconciled) this.#sendKnownRuns(link);
-        if (!this.#leases.mayRenew) return;
-        this.#leases.renew(node);
-        const pressures = servicePressures(worker, this.cell.pressure);
-        link.send({ kind: "renew", report: message.number, pressures });
-        if (isFirst) this.#logFirstRenewal();
+      case "report":
+        this.#handleReport(link, message.number, message.report);
         return;
-      }
       case "superseded":
-        if (message.epoch > this.epoch) this.writer.depose("superseded");
+        if (message.epoch > this.epoch) writer.depose("superseded");
         return;
       case "started":
-        this.cell.markStarted(node, message.task, message.run, nowMs);
+        this.cell.markStarted(node, message.task, message.run, clock.nowMs());
         return;
       case "refused": {
-        const { task, run, reason } = message;
-        this.metrics.count("start_refusals", { reason });
-        this.log.info("start_refused", { node, task, run, reason });
-        this.#applyAll(this.cell.handleRefusal(node, task, run, reason, nowMs));
+        const worker = this.cell.worker(node);
+        this.#termLog.recordRefusal(node, message);
+        this.#applyAll(
+          applyRefusal(this.cell, worker, message, clock.nowMs()),
+        );
+        link.send({ kind: "noted", refusals: [runIdOf(message)] });
         return;
       }
     }
   }
 
-  /** Logs and counts each end that no earlier report held. */
-  #logNewEnds(node: NodeId, report: SidecarReport): void {
-    const { lastEnd, report: known } = this.cell.worker(node);
-    const from = known?.life === report.life ? lastEnd : 0;
-    for (const { number, task, run, outcome, checkpoint } of report.ends) {
-      if (number <= from) continue;
-      this.metrics.count("ends", { outcome });
-      this.log.info("end", { node, task, run, outcome, checkpoint });
-    }
+  #handleReport(link: KeeperLink, number: number, report: SidecarReport): void {
+    const nowMs = this.options.clock.nowMs();
+    const { node } = link;
+    const worker = this.cell.worker(node);
+    const isFirst = !worker.isReconciled;
+    this.#termLog.recordEnds(worker, report);
+    this.#applyAll(this.cell.handleReport(node, report, nowMs));
+    const refusals = report.refusals?.map(runIdOf) ?? [];
+    if (refusals.length > 0) link.send({ kind: "noted", refusals });
+    const isUnsure = isFirst || report.unexplained > 0;
+    if (isUnsure && worker.isReconciled) this.#sendKnownRuns(link);
+    if (!this.#leases.mayRenew) return;
+    this.#leases.renew(node);
+    const pressures = servicePressures(worker, this.cell.pressure);
+    link.send({ kind: "renew", report: number, pressures });
+    if (isFirst) this.#termLog.recordRenewal(this.cell);
   }
 
   /** Sends a sidecar the details of the runs claimed on its worker. */
-  #sendKnownRuns(link: PeerLink): void {
+  #sendKnownRuns(link: KeeperLink): void {
     const worker = this.cell.worker(link.node);
     const runs = [...worker.claims.values()].map(buildStart);
     if (runs.length > 0) link.send({ kind: "known", runs });
   }
 
-  #logFirstRenewal(): void {
-    if (this.#hasLoggedRenewal) return;
-    const workers = [...this.cell.workers.values()];
-    if (workers.some(({ isReconciled }) => !isReconciled)) return;
-    this.#hasLoggedRenewal = true;
-    this.log.info("leases_renewed", {
-      epoch: this.epoch,
-      since_start_ms: Math.round(performance.now()),
-      since_term_ms: Math.round(performance.now() - this.#openedAtMs),
-      workers: workers.length,
-    });
-  }
-
   #applyAll(effects: Iterable<CellEffect>): void {
     for (const effect of effects) this.#apply(effect);
     this.#flushSoon();
@@ -226,53 +214,73 @@
     if (effect.kind === "save") this.#unsaved.addJob(effect.job);
     else if (effect.kind === "learned") this.#unsaved.setLearned(effect.row);
     else if (effect.kind === "stop") {
-      const { node, task, run, reason, life } = effect;
-      this.metrics.count("stops", { reason });
-      this.log.info("stop", { node, task, run, reason });
+      const { node, task, run, life } = effect;
+      this.#termLog.recordStop(effect);
       const stops = [{ task, run, life }];
-      this.#links.send(node, { kind: "orders", starts: [], stops });
+      this.options.links.send(node, { kind: "orders", starts: [], stops });
     } else if (effect.kind === "ask") void this.#ask(effect.step, effect.lives);
     else this.#deferred.push(effect);
   }
 
   async #ask(step: string, lives: readonly RunnerLife[]): Promise<void> {
+    const { advisor, log } = this.options;
     try {
-      const tickets = await this.advisor.requestTickets(step, lives);
+      const tickets = await advisor.requestTickets(step, lives);
       if (this.#isClosed) return;
-      this.log.info("advised", {
-        step,
-        asked: lives.length,
-        may: tickets.size,
-      });
+      log.info("advised", { step, asked: lives.length, may: tickets.size });
       this.cell.advice.storeAnswer(step, tickets);
       this.#flushSoon();
     } catch (cause) {
       const reason = (cause as Error).message;
-      this.log.warn("advice_failed", { step, reason });
+      log.warn("advice_failed", { step, reason });
+    }
+  }
+
+  async #tickUntilClosed(): Promise<void> {
+    while (!this.#isClosed) {
+      await this.options.clock.sleep(tickIntervalMs);
+      this.#flushSoon();
     }
   }
 
   #flushSoon(): void {
     if (this.#isFlushing || this.#isClosed) return;
     this.#isFlushing = true;
-    setImmediate(() => this.#flush());
+    void this.options.clock.nextTurn().then(() =>
+      this.#guard(() => this.#flush())
+    );
+  }
+
+  /**
+   * Ends the term at an unexpected error: what is in memory may be wrong, and
+   * the next keeper begins with what is stored.
+   */
+  #guard(act: () => void): void {
+    try {
+      act();
+    } catch (cause) {
+      const detail = cause instanceof Error ? cause.stack : String(cause);
+      this.options.log.error("term_failed", { detail });
+      this.options.writer.depose("failed");
+    }
   }
 
   #flush(): void {
     this.#isFlushing = false;
     if (this.#isClosed) return;
-    const nowMs = performance.now();
+    const { clock, metrics, writer } = this.options;
+    const nowMs = clock.nowMs();
     this.#releaseLostWorkers(nowMs);
     this.#reportUnsure(nowMs);
-    this.metrics.setGauge("jobs_live", this.cell.liveJobs.size);
-    for (const effect of this.cell.tick(nowMs, Date.now())) this.#apply(effect);
+    metrics.setGauge("jobs_live", this.cell.liveJobs.size);
+    const effects = this.cell.tick(nowMs, clock.wallMs());
+    for (const effect of effects) this.#apply(effect);
     const rows = this.#unsaved.take();
     if (rows.length === 0 && this.#deferred.length === 0) return;
     const deferred = this.#deferred;
     this.#deferred = [];
-    this.writer.write(rows, () => {
-      if (this.#isClosed) return;
-      runEffects(deferred, this.#links, this.directory, this.metrics, this.log);
+    writer.write(rows, () => {
+      if (!this.#isClosed) runEffects(deferred, this.cell, this.options);
     });
   }
 
@@ -281,29 +289,28 @@
     for (const worker of this.cell.workers.values()) {
       if (worker.isReconciled || worker.claims.size === 0) continue;
       if (!this.#leases.hasExpired(worker.node)) continue;
-      this.metrics.count("workers_lost");
-      this.log.warn("worker_lost", {
-        node: worker.node,
-        claims: worker.claims.size,
-      });
-      for (const effect of this.cell.handleWorkerLost(worker.node, nowMs)) {
-        this.#apply(effect);
-      }
+      this.#termLog.recordLostWorker(worker);
+      const effects = this.cell.handleWorkerLost(worker.node, nowMs);
+      for (const effect of effects) this.#apply(effect);
     }
   }
 
   #reportUnsure(nowMs: number): void {
-    if (nowMs - this.writer.confirmedAtMs < unsureAfterMs) return;
+    if (nowMs - this.options.writer.confirmedAtMs < unsureAfterMs) return;
     if (nowMs - this.#unsureSentAtMs < unsureIntervalMs) return;
     this.#unsureSentAtMs = nowMs;
-    this.#links.sendToEntries({ kind: "unsure" });
+    this.options.links.sendToEntries({ kind: "unsure" });
   }
 
-  #sendStates(link: PeerLink): void {
-    const jobs = [...this.cell.jobs.values()].map((job) =>
-      [job.definition.id, this.directory.state(job.definition.id)!] as const
-    );
+  #sendStates(link: KeeperLink): void {
+    const { directory } = this.options;
+    const jobs = [...this.cell.jobs.keys()]
+      .map((id) => [id, directory.state(id)!] as const);
     link.send({ kind: "states", jobs });
     if (this.#isResigning) link.send({ kind: "resigned" });
   }
 }
+
+function runIdOf({ task, run }: RunId): RunId {
+  return { task, run };
+}
--- /dev/null
+++ b/src/cellhost/keeper_session_options.ts
@@ -0,0 +1,22 @@
+import type { Logger } from "../adapters/logger.ts";
+import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
+import type { Clock } from "../core/clock/clock.ts";
+import type { Advisor } from "./advisor.ts";
+import type { JobDirectory } from "./job_directory.ts";
+import type { KeeperBounds } from "./keeper_bounds.ts";
+import type { KeeperLinks } from "./keeper_links.ts";
+import type { RowWriter } from "./row_writer.ts";
+
+/** What a keeper's session works with. */
+export interface KeeperSessionOptions {
+  readonly epoch: number;
+  /** The writer of the cell's stream, which has taken the stream over. */
+  readonly writer: RowWriter;
+  readonly directory: JobDirectory;
+  readonly bounds: KeeperBounds;
+  readonly links: KeeperLinks;
+  readonly advisor: Advisor;
+  readonly clock: Clock;
+  readonly metrics: PrometheusMetrics;
+  readonly log: Logger;
+}
--- a/src/cellhost/peer_links.ts
+++ b/src/cellhost/peer_links.ts
@@ -2,20 +2,20 @@
 import type { Logger } from "../adapters/logger.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
+import type { KeeperLink } from "./keeper_link.ts";
+import type { KeeperLinks } from "./keeper_links.ts";
 import { PeerLink } from "./peer_link.ts";
 import type { PeerAddressRow } from "./peer_address_row.ts";
 
-/** A keeper's connections to its peers, each at the newest known address. */
-export class PeerLinks {
-  /** Called when a connection to an entry has opened. */
-  onEntryConnected: (link: PeerLink) => void = () => {};
-  onMessage: (link: PeerLink, message: PeerMessage) => void = () => {};
+/** Connections over TCP, each to a peer's newest known address. */
+export class PeerLinks implements KeeperLinks {
+  onEntryConnected: (link: KeeperLink) => void = () => {};
+  onMessage: (link: KeeperLink, message: PeerMessage) => void = () => {};
   onSidecarLost: (node: NodeId) => void = () => {};
   readonly #links = new Map<NodeId, PeerLink>();
 
   constructor(readonly hello: KeeperMessage, readonly log: Logger) {}
 
-  /** Connects to a peer, or to the new address of a known one. */
   set(node: NodeId, row: PeerAddressRow): void {
     const known = this.#links.get(node);
     if (known !== undefined) {
@@ -35,19 +35,16 @@
     link.open();
   }
 
-  /** Sends to one peer, if it is connected. */
   send(node: NodeId, message: KeeperMessage): void {
     this.#links.get(node)?.send(message);
   }
 
-  /** Sends to all entries. */
   sendToEntries(message: KeeperMessage): void {
     for (const link of this.#links.values()) {
       if (link.row.role === "entry") link.send(message);
     }
   }
 
-  /** Whether an entry of at least the given strength is connected. */
   hasEntry(strength: number): boolean {
     for (const { row, isOpen } of this.#links.values()) {
       if (row.role === "entry" && isOpen && row.strength >= strength) {
--- a/src/cellhost/run_effects.ts
+++ b/src/cellhost/run_effects.ts
@@ -1,29 +1,28 @@
-import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
-import type { Logger } from "../adapters/logger.ts";
+import type { Cell } from "../core/cell/cell.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
-import type { JobDirectory } from "./job_directory.ts";
 import type { DeferredEffect } from "./deferred_effect.ts";
-import type { PeerLinks } from "./peer_links.ts";
+import type { KeeperSessionOptions } from "./keeper_session_options.ts";
 import { StartBatch } from "./start_batch.ts";
 
 /**
  * Executes effects whose preceding rows are stored. All starts for a worker are
- * sent in one message, and so are all job states for the entries.
+ * sent in one message, and so are all job states for the entries. A start whose
+ * claim has gone meanwhile is dropped: its run number is given up.
  */
 export function runEffects(
   effects: readonly DeferredEffect[],
-  links: PeerLinks,
-  directory: JobDirectory,
-  metrics: PrometheusMetrics,
-  log: Logger,
+  cell: Cell,
+  { directory, links, log, metrics }: KeeperSessionOptions,
 ): void {
   const batch = new StartBatch();
   const jobs: (readonly [JobId, JobState])[] = [];
   for (const effect of effects) {
     switch (effect.kind) {
       case "start":
-        batch.add(effect.node, effect.command);
+        if (cell.mayOrder(effect.node, effect.command)) {
+          batch.add(effect.node, effect.command);
+        } else metrics.count("starts_dropped");
         break;
       case "forget": {
         const { life, end } = effect;
--- /dev/null
+++ b/src/cellhost/term_log.ts
@@ -0,0 +1,84 @@
+import type { Logger } from "../adapters/logger.ts";
+import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
+import type { Cell } from "../core/cell/cell.ts";
+import type { CellEffect } from "../core/cell/cell_effect.ts";
+import type { Refusal } from "../core/cell/refusal.ts";
+import type { SidecarReport } from "../core/cell/sidecar_report.ts";
+import type { Worker } from "../core/cell/worker.ts";
+import type { Clock } from "../core/clock/clock.ts";
+import type { NodeId } from "../core/jobs/node_id.ts";
+
+/** Logs and counts what happens in one term of a keeper. */
+export class TermLog {
+  readonly #beganAtMs: number;
+  #hasLoggedRenewal = false;
+
+  constructor(
+    readonly epoch: number,
+    readonly log: Logger,
+    readonly metrics: PrometheusMetrics,
+    readonly clock: Clock,
+  ) {
+    this.#beganAtMs = clock.nowMs();
+  }
+
+  begin({ liveJobs, workers }: Cell): void {
+    const { epoch } = this;
+    this.metrics.count("terms");
+    this.metrics.setGauge("epoch", epoch);
+    this.metrics.setGauge("in_office", 1);
+    this.log.info("term_begun", {
+      epoch,
+      jobs: liveJobs.size,
+      workers: workers.size,
+    });
+  }
+
+  end(leaving: boolean): void {
+    this.metrics.setGauge("in_office", 0);
+    this.log.info("term_ended", { epoch: this.epoch, leaving });
+  }
+
+  /** Records each end that no earlier report of the worker held. */
+  recordEnds(worker: Worker, report: SidecarReport): void {
+    const { node, lastEnd, report: known } = worker;
+    const from = known?.life === report.life ? lastEnd : 0;
+    for (const { number, task, run, outcome, checkpoint } of report.ends) {
+      if (number <= from) continue;
+      this.metrics.count("ends", { outcome });
+      this.log.info("end", { node, task, run, outcome, checkpoint });
+    }
+  }
+
+  recordRefusal(node: NodeId, { task, run, reason }: Refusal): void {
+    this.metrics.count("start_refusals", { reason });
+    this.log.info("start_refused", { node, task, run, reason });
+  }
+
+  recordStop(effect: Extract<CellEffect, { kind: "stop" }>): void {
+    const { node, task, run, reason } = effect;
+    this.metrics.count("stops", { reason });
+    this.log.info("stop", { node, task, run, reason });
+  }
+
+  recordLostWorker({ node, claims }: Worker): void {
+    this.metrics.count("workers_lost");
+    this.log.warn("worker_lost", { node, claims: claims.size });
+  }
+
+  /** Records that the leases of all workers are renewed, the first time. */
+  recordRenewal({ workers }: Cell): void {
+    if (this.#hasLoggedRenewal) return;
+    for (const { isReconciled } of workers.values()) {
+      if (!isReconciled) return;
+    }
+    this.#hasLoggedRenewal = true;
+    const nowMs = this.clock.nowMs();
+    this.log.info("leases_renewed", {
+      epoch: this.epoch,
+      since_start_ms: Math.round(nowMs),
+      since_term_ms: Math.round(nowMs - this.#beganAtMs),
+      workers: workers.size,
+    });
+  }
+}
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -14,8 +14,9 @@
 import { Job } from "./job.ts";
 import { drainWorkers } from "./drain_workers.ts";
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
+import { applyRefusal } from "./apply_refusal.ts";
 import { applyRunEnd } from "./apply_run_end.ts";
-import type { StartRefusal } from "./start_refusal.ts";
+import type { StartCommand } from "./start_command.ts";
 import { stopEffectFor } from "./stop_effect_for.ts";
 import { stopStuckRuns } from "./stop_stuck_runs.ts";
 import type { Task } from "./task.ts";
@@ -32,8 +33,6 @@
 const checkpointSaveIntervalMs = 1_000;
 /** How often what was learned of interference is saved. */
 const learnedSaveIntervalMs = 2_000;
-/** How long a worker that refused a start as unhealthy or full is suspended. */
-const refusalPauseMs = 300;
 
 /**
  * The jobs and workers of one cell. Every decision about a task's runs is made
@@ -114,6 +113,9 @@
     }
     worker.report = report;
     const runs = new Map(report.running.map((run) => [run.task, run]));
+    for (const refusal of report.refusals ?? []) {
+      yield* applyRefusal(this, worker, refusal, nowMs);
+    }
     yield* this.#applyEnds(worker, report, nowMs);
     if (report.isLapsed) {
       yield* this.handleWorkerLost(node, nowMs);
@@ -136,7 +138,7 @@
     const worker = this.worker(node);
     worker.isReconciled = false;
     for (const task of [...worker.claims.values()]) {
-      yield* this.#releaseClaim(worker, task, nowMs);
+      yield* this.releaseClaim(worker, task, nowMs);
     }
   }
 
@@ -149,24 +151,15 @@
     claim.progressAtMs = nowMs;
   }
 
-  /** Handles a start that was certainly not carried out. */
-  *handleRefusal(
-    node: NodeId,
-    name: TaskName,
-    run: number,
-    reason: StartRefusal,
-    nowMs: number,
-  ): Effects {
-    const worker = this.worker(node);
-    const task = worker.claimedTask(name, run);
-    if (task === undefined) return;
-    if (reason === "unhealthy" || reason === "no_room") {
-      worker.suspendedUntilMs = nowMs + refusalPauseMs;
-    }
-    if (reason === "ticket") this.advice.invalidate(task.group);
-    // The runner's new life is unknown until the sidecar's next report.
-    if (reason === "other_life") worker.isReconciled = false;
-    yield* this.#releaseClaim(worker, task, nowMs);
+  /**
+   * Whether a start whose claim is stored may leave for its worker now; from
+   * then on it counts as ordered. The claim may have gone in the meantime.
+   */
+  mayOrder(node: NodeId, { task, run, life }: StartCommand): boolean {
+    const claim = this.workers.get(node)?.claimedTask(task, run)?.claim;
+    if (claim?.life !== life || claim.phase === "stopping") return false;
+    claim.isOrdered = true;
+    return true;
   }
 
   /**
@@ -222,7 +215,7 @@
       if (mayRunHere) {
         task.claim = { ...claim, life };
         yield { kind: "save", job: task.group.job };
-      } else yield* this.#releaseClaim(worker, task, nowMs);
+      } else yield* this.releaseClaim(worker, task, nowMs);
     }
   }
 
@@ -239,24 +232,33 @@
   }
 
   *#applyEnd(worker: Worker, end: RunEnd, nowMs: number): Effects {
-    const task = worker.claimedTask(end.task, end.run);
+    const task = worker.claimedTask(end.task, end.run) ??
+      this.#releasedTask(end);
     if (task === undefined) return;
     worker.removeClaim(task);
     yield* applyRunEnd(this, worker, task, end, nowMs);
   }
 
-  /** Releases a claim, as the end of a run whose lease has lapsed. */
-  *#releaseClaim(worker: Worker, task: Task, nowMs: number): Effects {
+  /**
+   * The task of a run that was done after its claim had been released, unless a
+   * later run is claimed already: its work need not be done again.
+   */
+  #releasedTask({ task: name, run, outcome }: RunEnd): Task | undefined {
+    const task = outcome === "done" ? this.task(name) : undefined;
+    const isWaiting = task?.run === run && task.claim === undefined;
+    return isWaiting && !task.isDone ? task : undefined;
+  }
+
+  /** Releases a claim of a run that certainly is not active any more. */
+  *releaseClaim(
+    worker: Worker,
+    task: Task,
+    nowMs: number,
+    outcome: "lapsed" | "stopped" = "lapsed",
+  ): Effects {
     worker.removeClaim(task);
-    const checkpoint = task.checkpoint;
-    const { name, run } = task;
-    const end: RunEnd = {
-      number: 0,
-      task: name,
-      run,
-      outcome: "lapsed",
-      checkpoint,
-    };
+    const { name, run, checkpoint } = task;
+    const end = { number: 0, task: name, run, outcome, checkpoint };
     yield* applyRunEnd(this, worker, task, end, nowMs);
   }
 
@@ -298,13 +300,20 @@
     for (const task of job.tasks()) yield* this.stopRun(task, job.state, nowMs);
   }
 
-  /** Stops a task's run, if it has one that is not being stopped yet. */
+  /**
+   * Stops a task's run, if it has one that is not being stopped yet. One whose
+   * start has not left needs no stop, which would overtake the start.
+   */
   *stopRun(task: Task, reason: string, nowMs: number): Effects {
     const { claim } = task;
     if (claim === undefined || claim.phase === "stopping") return;
+    const worker = this.worker(claim.node);
+    if (!claim.isOrdered) {
+      yield* this.releaseClaim(worker, task, nowMs, "stopped");
+      return;
+    }
     claim.phase = "stopping";
     claim.phaseSinceMs = nowMs;
-    const worker = this.worker(claim.node);
     yield stopEffectFor(worker, task.name, task.run, reason, claim.life);
   }
 }
--- a/src/core/cell/claim.ts
+++ b/src/core/cell/claim.ts
@@ -6,6 +6,11 @@
   readonly node: NodeId;
   readonly life: RunnerLife;
   phase: ClaimPhase;
+  /**
+   * Whether its start may have left for the worker. Before, it waits for the
+   * claim to be stored, and the claim may be dropped without a trace.
+   */
+  isOrdered: boolean;
   /**
    * When the phase began or its command was last resent, by the keeper's
    * monotonic clock.
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -58,6 +58,7 @@
       node: worker[0] as NodeId,
       life: worker[1] as RunnerLife,
       phase: "starting",
+      isOrdered: true,
       phaseSinceMs: nowMs,
       ticket: undefined,
       progressPercent: 0,
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -176,6 +176,7 @@
     node: worker.node,
     life: worker.report!.life,
     phase: "starting",
+    isOrdered: false,
     phaseSinceMs: nowMs,
     ticket: tickets?.get(worker.report!.life),
     progressPercent: 0,
--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -1,3 +1,5 @@
+import type { RunId } from "../jobs/run_id.ts";
+import { parseRunKey } from "../jobs/parse_run_key.ts";
 import { runKey } from "../jobs/run_key.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
@@ -18,8 +20,8 @@
 const resendMs = 1_500;
 
 /**
- * Reconciles a worker's claims with the runs that it lists: resends the starts
- * of missing runs, and stops unclaimed runs, which no claim accounts for.
+ * Reconciles a worker's claims with the runs that it lists or may yet start:
+ * resends the starts of missing runs, and stops unclaimed ones.
  */
 export function* reconcileRuns(
   cell: Cell,
@@ -38,6 +40,11 @@
     cell.markStarted(worker.node, name, status.run, nowMs);
     recordProgress(task, status.percent, nowMs);
   }
+  for (const run of worker.report?.unsettled.map(parseRunKey) ?? []) {
+    if (runs.get(run.task)?.run === run.run) continue;
+    if (worker.claimedTask(run.task, run.run) !== undefined) continue;
+    yield* stopUnclaimed(cell, worker, run, nowMs);
+  }
   for (const key of worker.strayStopSentAtMs.keys()) {
     if (!worker.strays.has(key)) worker.strayStopSentAtMs.delete(key);
   }
@@ -49,11 +56,11 @@
 function* stopUnclaimed(
   cell: Cell,
   worker: Worker,
-  status: RunStatus,
+  run: RunId,
   nowMs: number,
 ): Effects {
-  const definition = cell.task(status.task)?.group.definition;
-  const key = runKey(status);
+  const definition = cell.task(run.task)?.group.definition;
+  const key = runKey(run);
   worker.strays.set(
     key,
     definition === undefined ? noResources : reservedResources(definition),
@@ -61,7 +68,7 @@
   const sentAtMs = worker.strayStopSentAtMs.get(key) ?? -Infinity;
   if (nowMs - sentAtMs < unclaimedStopIntervalMs) return;
   worker.strayStopSentAtMs.set(key, nowMs);
-  yield stopEffectFor(worker, status.task, status.run, "stray");
+  yield stopEffectFor(worker, run.task, run.run, "stray");
 }
 
 /** Resends a claim's command, which a lost connection or sidecar can drop. */
@@ -72,7 +79,7 @@
   nowMs: number,
 ): Effects {
   const { claim } = task;
-  if (claim === undefined) return;
+  if (claim === undefined || !claim.isOrdered) return;
   const isStopping = claim.phase === "stopping";
   if (!isStopping && runs.get(task.name)?.run === task.run) return;
   if (worker.isReconciled && nowMs - claim.phaseSinceMs < resendMs) return;
--- a/src/core/cell/sidecar_report.ts
+++ b/src/core/cell/sidecar_report.ts
@@ -1,4 +1,5 @@
 import type { Resources } from "../../schema/resources.ts";
+import type { Refusal } from "./refusal.ts";
 import type { RunEnd } from "../jobs/run_end.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { RunnerLife } from "../jobs/runner_life.ts";
@@ -23,4 +24,9 @@
   readonly unexplained: number;
   /** Keys of the runs whose start or stop has no known result yet. */
   readonly unsettled: readonly string[];
+  /**
+   * The refused starts that the keeper has not acknowledged; sidecars of an
+   * earlier version do not list them.
+   */
+  readonly refusals?: readonly Refusal[];
 }
--- a/src/core/clock/clock.ts
+++ b/src/core/clock/clock.ts
@@ -5,4 +5,6 @@
   /** Wall-clock time; it may differ between machines, and jump. */
   wallMs(): number;
   sleep(ms: number): Promise<void>;
+  /** Resolves once the input that is already there has been handled. */
+  nextTurn(): Promise<void>;
 }
--- a/src/core/jobs/run_key.ts
+++ b/src/core/jobs/run_key.ts
@@ -1,8 +1,6 @@
-import type { TaskName } from "./task_name.ts";
+import type { RunId } from "./run_id.ts";
 
 /** Returns the key that identifies a run in maps and messages. */
-export function runKey(
-  { task, run }: { readonly task: TaskName; readonly run: number },
-): string {
+export function runKey({ task, run }: RunId): string {
   return `${task}#${run}`;
 }
--- /dev/null
+++ b/src/gate/end_ledger.ts
@@ -0,0 +1,66 @@
+import type { RunEnd } from "../core/jobs/run_end.ts";
+
+/** Shorter than any runner takes to end and begin its next life. */
+const confirmationValidMs = 60;
+
+/**
+ * The ends of runs that a life of the runner lists, until the keeper has stored
+ * them. End numbers begin anew in each life, and a poll may reach a life that
+ * no heartbeat has shown yet. So the runner is told to forget ends only right
+ * after an answer of the known life, and not again once it has confirmed that.
+ */
+export class EndLedger {
+  /** The listed ends that are not stored yet. */
+  ends: readonly RunEnd[] = [];
+  /** When the life of the last heartbeat answered the newest poll, if it did. */
+  #confirmedAtMs = -Infinity;
+  /** The highest end number in a report. */
+  #reportedUpTo = 0;
+  /** The keeper has stored the ends up to this number. */
+  #storedUpTo = 0;
+  /** The runner has confirmed that it forgot the ends up to this number. */
+  #forgottenUpTo = 0;
+
+  /** Whether the runner lists ends that are stored. */
+  get isForgettingDue(): boolean {
+    return this.#storedUpTo > this.#forgottenUpTo;
+  }
+
+  /** The number up to which a poll now lets ends be forgotten; 0 for none. */
+  upToForPoll(nowMs: number): number {
+    const isConfirmed = nowMs - this.#confirmedAtMs <= confirmationValidMs;
+    return this.isForgettingDue && isConfirmed ? this.#storedUpTo : 0;
+  }
+
+  /** Whether an end has come that no report holds. */
+  get hasNew(): boolean {
+    return (this.ends.at(-1)?.number ?? 0) > this.#reportedUpTo;
+  }
+
+  /** Records that the known life answered a poll with that number. */
+  confirm(forgottenUpTo: number, nowMs: number): void {
+    this.#confirmedAtMs = nowMs;
+    this.#forgottenUpTo = Math.max(this.#forgottenUpTo, forgottenUpTo);
+  }
+
+  /** Records that the known life did not answer a poll. */
+  doubt(): void {
+    this.#confirmedAtMs = -Infinity;
+  }
+
+  /** Replaces the ends by those that the runner lists now. */
+  setListed(ends: readonly RunEnd[]): void {
+    this.ends = ends.filter(({ number }) => number > this.#storedUpTo);
+  }
+
+  /** Records that the keeper has stored the ends up to a number. */
+  setStored(upTo: number): void {
+    this.#storedUpTo = Math.max(this.#storedUpTo, upTo);
+    this.setListed(this.ends);
+  }
+
+  /** Records that all ends are in a report. */
+  setReported(): void {
+    this.#reportedUpTo = this.ends.at(-1)?.number ?? this.#reportedUpTo;
+  }
+}
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -1,9 +1,9 @@
 import type { Logger } from "../adapters/logger.ts";
 import type { Clock } from "../core/clock/clock.ts";
-import type { RunEnd } from "../core/jobs/run_end.ts";
 import type { RunStatus } from "../core/jobs/run_status.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
+import { EndLedger } from "./end_ledger.ts";
 import type { GateContext } from "./gate_context.ts";
 import { lifeOf } from "./life_of.ts";
 import { PaceController } from "./pace_controller.ts";
@@ -45,17 +45,12 @@
   #send: Send | undefined;
   #reportNumber = 0;
   #reportedAtMs = -Infinity;
-  #reportedEndNumber = 0;
-  /** The keeper has stored the ends up to this number. */
-  #forgetUpTo = 0;
-  /** The runner has confirmed that it forgot the ends up to this number. */
-  #forgottenUpTo = 0;
-  /** Whether the newest poll was answered by the life of the last heartbeat. */
-  #isLifeConfirmed = false;
+  #endLedger = new EndLedger();
+  /** Whether a next life of the runner has answered. */
+  #hasNextLife = false;
   #failedPolls = 0;
   #appliedPollSentAtMs = -Infinity;
   #running: readonly RunStatus[] = [];
-  #ends: readonly RunEnd[] = [];
   #wake: () => void = () => {};
 
   constructor(
@@ -109,6 +104,11 @@
     return true;
   }
 
+  /** Whether this is the newest connection of a keeper. */
+  isAttached(send: Send): boolean {
+    return this.#attached === send;
+  }
+
   /** Drops a closed connection, unless a newer one has replaced it. */
   detachKeeper(send: Send): void {
     if (send !== this.#attached) return;
@@ -137,7 +137,11 @@
         ) {
           break;
         }
-        this.#forgetEnds(message.end);
+        this.#endLedger.setStored(message.end);
+        this.#wake();
+        break;
+      case "noted":
+        for (const run of message.refusals) this.#tracker.refused.remove(run);
         break;
     }
   }
@@ -155,7 +159,9 @@
         this.clock.nowMs() - this.#reportedAtMs >= reportIntervalMs;
       if (isReportDue || this.#tracker.hasUnconfirmedStop) this.#sendReport();
       if (!isAnswered) await this.#pause(failedPollPauseMs);
-      else if (this.#ends.length > 0) await this.#pause(pendingEndsPauseMs);
+      else if (this.#endLedger.ends.length > 0) {
+        await this.#pause(pendingEndsPauseMs);
+      }
     }
   }
 
@@ -171,17 +177,14 @@
 
   recordClock(answer: RunnerResult<unknown>): void {
     if (answer.clockMs === undefined) return;
-    this.lease.clock.applyReading(answer.clockMs, this.clock.nowMs());
-  }
-
-  pollSoon(): void {
-    this.#wake();
+    const { clock } = this.lease;
+    const nowMs = this.clock.nowMs();
+    if (clock.isOfNextLife(answer.clockMs, nowMs)) this.#hasNextLife = true;
+    else clock.applyReading(answer.clockMs, nowMs);
   }
 
-  #forgetEnds(end: number): void {
-    this.#forgetUpTo = Math.max(this.#forgetUpTo, end);
-    this.#ends = this.#ends.filter(({ number }) => number > this.#forgetUpTo);
-    this.#wake();
+  pollNow(): void {
+    void this.#poll(0);
   }
 
   #beginLife(heartbeat: RunnerHeartbeat): void {
@@ -192,12 +195,9 @@
     this.#tracker.beginLife();
     this.#paceController.reset();
     this.lease.reset(this.clock.nowMs());
-    this.#forgetUpTo = 0;
-    this.#forgottenUpTo = 0;
-    this.#isLifeConfirmed = false;
-    this.#reportedEndNumber = 0;
+    this.#endLedger = new EndLedger();
+    this.#hasNextLife = false;
     this.#running = [];
-    this.#ends = [];
     this.isUp = false;
     this.isDraining = heartbeat.isDraining;
   }
@@ -210,7 +210,7 @@
     const { lastHeartbeat: heartbeat } = this;
     if (heartbeat === undefined) return false;
     const sentAtMs = this.clock.nowMs();
-    const forgetUpTo = this.#endsToForget();
+    const forgetUpTo = this.#endLedger.upToForPoll(sentAtMs);
     const answer = await this.runner.hold({
       instance: heartbeat.instance,
       epoch: this.epoch,
@@ -220,12 +220,13 @@
     });
     if (this.lastHeartbeat?.bornMs !== heartbeat.bornMs) return false;
     if (!answer.isOk || answer.value.bornMs !== heartbeat.bornMs) {
+      this.#hasNextLife ||= answer.isOk;
       this.#handleFailedPoll(answer.isOk ? "other_life" : answer.failure);
       return false;
     }
     this.#failedPolls = 0;
-    this.#isLifeConfirmed = true;
-    this.#forgottenUpTo = Math.max(this.#forgottenUpTo, forgetUpTo);
+    this.#hasNextLife = false;
+    this.#endLedger.confirm(forgetUpTo, this.clock.nowMs());
     if (!this.isUp) this.log.info("runner_up", { life: lifeOf(heartbeat) });
     this.isUp = true;
     this.recordClock(answer);
@@ -233,24 +234,13 @@
     return true;
   }
 
-  /**
-   * The end number up to which the next poll lets the runner forget its ends; 0
-   * for none. End numbers begin anew in each life of the runner, and a poll may
-   * reach a life that no heartbeat has shown yet. So a number is sent only
-   * after an answer of the known life, and not again once confirmed.
-   */
-  #endsToForget(): number {
-    const isNeeded = this.#forgetUpTo > this.#forgottenUpTo;
-    return isNeeded && this.#isLifeConfirmed ? this.#forgetUpTo : 0;
-  }
-
   /**
    * Counts a failed poll. One without answer does not yet mean that the runner
    * is down, since a healthy runner may cause it too.
    */
   #handleFailedPoll(failure: string): void {
     this.#failedPolls += 1;
-    this.#isLifeConfirmed = false;
+    this.#endLedger.doubt();
     if (!this.isUp) return;
     if (failure === "unknown" && this.#failedPolls < pollsBeforeDown) return;
     this.isUp = false;
@@ -263,10 +253,9 @@
     if (sentAtMs < this.#appliedPollSentAtMs) return;
     this.#appliedPollSentAtMs = sentAtMs;
     this.#running = poll.running;
-    this.#ends = poll.ends.filter(({ number }) => number > this.#forgetUpTo);
+    this.#endLedger.setListed(poll.ends);
     this.#tracker.applyPoll(poll, sentAtMs);
-    const newest = this.#ends.at(-1)?.number ?? 0;
-    if (newest > this.#reportedEndNumber) this.#sendReport();
+    if (this.#endLedger.hasNew) this.#sendReport();
   }
 
   #sendReport(): void {
@@ -275,8 +264,7 @@
     const nowMs = this.clock.nowMs();
     this.#reportNumber += 1;
     this.#reportedAtMs = nowMs;
-    this.#reportedEndNumber = this.#ends.at(-1)?.number ??
-      this.#reportedEndNumber;
+    this.#endLedger.setReported();
     if (this.isUp) this.lease.recordReport(this.#reportNumber, nowMs);
     this.#send({
       kind: "report",
@@ -290,15 +278,25 @@
         capacity: heartbeat.capacity,
         isDraining: this.isDraining,
         isUp: this.isUp,
-        isLapsed: !this.isUp && this.lease.hasLapsed(nowMs),
+        isLapsed: this.#hasLapsed(nowMs),
         running: this.#running,
-        ends: this.#ends,
+        ends: this.#endLedger.ends,
         unexplained: this.#tracker.unexplained,
         unsettled: this.#tracker.unsettled,
+        refusals: this.#tracker.refused.unacknowledged,
       },
     });
   }
 
+  /**
+   * Whether nothing that was started here runs any more, or ever will. A next
+   * life of the runner may have taken starts that were meant for this one.
+   */
+  #hasLapsed(nowMs: number): boolean {
+    if (this.isUp || this.#hasNextLife) return false;
+    return this.lease.hasLapsed(nowMs) && this.#tracker.abandonStarts();
+  }
+
   /** Sleeps for the time, or until `#wake` is called. */
   async #pause(pauseMs: number): Promise<void> {
     const woken = new Promise<void>((resolve) => {
--- a/src/gate/gate_context.ts
+++ b/src/gate/gate_context.ts
@@ -23,6 +23,6 @@
   send(message: PeerMessage): void;
   /** Records the reading of the runner's clock that an answer carries. */
   recordClock(answer: RunnerResult<unknown>): void;
-  /** Ends a pause between polls. */
-  pollSoon(): void;
+  /** Polls the runner at once, beside a poll that may be waiting. */
+  pollNow(): void;
 }
--- a/src/gate/pace_controller.ts
+++ b/src/gate/pace_controller.ts
@@ -90,14 +90,16 @@
   async #setPace(run: Run, percent: number): Promise<void> {
     run.isSettingPace = true;
     const { context } = this;
+    const { instance, bornMs } = context.lastHeartbeat!;
     context.log.info("pace", { task: run.task, percent, was: run.pace });
     const answer = await context.runner.pace({
-      instance: context.lastHeartbeat!.instance,
+      instance,
       epoch: context.epoch,
       task: run.task,
       run: run.run,
       percent,
     });
+    if (context.lastHeartbeat?.bornMs !== bornMs) return;
     context.recordClock(answer);
     run.isSettingPace = false;
     if (answer.isOk) run.pace = percent;
--- a/src/gate/run.ts
+++ b/src/gate/run.ts
@@ -1,4 +1,5 @@
 import type { StartCommand } from "../core/cell/start_command.ts";
+import type { StartRefusal } from "../core/cell/start_refusal.ts";
 import type { TaskName } from "../core/jobs/task_name.ts";
 
 /** A run that this sidecar has started, or found on its runner. */
@@ -12,6 +13,8 @@
   isStartUncertain: boolean;
   /** The run must be stopped once the outcome of its start is known. */
   isStopRequested: boolean;
+  /** Why it is refused; undefined unless it is, or if it was stopped first. */
+  refusal: StartRefusal | undefined;
   /** When the runner acknowledged the stop, on the local monotonic clock. */
   stopAcknowledgedAtMs: number | undefined;
   /** The pace that the runner last acknowledged, in percent. */
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -1,18 +1,19 @@
 import type { StartCommand } from "../core/cell/start_command.ts";
 import type { StartRefusal } from "../core/cell/start_refusal.ts";
-import type { TaskName } from "../core/jobs/task_name.ts";
 import type { StopCommand } from "../link/stop_command.ts";
 import type { GateContext } from "./gate_context.ts";
 import { hasRoom } from "./has_room.ts";
 import { lifeOf } from "./life_of.ts";
+import { newRun } from "./new_run.ts";
 import type { Run } from "./run.ts";
+import { RefusedStarts } from "./refused_starts.ts";
 import { runKey } from "../core/jobs/run_key.ts";
 import type { RunnerFailure } from "./runner_failure.ts";
 import type { RunnerPollResult } from "./runner_poll_result.ts";
 
 const retryPauseMs = 30;
-/** The first pace of a found run; differs from all others, so one is set. */
-const unknownPace = -1;
+/** An unanswered start may be executed up to this much later. */
+const maxLatenessMs = 15_000;
 
 /**
  * Tracks the runs of a runner, from the start command until the runner lists
@@ -23,6 +24,9 @@
  */
 export class RunTracker {
   readonly runs = new Map<string, Run>();
+  readonly refused = new RefusedStarts();
+  /** The runs with a start that got no answer, and when it got none. */
+  readonly #unanswered = new Map<string, { run: Run; atMs: number }>();
 
   constructor(readonly context: GateContext) {}
 
@@ -50,15 +54,24 @@
 
   /**
    * Handles a new life of the runner, in which no earlier run exists. A start
-   * without answer may still reach the new life, so its run is stopped there.
+   * without answer may still reach the new life, even if a repeated one was
+   * answered, so its run is stopped there.
    */
   beginLife(): void {
-    const starting = [...this.runs.values()]
-      .filter(({ phase }) => phase === "starting");
+    const mayStart = new Map<string, Run>();
+    for (const [key, run] of this.runs) {
+      if (run.phase === "starting") mayStart.set(key, run);
+    }
+    const sinceMs = this.context.clock.nowMs() - maxLatenessMs;
+    for (const [key, { run, atMs }] of this.#unanswered) {
+      if (atMs >= sinceMs) mayStart.set(key, run);
+    }
     this.runs.clear();
-    for (const run of starting) {
-      const carried = { ...run };
-      this.runs.set(runKey(carried), carried);
+    for (const [key, run] of mayStart) {
+      const carried = { ...run, stopAcknowledgedAtMs: undefined };
+      this.runs.set(key, carried);
+      // It is refused again once it certainly does not run in the new life.
+      this.refused.remove(carried);
       void this.#stop(carried);
     }
   }
@@ -75,10 +88,10 @@
       else if (listed.has(key)) continue;
       else if (
         run.stopAcknowledgedAtMs !== undefined &&
-        run.stopAcknowledgedAtMs < sentAtMs
+        run.stopAcknowledgedAtMs <= sentAtMs
       ) {
         this.runs.delete(key);
-        this.#refuse(run, "old");
+        this.#refuse(run, run.refusal ?? "old");
       }
     }
     for (const status of poll.running) {
@@ -95,25 +108,52 @@
     if (run !== undefined) run.startCommand ??= command;
   }
 
+  /**
+   * Gives up the runs that are being started, since their lease has ended;
+   * returns whether no call to start one is in progress any more.
+   */
+  abandonStarts(): boolean {
+    let isDone = true;
+    for (const run of this.runs.values()) {
+      if (run.phase !== "starting") continue;
+      run.isStopRequested = true;
+      isDone = false;
+    }
+    return isDone;
+  }
+
   /** Starts a run; refuses it if the runner cannot take it now. */
   start(command: StartCommand): void {
+    const { context } = this;
     if (this.runs.has(runKey(command))) {
       this.addCommand(command);
       return;
     }
+    const earlier = this.refused.find(command);
+    if (earlier !== undefined) {
+      context.send({ kind: "refused", ...earlier });
+      return;
+    }
+    // The keeper repeats the start after this sidecar's first report.
+    if (context.lastHeartbeat === undefined) return;
     const run: Run = {
       ...newRun(command),
       startCommand: command,
       phase: "starting",
       pace: 100,
     };
-    const refusal = this.#refusalReason(command);
-    if (refusal !== undefined) {
-      this.#refuse(run, refusal);
-      return;
+    run.refusal = this.#refusalReason(command);
+    if (run.refusal === undefined) {
+      this.runs.set(runKey(run), run);
+      void this.#start(run, command);
+    } else if (context.lease.mayBeUnknown(context.clock.nowMs())) {
+      // An earlier process may have sent the start too, so the runner decides.
+      this.runs.set(runKey(run), run);
+      void this.#stop(run);
+    } else {
+      this.#refuse(run, run.refusal);
+      void this.#sendStop(run, () => !context.isStopped);
     }
-    this.runs.set(runKey(run), run);
-    void this.#start(run, command);
   }
 
   /** Stops a run, even one that is not tracked. */
@@ -140,7 +180,7 @@
   async #start(run: Run, command: StartCommand): Promise<void> {
     const { context } = this;
     const instance = context.lastHeartbeat!.instance;
-    while (this.#isStarting(run)) {
+    while (this.#isStarting(run) && !run.isStopRequested) {
       const answer = await context.runner.start({
         instance,
         epoch: context.epoch,
@@ -160,7 +200,7 @@
       }
       if (answer.failure === "unknown") {
         run.isStartUncertain = true;
-        if (run.isStopRequested) break;
+        this.#recordUnanswered(run);
         const { task } = run;
         context.log.warn("start_unanswered", { task, run: run.run });
         await context.clock.sleep(retryPauseMs);
@@ -171,11 +211,12 @@
         // The run may have been executed and ended: the next poll shows it.
         run.phase = "stopping";
         run.stopAcknowledgedAtMs = context.clock.nowMs();
-        context.pollSoon();
+        context.pollNow();
         return;
       }
       this.runs.delete(runKey(run));
       this.#refuse(run, refusalFor(answer.failure));
+      void this.#sendStop(run, () => !context.isStopped);
       return;
     }
     if (this.#isStarting(run)) await this.#stop(run);
@@ -189,34 +230,54 @@
     if (run.isStopRequested) void this.#stop(run);
   }
 
-  /** Retries the stop until the runner acknowledges it. */
+  /** Stops a run; the next poll then shows whether it is gone. */
   async #stop(run: Run): Promise<void> {
+    const { context } = this;
+    const mayBeListed = run.phase === "running";
     run.phase = "stopping";
+    if (!await this.#sendStop(run, () => this.#isCurrent(run))) return;
+    run.stopAcknowledgedAtMs = context.clock.nowMs();
+    // The end of a listed run completes the poll that is waiting.
+    if (!mayBeListed) context.pollNow();
+  }
+
+  /**
+   * Sends a run's stop until the runner's current life acknowledges it: from
+   * then on that life rejects the run, also if another process starts it.
+   * Returns whether it was acknowledged.
+   */
+  async #sendStop(
+    { task, run }: Run,
+    isNeeded: () => boolean,
+  ): Promise<boolean> {
     const { context } = this;
-    const instance = context.lastHeartbeat!.instance;
-    while (this.#isCurrent(run)) {
+    const { instance, bornMs } = context.lastHeartbeat!;
+    while (isNeeded()) {
       const { epoch } = context;
-      const { task } = run;
-      const answer = await context.runner.stop({
-        instance,
-        epoch,
-        task,
-        run: run.run,
-      });
+      const answer = await context.runner.stop({ instance, epoch, task, run });
+      if (context.lastHeartbeat?.bornMs !== bornMs) return false;
       context.recordClock(answer);
-      if (answer.isOk) {
-        run.stopAcknowledgedAtMs = context.clock.nowMs();
-        context.pollSoon();
-        return;
-      }
+      if (answer.isOk) return isNeeded();
       await context.clock.sleep(retryPauseMs);
     }
+    return false;
   }
 
-  #refuse(run: Run, reason: StartRefusal): void {
-    const { task } = run;
-    this.context.log.info("start_refused", { task, run: run.run, reason });
-    this.context.send({ kind: "refused", task, run: run.run, reason });
+  #recordUnanswered(run: Run): void {
+    const nowMs = this.context.clock.nowMs();
+    for (const [key, { atMs }] of this.#unanswered) {
+      if (nowMs - atMs > maxLatenessMs) this.#unanswered.delete(key);
+    }
+    this.#unanswered.set(runKey(run), { run, atMs: nowMs });
+  }
+
+  /** Refuses a run for good; see `RefusedStarts`. */
+  #refuse({ task, run, startCommand }: Run, reason: StartRefusal): void {
+    const life = startCommand?.life ?? lifeOf(this.context.lastHeartbeat!);
+    const refusal = { task, run, life, reason };
+    this.context.log.info("start_refused", { task, run, reason });
+    this.refused.add(refusal);
+    this.context.send({ kind: "refused", ...refusal });
   }
 
   #isStarting(run: Run): boolean {
@@ -228,23 +289,6 @@
   }
 }
 
-/** A run of which only the key is known. */
-function newRun(
-  { task, run }: { readonly task: TaskName; readonly run: number },
-): Run {
-  return {
-    task,
-    run,
-    startCommand: undefined,
-    phase: "running",
-    isStartUncertain: false,
-    isStopRequested: false,
-    stopAcknowledgedAtMs: undefined,
-    pace: unknownPace,
-    isSettingPace: false,
-  };
-}
-
 function refusalFor(failure: RunnerFailure): StartRefusal {
   switch (failure) {
     case "old":
--- a/src/gate/runner_clock.ts
+++ b/src/gate/runner_clock.ts
@@ -1,6 +1,9 @@
 /** The share by which a runner's clock may be slow. */
 const maxDrift = 0.02;
 
+/** A reading this far below the bound is one of another life's clock. */
+const otherLifeLagMs = 1_000;
+
 /** Bounds of a runner's monotonic clock, from the readings in its answers. */
 export class RunnerClock {
   #clockMs = 0;
@@ -13,6 +16,12 @@
     this.#atMs = nowMs;
   }
 
+  /** Whether a reading is of another life, whose clock began later. */
+  isOfNextLife(clockMs: number, nowMs: number): boolean {
+    return this.#atMs !== 0 &&
+      clockMs < this.lowestReadingAt(nowMs) - otherLifeLagMs;
+  }
+
   /** Forgets all readings, for a new life of the runner. */
   reset(): void {
     this.#clockMs = 0;
--- a/src/gate/runner_lease.ts
+++ b/src/gate/runner_lease.ts
@@ -69,6 +69,14 @@
     return this.endClockMs;
   }
 
+  /**
+   * Whether the runner may hold a lease that is not known here, and so a start
+   * that came with it.
+   */
+  mayBeUnknown(nowMs: number): boolean {
+    return nowMs <= this.#unknownLeaseUntilMs;
+  }
+
   /** Returns when a lease granted at a local time has certainly ended. */
   #latestEndFrom(nowMs: number): number {
     return nowMs + this.maxHoldMs / (1 - maxDrift) + lapseMarginMs;
@@ -78,6 +86,6 @@
   hasLapsed(nowMs: number): boolean {
     const passedAtMs = this.clock.passedByMs(this.#grantedClockMs) +
       lapseMarginMs;
-    return nowMs > Math.max(passedAtMs, this.#unknownLeaseUntilMs);
+    return nowMs > passedAtMs && !this.mayBeUnknown(nowMs);
   }
 }
--- a/src/link/keeper_message.ts
+++ b/src/link/keeper_message.ts
@@ -1,6 +1,7 @@
 import type { StartCommand } from "../core/cell/start_command.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
+import type { RunId } from "../core/jobs/run_id.ts";
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { ServicePressure } from "./service_pressure.ts";
 import type { StopCommand } from "./stop_command.ts";
@@ -27,6 +28,8 @@
     readonly life: RunnerLife;
     readonly end: number;
   }
+  /** These refusals are taken note of: none of these runs is started again. */
+  | { readonly kind: "noted"; readonly refusals: readonly RunId[] }
   /** Jobs whose states have changed; all jobs after a hello. */
   | {
     readonly kind: "states";
--- a/src/link/peer_message.ts
+++ b/src/link/peer_message.ts
@@ -1,4 +1,4 @@
-import type { StartRefusal } from "../core/cell/start_refusal.ts";
+import type { Refusal } from "../core/cell/refusal.ts";
 import type { SidecarReport } from "../core/cell/sidecar_report.ts";
 import type { TaskName } from "../core/jobs/task_name.ts";
 
@@ -12,9 +12,5 @@
   /** A keeper with a higher epoch has connected: the receiver is deposed. */
   | { readonly kind: "superseded"; readonly epoch: number }
   | { readonly kind: "started"; readonly task: TaskName; readonly run: number }
-  | {
-    readonly kind: "refused";
-    readonly task: TaskName;
-    readonly run: number;
-    readonly reason: StartRefusal;
-  };
+  /** A start is refused for good; reports repeat it until it is noted. */
+  | ({ readonly kind: "refused" } & Refusal);
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -6,6 +6,7 @@
 import { Election } from "../cellhost/election.ts";
 import { JobDirectory } from "../cellhost/job_directory.ts";
 import { KeeperSession } from "../cellhost/keeper_session.ts";
+import { PeerLinks } from "../cellhost/peer_links.ts";
 import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
 import { parseJsonRow } from "../cellhost/parse_json_row.ts";
 import { RowWriter } from "../cellhost/row_writer.ts";
@@ -265,16 +266,18 @@
   #beginSession(epoch: number, writer: RowWriter): void {
     const { bounds, node } = this.options;
     this.#cellTail.stop();
-    const session = new KeeperSession(
+    const hello = { kind: "hello", epoch, keeper: node } as const;
+    const session = new KeeperSession({
       epoch,
       writer,
-      this.directory,
+      directory: this.directory,
       bounds,
-      this.log,
-      node,
-      this.advisor,
-      this.metrics,
-    );
+      links: new PeerLinks(hello, this.log),
+      advisor: this.advisor,
+      clock: systemClock,
+      metrics: this.metrics,
+      log: this.log,
+    });
     session.load(this.#queues);
     this.#session = session;
     writer.write([], () => {});
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -1,8 +1,8 @@
-import type { PeerMessage } from "../link/peer_message.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { Store } from "../core/store/store.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import type { Logger } from "../adapters/logger.ts";
+import { acceptKeeper } from "../gate/accept_keeper.ts";
 import { Gate } from "../gate/gate.ts";
 import type { RunnerClient } from "../gate/runner_client.ts";
 import { announcePeer } from "./announce_peer.ts";
@@ -26,27 +26,9 @@
       systemClock,
       log,
     );
-    this.#server = new PeerServer((channel, { epoch, keeper }) => {
-      const send = (message: PeerMessage) => channel.send(message);
-      const isAccepted = this.gate.attachKeeper(epoch, send);
-      if (!isAccepted) {
-        channel.send({ kind: "superseded", epoch: this.gate.epoch });
-        channel.close("superseded by a newer keeper");
-        return;
-      }
-      log.info("keeper_heard", { epoch, keeper });
-      channel.onMessage = (message) => {
-        if (epoch === this.gate.epoch) this.gate.handleMessage(message);
-        else {
-          channel.send({ kind: "superseded", epoch: this.gate.epoch });
-          channel.close("superseded by a newer keeper");
-        }
-      };
-      channel.onClose = (reason) => {
-        log.info("keeper_gone", { epoch, keeper, reason });
-        this.gate.detachKeeper(send);
-      };
-    });
+    this.#server = new PeerServer((channel, hello) =>
+      acceptKeeper(this.gate, channel, hello, log)
+    );
   }
 
   /** Accepts connections, announces this sidecar and runs the gate. */
--- a/stand_ins/clock/virtual_clock.ts
+++ b/stand_ins/clock/virtual_clock.ts
@@ -5,11 +5,20 @@
   readonly wake: () => void;
 }
 
+/**
+ * How many turns of the event loop ready code gets by default, since one
+ * continuation may make others ready. One is enough for code that only awaits
+ * promises and this clock.
+ */
+const defaultTurns = 20;
+
 /** A clock whose time passes only in `advance`. */
 export class VirtualClock implements Clock {
   #nowMs = 1_000;
   readonly #sleepers: Sleeper[] = [];
 
+  constructor(readonly turns = defaultTurns) {}
+
   nowMs(): number {
     return this.#nowMs;
   }
@@ -24,10 +33,14 @@
     });
   }
 
+  nextTurn(): Promise<void> {
+    return this.sleep(0);
+  }
+
   /** Advances the time and wakes each sleeper when its time has come. */
   async advance(ms: number): Promise<void> {
     const untilMs = this.#nowMs + ms;
-    await runReadyTasks();
+    await runReadyTasks(this.turns);
     while (true) {
       this.#sleepers.sort((a, b) => a.atMs - b.atMs);
       const [next] = this.#sleepers;
@@ -35,21 +48,15 @@
       this.#sleepers.shift();
       this.#nowMs = Math.max(this.#nowMs, next.atMs);
       next.wake();
-      await runReadyTasks();
+      await runReadyTasks(this.turns);
     }
     this.#nowMs = untilMs;
   }
 }
 
-/**
- * How many turns of the event loop ready code is given, since one continuation
- * may make others ready.
- */
-const turnCount = 20;
-
 /** Lets ready code run until all of it waits for the clock. */
-async function runReadyTasks(): Promise<void> {
-  for (let turn = 0; turn < turnCount; turn++) {
+async function runReadyTasks(turns: number): Promise<void> {
+  for (let turn = 0; turn < turns; turn++) {
     await new Promise((resolve) => setImmediate(resolve));
   }
 }
--- a/stand_ins/runner/runner_model.ts
+++ b/stand_ins/runner/runner_model.ts
@@ -13,6 +13,14 @@
  */
 type Fault = "lost" | "late" | "ignored";
 
+/** Receives what a runner does, as an observer beside it would see it. */
+interface RunnerObserver {
+  onStarted?(run: ModelRun, payload: string): void;
+  onEnded?(end: RunEnd): void;
+  /** The keeper has taken note of the end: it is no longer listed. */
+  onForgotten?(end: RunEnd): void;
+}
+
 interface ModelRun {
   readonly task: TaskName;
   readonly run: number;
@@ -22,6 +30,8 @@
   pace: number;
 }
 
+/** The longest lease that it grants. */
+const maxHoldMs = 6_000;
 /** The latency of an answer. */
 const latencyMs = 4;
 /** How long a call without an answer takes to fail. */
@@ -33,10 +43,19 @@
   bornMs = 5_000;
   /** The faults of the next commands, first to last; later ones succeed. */
   readonly faults: Fault[] = [];
+  observer: RunnerObserver = {};
+  /** How long a stopped run takes to end. */
+  stopMs: () => number = () => 0;
+  /** Whether it refuses epochs below the highest that it has seen. */
+  isFencing = true;
   /** Whether no call is answered. */
   isSilent = false;
+  /** Whether late commands are also applied in a life after the one addressed. */
+  reachesNextLife = false;
   /** The end of the lease, by its own clock. */
   leaseEndClockMs = 0;
+  /** How often a lease has ended and another was granted. */
+  lapseCount = 0;
   highestEpoch = 0;
   readonly running = new Map<TaskName, ModelRun>();
   ends: RunEnd[] = [];
@@ -47,6 +66,8 @@
   /** The highest run of each task that has ended or was stopped. */
   readonly #highestEnded = new Map<TaskName, number>();
   #delayed: (() => void)[] = [];
+  /** Ends the waiting polls. */
+  readonly #waiting = new Set<() => void>();
 
   constructor(readonly clock: Clock, readonly clockRate = 1) {
     this.#bornAtMs = clock.nowMs();
@@ -67,6 +88,7 @@
     this.#highestEnded.clear();
     this.leaseEndClockMs = 0;
     this.highestEpoch = 0;
+    for (const wake of this.#waiting) wake();
   }
 
   /** Applies the commands that were delayed. */
@@ -81,14 +103,23 @@
     this.running.delete(run.task);
     this.#endNumber += 1;
     const { run: number } = run;
-    this.#highestEnded.set(run.task, number);
-    this.ends.push({
+    this.#noteEnded(run.task, number);
+    const end = {
       number: this.#endNumber,
       task: run.task,
       run: number,
       outcome,
       checkpoint,
-    });
+    };
+    this.ends.push(end);
+    this.observer.onEnded?.(end);
+    for (const wake of this.#waiting) wake();
+  }
+
+  /** Ends all runs if the lease has ended. */
+  endIfLapsed(): void {
+    if (this.clockMs < this.leaseEndClockMs) return;
+    for (const task of [...this.running.keys()]) this.end(task, "lapsed");
   }
 
   start(
@@ -101,19 +132,18 @@
       if (active === command.run) return undefined;
       if (command.run <= Math.max(highestEnded, active)) return "old";
       const { task, run, checkpoint } = command;
-      this.running.set(task, {
+      const started = {
         task,
         run,
         checkpoint,
         percent: 0,
         figure: 0,
         pace: 100,
-      });
-      this.leaseEndClockMs = Math.max(
-        this.leaseEndClockMs,
-        command.leaseEndClockMs,
-      );
+      };
+      this.running.set(task, started);
+      this.#extendLease(command.leaseEndClockMs);
       this.startCount += 1;
+      this.observer.onStarted?.(started, command.payload);
       return undefined;
     });
   }
@@ -122,11 +152,9 @@
     command: Parameters<RunnerClient["stop"]>[0],
   ): Promise<RunnerResult<undefined>> {
     return this.#execute(command.epoch, () => {
-      const highestEnded = this.#highestEnded.get(command.task) ?? 0;
-      this.#highestEnded.set(command.task, Math.max(highestEnded, command.run));
-      if (this.running.get(command.task)?.run === command.run) {
-        this.end(command.task, "stopped", "saved");
-      }
+      this.#noteEnded(command.task, command.run);
+      const run = this.running.get(command.task);
+      if (run?.run === command.run) this.#endStopped(run);
       return undefined;
     });
   }
@@ -145,25 +173,60 @@
     command: Parameters<RunnerClient["hold"]>[0],
   ): Promise<RunnerResult<RunnerPollResult>> {
     if (this.isSilent) return await this.#timeOut();
-    await this.clock.sleep(this.ends.length > 0 ? latencyMs : command.waitMs);
+    await this.clock.sleep(latencyMs);
+    const calledBornMs = this.bornMs;
+    if (this.ends.length === 0) await this.#waitForEnd(command.waitMs);
     if (this.isSilent) return await this.#timeOut();
-    if (command.epoch < this.highestEpoch) return this.#failure("fenced");
-    this.highestEpoch = command.epoch;
-    this.#endIfLapsed();
-    this.leaseEndClockMs = Math.max(
-      this.leaseEndClockMs,
-      command.leaseEndClockMs ?? 0,
-    );
-    this.ends = this.ends.filter(({ number }) => number > command.forgetUpTo);
+    // A waiting call breaks off with the life that it waits at.
+    if (calledBornMs !== this.bornMs) return this.#failure("unknown");
+    if (this.#isFenced(command.epoch)) return this.#failure("fenced");
+    this.endIfLapsed();
+    this.#extendLease(command.leaseEndClockMs ?? 0);
+    this.#forgetEnds(command.forgetUpTo);
     const { bornMs, clockMs } = this;
     const running = [...this.running.values()];
     const value = { bornMs, clockMs, running, ends: [...this.ends] };
     return { isOk: true, value, clockMs };
   }
 
-  #endIfLapsed(): void {
-    if (this.clockMs < this.leaseEndClockMs) return;
-    for (const task of [...this.running.keys()]) this.end(task, "lapsed");
+  #extendLease(untilClockMs: number): void {
+    if (this.clockMs >= this.leaseEndClockMs) this.lapseCount += 1;
+    const longest = Math.min(untilClockMs, this.clockMs + maxHoldMs);
+    this.leaseEndClockMs = Math.max(this.leaseEndClockMs, longest);
+  }
+
+  #noteEnded(task: TaskName, run: number): void {
+    const highest = this.#highestEnded.get(task) ?? 0;
+    this.#highestEnded.set(task, Math.max(highest, run));
+  }
+
+  #endStopped(run: ModelRun): void {
+    const stopMs = this.stopMs();
+    const end = () => {
+      if (this.running.get(run.task) !== run) return;
+      this.end(run.task, "stopped", "saved");
+    };
+    if (stopMs === 0) end();
+    else void this.clock.sleep(stopMs).then(end);
+  }
+
+  #forgetEnds(upTo: number): void {
+    for (const end of this.ends) {
+      if (end.number <= upTo) this.observer.onForgotten?.(end);
+    }
+    this.ends = this.ends.filter(({ number }) => number > upTo);
+  }
+
+  async #waitForEnd(waitMs: number): Promise<void> {
+    const ended = new Promise<void>((wake) => this.#waiting.add(wake));
+    await Promise.race([this.clock.sleep(waitMs), ended]);
+    this.#waiting.clear();
+  }
+
+  #isFenced(epoch: number): boolean {
+    if (this.isFencing && epoch < this.highestEpoch) return true;
+    this.highestEpoch = Math.max(this.highestEpoch, epoch);
+    return false;
   }
 
   async #execute(
@@ -173,9 +236,8 @@
     const fault = this.isSilent ? "ignored" : this.faults.shift();
     const { bornMs } = this;
     const applyIfCurrent = (): RunnerFailure | undefined => {
-      if (bornMs !== this.bornMs) return "other_life";
-      if (epoch < this.highestEpoch) return "fenced";
-      this.highestEpoch = epoch;
+      if (bornMs !== this.bornMs && !this.reachesNextLife) return "other_life";
+      if (this.#isFenced(epoch)) return "fenced";
       return apply();
     };
     if (fault === "late") this.#delayed.push(() => applyIfCurrent());
@@ -193,6 +255,7 @@
   }
 
   #failure<T>(failure: RunnerFailure): RunnerResult<T> {
-    return { isOk: false, failure, clockMs: this.clockMs };
+    const clockMs = failure === "unknown" ? undefined : this.clockMs;
+    return { isOk: false, failure, clockMs };
   }
 }
--- a/tests/cell_fixture.ts
+++ b/tests/cell_fixture.ts
@@ -1,6 +1,8 @@
+import { applyRefusal } from "../src/core/cell/apply_refusal.ts";
 import { Cell } from "../src/core/cell/cell.ts";
 import type { CellEffect } from "../src/core/cell/cell_effect.ts";
 import type { StartCommand } from "../src/core/cell/start_command.ts";
+import type { StartRefusal } from "../src/core/cell/start_refusal.ts";
 import type { SidecarReport } from "../src/core/cell/sidecar_report.ts";
 import type { JobDefinition } from "../src/core/jobs/job_definition.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
@@ -53,6 +55,8 @@
   nowMs = 1_000;
   wallMs = 1_000_000;
   effects: CellEffect[] = [];
+  /** Whether the claims are not stored yet, so that their starts wait. */
+  isStoreSlow = false;
   #endNumber = 0;
 
   constructor(readonly queue = { maxAttempts: 3 }) {
@@ -153,9 +157,28 @@
     this.collect(this.cell.tick(this.nowMs, this.wallMs));
   }
 
-  /** Collects the effects of a call, which runs as they are generated. */
+  /** Reports that a worker refused the start of a run. */
+  refuse(node: string, task: string, run: number, reason: StartRefusal): void {
+    const refusal = {
+      task: task as TaskName,
+      run,
+      life: `${node}@1` as RunnerLife,
+      reason,
+    };
+    const worker = this.cell.worker(node as NodeId);
+    this.collect(applyRefusal(this.cell, worker, refusal, this.nowMs));
+  }
+
+  /**
+   * Collects the effects of a call, which runs as they are generated. Unless
+   * the store is slow, starts leave at once.
+   */
   collect(effects: Iterable<CellEffect>): void {
-    this.effects.push(...effects);
+    for (const effect of effects) {
+      this.effects.push(effect);
+      if (effect.kind !== "start" || this.isStoreSlow) continue;
+      this.cell.mayOrder(effect.node, effect.command);
+    }
   }
 
   /** The starts since the last call, as `task#run@node`. */
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -271,16 +271,7 @@
   it("gets no starts after an `other_life` refusal until it reports", () => {
     const fixture = fixtureWith(["w"], [step()]);
     fixture.newStarts();
-    const name = "j.0.0.0" as TaskName;
-    fixture.collect(
-      fixture.cell.handleRefusal(
-        "w" as NodeId,
-        name,
-        1,
-        "other_life",
-        fixture.nowMs,
-      ),
-    );
+    fixture.refuse("w", "j.0.0.0", 1, "other_life");
     fixture.advance(50);
     expect(fixture.newStarts()).to.eql([]);
     fixture.reportWorker("w", { life });
@@ -522,16 +513,7 @@
     );
     fixture.advance();
     fixture.effects = [];
-    const name = "j.0.0.0" as TaskName;
-    fixture.collect(
-      fixture.cell.handleRefusal(
-        "v" as NodeId,
-        name,
-        1,
-        "ticket",
-        fixture.nowMs,
-      ),
-    );
+    fixture.refuse("v", "j.0.0.0", 1, "ticket");
     fixture.advance();
     expect(fixture.effects.some(({ kind }) => kind === "ask")).to.equal(true);
   });
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -1,113 +1,9 @@
 import { expect } from "chai";
-import { Logger } from "../src/adapters/logger.ts";
 import type { StartCommand } from "../src/core/cell/start_command.ts";
 import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
-import { Gate } from "../src/gate/gate.ts";
 import type { PeerMessage } from "../src/link/peer_message.ts";
-import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
-import { RunnerModel } from "../stand_ins/runner/runner_model.ts";
-
-const maxHoldMs = 6_000;
-const bytesPerMb = 1_048_576;
-
-/** A gate with a model of its runner and a keeper that answers its reports. */
-class Fixture {
-  readonly clock = new VirtualClock();
-  readonly runner: RunnerModel;
-  readonly gate: Gate;
-  readonly sent: PeerMessage[] = [];
-  /** Whether the keeper renews the lease on each report. */
-  isRenewing = true;
-
-  constructor(rate = 1) {
-    this.runner = new RunnerModel(this.clock, rate);
-    const log = new Logger("silent", {});
-    this.gate = new Gate(this.runner, maxHoldMs, this.clock, log);
-  }
-
-  async start(): Promise<void> {
-    this.sendHeartbeat(1);
-    this.gate.attachKeeper(1, (message) => this.#onMessage(message));
-    void this.gate.run();
-    await this.clock.advance(1_500);
-  }
-
-  sendHeartbeat(sequence: number, isDraining = false): void {
-    const { instance, bornMs } = this.runner;
-    this.gate.handleHeartbeat({
-      instance,
-      bornMs,
-      pool: "pool",
-      zone: "z",
-      rack: "r1",
-      labels: ["a", "r1"],
-      capacity: {
-        cpuMilli: 4_000,
-        memoryBytes: 1_000 * bytesPerMb,
-        accelerators: 0,
-      },
-      isDraining,
-      sequence,
-    });
-  }
-
-  startCommand(change: Partial<StartCommand> = {}): StartCommand {
-    const { instance, bornMs } = this.runner;
-    return {
-      kind: "start",
-      task: "j.0.0.0" as TaskName,
-      run: 1,
-      life: `${instance}@${bornMs}` as RunnerLife,
-      payload: "p",
-      checkpoint: "",
-      ticket: undefined,
-      resources: {
-        cpuMilli: 1_000,
-        memoryBytes: 100 * bytesPerMb,
-        accelerators: 0,
-      },
-      isService: false,
-      isFiller: false,
-      image: undefined,
-      targetLatencyMs: 0,
-      ...change,
-    };
-  }
-
-  sendStarts(...starts: StartCommand[]): void {
-    this.gate.handleMessage({ kind: "orders", starts, stops: [] });
-  }
-
-  sendStop(command: StartCommand): void {
-    this.gate.handleMessage({ kind: "orders", starts: [], stops: [command] });
-  }
-
-  refusals(): string[] {
-    return this.sent.flatMap((message) =>
-      message.kind === "refused"
-        ? [`${message.task}#${message.run} ${message.reason}`]
-        : []
-    );
-  }
-
-  /** The newest report. */
-  lastReport():
-    | Extract<PeerMessage, { kind: "report" }>["report"]
-    | undefined {
-    const reports = this.sent.flatMap((message) =>
-      message.kind === "report" ? [message.report] : []
-    );
-    return reports.at(-1);
-  }
-
-  #onMessage(message: PeerMessage): void {
-    this.sent.push(message);
-    if (message.kind !== "report" || !this.isRenewing) return;
-    const { number: report } = message;
-    this.gate.handleMessage({ kind: "renew", report, pressures: [] });
-  }
-}
+import { GateFixture } from "./gate_fixture.ts";
 
 describe("a gate applies a start once", () => {
   const cases = [
@@ -122,7 +18,7 @@
   ] as const;
   for (const { name, faults, starts } of cases) {
     it(`if ${name}`, async () => {
-      const fixture = new Fixture();
+      const fixture = new GateFixture();
       await fixture.start();
       fixture.runner.faults.push(...faults);
       fixture.sendStarts(fixture.startCommand());
@@ -143,7 +39,7 @@
     // between the unanswered first call and the retry may have listed the run,
     // so the offsets cover a whole poll interval.
     for (let offsetMs = 0; offsetMs < 410; offsetMs += 5) {
-      const fixture = new Fixture();
+      const fixture = new GateFixture();
       await fixture.start();
       await fixture.clock.advance(offsetMs);
       fixture.runner.faults.push("lost");
@@ -160,7 +56,7 @@
   }).timeout(10_000);
 
   it("and reports no refusal of a start repeated after the end", async () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     await fixture.start();
     fixture.sendStarts(fixture.startCommand());
     await fixture.clock.advance(100);
@@ -174,7 +70,7 @@
   });
 
   it("and resolves an unanswered start in the runner's next life", async () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     await fixture.start();
     fixture.runner.faults.push("ignored");
     fixture.sendStarts(fixture.startCommand());
@@ -192,7 +88,7 @@
   });
 
   it("and a stop that overtakes a late start prevents the run", async () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     await fixture.start();
     fixture.runner.faults.push("late");
     const command = fixture.startCommand();
@@ -234,7 +130,7 @@
   ];
   for (const { name, change, isDraining, refusal } of cases) {
     it(name, async () => {
-      const fixture = new Fixture();
+      const fixture = new GateFixture();
       await fixture.start();
       if (isDraining === true) fixture.sendHeartbeat(2, true);
       fixture.sendStarts(fixture.startCommand(change));
@@ -246,7 +142,7 @@
   }
 
   it("starts while the runner has a run of unknown size", async () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     fixture.runner.running.set("k.0.0.0" as TaskName, {
       task: "k.0.0.0" as TaskName,
       run: 3,
@@ -270,7 +166,7 @@
   });
 
   it("keepers of a lower epoch than it has seen", () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     expect(fixture.gate.attachKeeper(5, () => {})).to.equal(true);
     expect(fixture.gate.attachKeeper(4, () => {})).to.equal(false);
   });
@@ -283,7 +179,7 @@
   ];
   for (const { name, pauseMs } of cases) {
     it(`reports on the new connection, ${name}`, async () => {
-      const fixture = new Fixture();
+      const fixture = new GateFixture();
       await fixture.start();
       const onOld: PeerMessage[] = [];
       const onNew: PeerMessage[] = [];
@@ -302,7 +198,7 @@
   }
 
   it("keeps reporting when the old connection closes much later", async () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     await fixture.start();
     const onNew: PeerMessage[] = [];
     const oldSend = () => {};
@@ -320,7 +216,7 @@
 describe("a gate holds its runner's lease", () => {
   for (const rate of [1, 0.98]) {
     it(`while its keeper renews it, on a clock at ${rate}`, async () => {
-      const fixture = new Fixture(rate);
+      const fixture = new GateFixture(rate);
       await fixture.start();
       fixture.sendStarts(fixture.startCommand());
       await fixture.clock.advance(20_000);
@@ -329,12 +225,12 @@
     });
 
     it(`no longer than granted by the last renewal, at ${rate}`, async () => {
-      const fixture = new Fixture(rate);
+      const fixture = new GateFixture(rate);
       await fixture.start();
       fixture.sendStarts(fixture.startCommand());
       await fixture.clock.advance(1_000);
       fixture.isRenewing = false;
-      await fixture.clock.advance(maxHoldMs / 0.98 + 500);
+      await fixture.clock.advance(GateFixture.maxHoldMs / 0.98 + 500);
       expect(fixture.runner.running.size).to.equal(0);
       expect(fixture.lastReport()?.ends.map(({ outcome }) => outcome)).to.eql([
         "lapsed",
@@ -344,7 +240,7 @@
   }
 
   it("and reports it as lapsed only once it certainly is", async () => {
-    const fixture = new Fixture(0.98);
+    const fixture = new GateFixture(0.98);
     await fixture.start();
     fixture.sendStarts(fixture.startCommand());
     await fixture.clock.advance(1_000);
@@ -361,7 +257,7 @@
   });
 
   it("and a new process reports no silent runner as lapsed", async () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     fixture.runner.isSilent = true;
     await fixture.start();
     await fixture.clock.advance(2_000);
@@ -372,7 +268,7 @@
 
 describe("a gate distinguishes the lives of its runner", () => {
   it("and forgets the runs of an earlier one", async () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     await fixture.start();
     fixture.sendStarts(fixture.startCommand());
     await fixture.clock.advance(500);
@@ -387,7 +283,7 @@
   });
 
   it("and ignores a late heartbeat of an earlier one", async () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     await fixture.start();
     const { bornMs } = fixture.runner;
     fixture.runner.restart();
@@ -410,7 +306,7 @@
   ];
   for (const { name, silentMs } of cases) {
     it(`lets it forget no end, ${name}`, async () => {
-      const fixture = new Fixture();
+      const fixture = new GateFixture();
       await fixture.start();
       fixture.sendStarts(fixture.startCommand());
       await fixture.clock.advance(500);
@@ -444,7 +340,7 @@
   ];
   for (const { silentMs, isUp } of cases) {
     it(`for ${silentMs} ms: runner is ${isUp ? "up" : "down"}`, async () => {
-      const fixture = new Fixture();
+      const fixture = new GateFixture();
       await fixture.start();
       fixture.runner.isSilent = true;
       await fixture.clock.advance(silentMs);
@@ -462,7 +358,7 @@
 
 describe("a gate reports ends until they are stored", () => {
   it("in every report, and not afterwards", async () => {
-    const fixture = new Fixture();
+    const fixture = new GateFixture();
     await fixture.start();
     fixture.sendStarts(fixture.startCommand());
     await fixture.clock.advance(500);
