Histories of the deployed design on virtual time

KeeperSession, RowWriter, Cell, Gate and RunTracker between models of the store, the network and the runners: keepers overlap, pause, die; sidecars restart and pause; runners fall silent, drain, begin new lives; commands and appends are lost or late; connections are cut and reset. Checked from what the runners see: TWICE, LIMIT, ORDER, BUDGET, UNASKED, LOST, MIXED.

--- /dev/null
+++ b/scenarios/cell_histories/history_keeper.ts
@@ -0,0 +1,110 @@
+import type { Logger } from "../../src/adapters/logger.ts";
+import type { PrometheusMetrics } from "../../src/adapters/prometheus_metrics.ts";
+import { JobDirectory } from "../../src/cellhost/job_directory.ts";
+import { KeeperSession } from "../../src/cellhost/keeper_session.ts";
+import { RowWriter } from "../../src/cellhost/row_writer.ts";
+import { streams } from "../../src/cellhost/streams.ts";
+import type { NodeId } from "../../src/core/jobs/node_id.ts";
+import type { Queue } from "../../src/core/jobs/queue.ts";
+import type { HistoryLinks } from "./history_links.ts";
+import type { ProcessClock } from "./process_clock.ts";
+import type { ProcessStore } from "./process_store.ts";
+
+const readIntervalMs = 30;
+const retryMs = 50;
+
+/** What a keeper of a history works with. */
+interface HistoryKeeperOptions {
+  readonly epoch: number;
+  readonly clock: ProcessClock;
+  readonly store: ProcessStore;
+  readonly links: HistoryLinks;
+  readonly maxHoldMs: number;
+  readonly queue: Queue;
+  readonly workers: readonly NodeId[];
+  readonly metrics: PrometheusMetrics;
+  readonly log: Logger;
+}
+
+/** The process of an entry that has been elected keeper. */
+export class HistoryKeeper {
+  readonly directory: JobDirectory;
+  #session: KeeperSession | undefined;
+  readonly #writer: RowWriter;
+
+  constructor(readonly options: HistoryKeeperOptions) {
+    const { clock, epoch, log, store } = options;
+    this.directory = new JobDirectory(log);
+    this.directory.onSubmitted = (job) => this.#session?.submit(job);
+    this.directory.onCancelled = (id) => this.#session?.cancel(id);
+    this.#writer = new RowWriter(
+      store,
+      streams.cell,
+      epoch,
+      () => ({ key: "keeper", value: "{}" }),
+      () => this.#session?.close(),
+      clock,
+      log,
+    );
+    void this.#run();
+  }
+
+  /** Whether it decides, or will once it has read the store. */
+  get isActive(): boolean {
+    return !this.options.clock.isDead && !this.#writer.isDeposed;
+  }
+
+  /** Ends the process. */
+  kill(): void {
+    this.options.clock.kill();
+    this.#session?.close();
+  }
+
+  async #run(): Promise<void> {
+    const { clock, links, queue, store, workers } = this.options;
+    if (await this.#writer.takeOver() === undefined) return;
+    while (true) {
+      const rows = await store.readNewest(streams.cell);
+      if (rows.isErr) {
+        await clock.sleep(retryMs);
+        continue;
+      }
+      this.directory.applyProgressRows(rows.value.rows);
+      break;
+    }
+    let next = await this.#readJobs(0);
+    const session = new KeeperSession({
+      ...this.options,
+      writer: this.#writer,
+      directory: this.directory,
+      bounds: this.options,
+      links,
+      advisor: { requestTickets: () => Promise.resolve(new Map()) },
+    });
+    session.load([queue]);
+    this.#session = session;
+    if (this.#writer.isDeposed) session.close();
+    else this.#writer.write([], () => {});
+    for (const [port, node] of workers.entries()) {
+      const role = "sidecar";
+      const address = { host: "", port, incarnation: "", strength: 1 };
+      session.setPeer(node, { role, ...address });
+    }
+    while (session.isOpen) {
+      await clock.sleep(readIntervalMs);
+      next = await this.#readJobs(next);
+    }
+  }
+
+  /** Reads the jobs from an offset; returns the next one. */
+  async #readJobs(from: number): Promise<number> {
+    while (true) {
+      const page = await this.options.store.read(streams.jobs, from);
+      if (page.isOk) {
+        this.directory.applyJobRows(page.value.rows);
+        return page.value.next;
+      }
+      await this.options.clock.sleep(retryMs);
+    }
+  }
+}
--- /dev/null
+++ b/scenarios/cell_histories/history_sidecar.ts
@@ -0,0 +1,75 @@
+import type { Logger } from "../../src/adapters/logger.ts";
+import { acceptKeeper } from "../../src/gate/accept_keeper.ts";
+import { Gate } from "../../src/gate/gate.ts";
+import type { RunnerClient } from "../../src/gate/runner_client.ts";
+import type { KeeperMessage } from "../../src/link/keeper_message.ts";
+import type { PeerMessage } from "../../src/link/peer_message.ts";
+import type { RunnerModel } from "../../stand_ins/runner/runner_model.ts";
+import type { Connection } from "./connection.ts";
+import { ProcessClock } from "./process_clock.ts";
+
+const cpuMilli = 4_000;
+
+/** A process of a sidecar: its gate, beside the worker's runner. */
+export class HistorySidecar {
+  readonly gate: Gate;
+
+  constructor(
+    readonly runner: RunnerModel,
+    readonly clock: ProcessClock,
+    maxHoldMs: number,
+    readonly log: Logger,
+  ) {
+    const client = clientOf(runner, clock);
+    this.gate = new Gate(client, maxHoldMs, clock, log);
+    void this.gate.run();
+  }
+
+  /** Handles a keeper's connection; this process is end 1. */
+  accept(
+    connection: Connection,
+    hello: Extract<KeeperMessage, { kind: "hello" }>,
+  ): void {
+    const [, end] = connection.ends;
+    const channel = {
+      onMessage: (_message: KeeperMessage) => {},
+      onClose: (_reason: string) => {},
+      send: (message: PeerMessage) => connection.send(1, message),
+      close: (reason: string) => connection.close(1, reason),
+    };
+    end.onMessage = (message: KeeperMessage) => channel.onMessage(message);
+    end.onClose = (reason) => channel.onClose(reason);
+    acceptKeeper(this.gate, channel, hello, this.log);
+  }
+
+  /** Passes on the runner's heartbeat. */
+  sendHeartbeat(sequence: number, isDraining: boolean): void {
+    const { instance, bornMs } = this.runner;
+    this.gate.handleHeartbeat({
+      instance,
+      bornMs,
+      pool: "pool",
+      zone: "z",
+      rack: "r1",
+      labels: [],
+      capacity: { cpuMilli, memoryBytes: 2 ** 40, accelerators: 0 },
+      isDraining,
+      sequence,
+    });
+  }
+}
+
+/** The runner as a process sees it: no answer arrives while it is paused. */
+function clientOf(runner: RunnerModel, clock: ProcessClock): RunnerClient {
+  const whenAwake = async <T>(answer: Promise<T>): Promise<T> => {
+    const value = await answer;
+    await clock.awake();
+    return value;
+  };
+  return {
+    start: (command) => whenAwake(runner.start(command)),
+    stop: (command) => whenAwake(runner.stop(command)),
+    pace: (command) => whenAwake(runner.pace(command)),
+    hold: (request) => whenAwake(runner.hold(request)),
+  };
+}
--- /dev/null
+++ b/scenarios/cell_histories/history_worker.ts
@@ -0,0 +1,183 @@
+import type { Logger } from "../../src/adapters/logger.ts";
+import type { NodeId } from "../../src/core/jobs/node_id.ts";
+import type { Clock } from "../../src/core/clock/clock.ts";
+import { RunnerModel } from "../../stand_ins/runner/runner_model.ts";
+import type { SeededRandom } from "../../stand_ins/seeded_random.ts";
+import { HistorySidecar } from "./history_sidecar.ts";
+import { ProcessClock } from "./process_clock.ts";
+import type { RunChecker } from "./run_checker.ts";
+
+const heartbeatMs = 1_000;
+const maxHeartbeatDelayMs = 500;
+const minRunMs = 150;
+const maxRunMs = 2_500;
+const failureShare = 0.08;
+const maxStopMs = 400;
+const slowestRate = 0.98;
+/** How often late commands are carried out, and by what chance each time. */
+const lateIntervalMs = 400;
+const lateShare = 0.1;
+const progressMs = 100;
+/** From the end of a runner's life to the next one. */
+const restartMs = 150;
+
+type Trace = (line: string) => void;
+
+/** A worker of a history: a runner and the process of its sidecar. */
+export class HistoryWorker {
+  readonly runner: RunnerModel;
+  sidecar: HistorySidecar | undefined;
+  /** Called before a start counts. */
+  onStart: () => void = () => {};
+  isDraining = false;
+  /** Until when no keeper can connect to it, by the world's clock. */
+  cutUntilMs = 0;
+  #isSilenced = false;
+  /** Whether the runner is between two lives. */
+  #isDown = false;
+  #sequence = 0;
+  /** How often the lease had lapsed when each end came. */
+  readonly #progress = new Map<
+    { percent: number },
+    { startedAtMs: number; runMs: number }
+  >();
+  readonly #lapsesAtEnd = new Map<number, number>();
+
+  constructor(
+    readonly node: NodeId,
+    readonly world: Clock,
+    readonly random: SeededRandom,
+    readonly maxHoldMs: number,
+    readonly checker: RunChecker,
+    readonly log: Logger,
+    readonly trace: Trace,
+  ) {
+    const rate = slowestRate + random.next() * (1 - slowestRate);
+    this.runner = new RunnerModel(world, rate);
+    this.runner.isFencing = random.next() < 0.5;
+    this.runner.stopMs = () => random.next() * maxStopMs;
+    this.#observe();
+    this.startSidecar();
+    void this.#sendHeartbeats();
+    void this.#carryOutLate();
+    void this.#makeProgress();
+  }
+
+  startSidecar(): void {
+    const clock = new ProcessClock(this.world);
+    const { runner, maxHoldMs, log } = this;
+    this.sidecar = new HistorySidecar(runner, clock, maxHoldMs, log);
+    this.#sendHeartbeatSoon();
+  }
+
+  killSidecar(): void {
+    this.sidecar?.clock.kill();
+    this.sidecar = undefined;
+  }
+
+  /** The runner dies with all its runs; after a while it begins a new life. */
+  restartRunner(): void {
+    this.trace(`${this.node} runner ends`);
+    this.checker.lostLife(this.node);
+    this.runner.running.clear();
+    this.#isDown = true;
+    this.silence(this.#isSilenced);
+    void this.world.sleep(restartMs).then(() => this.#beginLife());
+  }
+
+  #beginLife(): void {
+    this.trace(`${this.node} new life`);
+    // Commands that were on their way may have started runs in the meantime.
+    this.checker.lostLife(this.node);
+    this.runner.restart();
+    this.#isDown = false;
+    this.silence(this.#isSilenced);
+    this.isDraining = false;
+    this.#sequence = 0;
+    this.#lapsesAtEnd.clear();
+    this.#sendHeartbeatSoon();
+  }
+
+  /** Whether the runner answers no call, though it works on. */
+  silence(isSilenced: boolean): void {
+    this.#isSilenced = isSilenced;
+    this.runner.isSilent = isSilenced || this.#isDown;
+  }
+
+  drain(): void {
+    this.isDraining = true;
+    this.#sendHeartbeatSoon();
+  }
+
+  #observe(): void {
+    const { checker, node, random, runner, trace, world } = this;
+    runner.observer = {
+      onStarted: (run, payload) => {
+        this.onStart();
+        trace(`${node} starts ${run.task}#${run.run}`);
+        checker.started(node, run, payload);
+        const runMs = minRunMs + random.next() * (maxRunMs - minRunMs);
+        this.#progress.set(run, { startedAtMs: world.nowMs(), runMs });
+        const outcome = random.next() < failureShare ? "failed" : "done";
+        void world.sleep(runMs).then(() => {
+          this.#progress.delete(run);
+          if (runner.running.get(run.task) === run) {
+            runner.end(run.task, outcome);
+          }
+        });
+      },
+      onEnded: (end) => {
+        trace(`${node} ends ${end.task}#${end.run} ${end.outcome}`);
+        this.#lapsesAtEnd.set(end.number, runner.lapseCount);
+        checker.ended(node, end);
+      },
+      onForgotten: (end) => {
+        // An end that a lapse separates from its note does not stand.
+        if (runner.clockMs >= runner.leaseEndClockMs) return;
+        if (this.#lapsesAtEnd.get(end.number) !== runner.lapseCount) return;
+        checker.noted(end);
+      },
+    };
+  }
+
+  #sendHeartbeatSoon(): void {
+    const delayMs = this.random.next() * maxHeartbeatDelayMs;
+    void this.world.sleep(delayMs).then(() => this.#sendHeartbeat());
+  }
+
+  #sendHeartbeat(): void {
+    this.#sequence += 1;
+    const { isDraining, sidecar } = this;
+    const sequence = this.#sequence;
+    const { bornMs } = this.runner;
+    void sidecar?.clock.awake().then(() => {
+      if (bornMs !== this.runner.bornMs) return;
+      sidecar.sendHeartbeat(sequence, isDraining);
+    });
+  }
+
+  async #sendHeartbeats(): Promise<void> {
+    while (true) {
+      await this.world.sleep(heartbeatMs);
+      this.#sendHeartbeat();
+    }
+  }
+
+  async #carryOutLate(): Promise<void> {
+    while (true) {
+      await this.world.sleep(lateIntervalMs);
+      if (this.random.next() < lateShare) this.runner.applyDelayed();
+    }
+  }
+
+  async #makeProgress(): Promise<void> {
+    while (true) {
+      await this.world.sleep(progressMs);
+      this.runner.endIfLapsed();
+      const nowMs = this.world.nowMs();
+      for (const [run, { startedAtMs, runMs }] of this.#progress) {
+        run.percent = Math.floor(100 * (nowMs - startedAtMs) / runMs);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/scenarios/cell_histories/history_world.ts
@@ -0,0 +1,265 @@
+import { Logger } from "../../src/adapters/logger.ts";
+import { PrometheusMetrics } from "../../src/adapters/prometheus_metrics.ts";
+import { cancellationKey } from "../../src/cellhost/cancellation_key.ts";
+import { streams } from "../../src/cellhost/streams.ts";
+import type { JobDefinition } from "../../src/core/jobs/job_definition.ts";
+import type { JobId } from "../../src/core/jobs/job_id.ts";
+import type { NodeId } from "../../src/core/jobs/node_id.ts";
+import type { Queue } from "../../src/core/jobs/queue.ts";
+import type { StepDefinition } from "../../src/core/jobs/step_definition.ts";
+import type { KeeperMessage } from "../../src/link/keeper_message.ts";
+import { VirtualClock } from "../../stand_ins/clock/virtual_clock.ts";
+import { SeededRandom } from "../../stand_ins/seeded_random.ts";
+import { StoreModel } from "../../stand_ins/store/store_model.ts";
+import { Connection } from "./connection.ts";
+import { HistoryKeeper } from "./history_keeper.ts";
+import { HistoryLinks } from "./history_links.ts";
+import { HistoryWorker } from "./history_worker.ts";
+import { ProcessClock } from "./process_clock.ts";
+import { ProcessStore } from "./process_store.ts";
+import { RunChecker } from "./run_checker.ts";
+
+const workerCount = 3;
+const maxHoldMs = 6_000;
+const capacityMilli = 4_000;
+const taskMilli = 1_000;
+/** How long after a keeper's death another is elected. */
+const electionMs = 900;
+const shownIntervalMs = 500;
+
+const queue: Queue = {
+  name: "q",
+  pool: "pool",
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 2,
+  targetMs: 500,
+  advice: undefined,
+};
+
+const metrics = new PrometheusMetrics();
+const log = new Logger("silent", {});
+
+/**
+ * The deployed design on virtual time: keepers, sidecars and their gates, with
+ * models of the store, the network and the runners between them.
+ */
+export class HistoryWorld {
+  readonly clock = new VirtualClock(1);
+  readonly store = new StoreModel();
+  readonly checker = new RunChecker(capacityMilli, queue.maxAttempts);
+  readonly workers: readonly HistoryWorker[];
+  readonly keepers: HistoryKeeper[] = [];
+  readonly trace: string[] = [];
+  /** Until when the store loses answers. */
+  losesAnswersUntilMs = 0;
+  readonly #random: SeededRandom;
+  readonly #connections = new Map<NodeId, Set<Connection>>();
+
+  constructor(seed: number) {
+    this.#random = new SeededRandom(seed);
+    this.workers = Array.from(
+      { length: workerCount },
+      (_, index) =>
+        new HistoryWorker(
+          `w${index}` as NodeId,
+          this.clock,
+          this.#random,
+          maxHoldMs,
+          this.checker,
+          log,
+          (line) => this.note(line),
+        ),
+    );
+    for (const worker of this.workers) {
+      worker.onStart = () => {
+        for (const { runner } of this.workers) runner.endIfLapsed();
+      };
+    }
+    this.elect();
+    void this.#checkShown();
+  }
+
+  get newestKeeper(): HistoryKeeper {
+    return this.keepers.at(-1)!;
+  }
+
+  note(line: string): void {
+    this.trace.push(`${Math.round(this.clock.nowMs())} ${line}`);
+  }
+
+  /** Elects a new process as keeper; earlier ones are not told. */
+  elect(): void {
+    const clock = new ProcessClock(this.clock);
+    const epoch = this.keepers.length + 1;
+    const hello = { kind: "hello", epoch, keeper: `k${epoch}` } as const;
+    const links = new HistoryLinks(
+      hello,
+      clock,
+      (node, message) => this.#connect(node, clock, message),
+    );
+    const store = new ProcessStore(
+      this.store,
+      clock,
+      this.#random,
+      () => this.clock.nowMs() < this.losesAnswersUntilMs,
+    );
+    this.note(`k${epoch} is elected`);
+    this.keepers.push(
+      new HistoryKeeper({
+        epoch,
+        clock,
+        store,
+        links,
+        maxHoldMs,
+        queue,
+        workers: this.workers.map(({ node }) => node),
+        metrics,
+        log,
+      }),
+    );
+  }
+
+  killKeeper(): void {
+    const keeper = this.newestKeeper;
+    keeper.kill();
+    void this.clock.sleep(electionMs).then(() => {
+      if (keeper === this.newestKeeper) this.elect();
+    });
+  }
+
+  submit(steps: readonly StepDefinition[]): void {
+    const id = `j${this.checker.jobs.size}` as JobId;
+    const definition: JobDefinition = {
+      id,
+      queue: queue.name,
+      payload: `payload of ${id}`,
+      steps,
+      schedule: undefined,
+      receivedMs: this.clock.wallMs(),
+    };
+    this.checker.submit(definition);
+    const row = { key: id, value: JSON.stringify(definition) };
+    void this.store.append(streams.jobs, [row], { kind: "none" });
+  }
+
+  cancel(id: JobId): void {
+    const job = this.checker.jobs.get(id);
+    if (job === undefined) return;
+    job.isCancelled = true;
+    const row = { key: cancellationKey(id), value: "0" };
+    void this.store.append(streams.jobs, [row], { kind: "none" });
+  }
+
+  /** Loses what is in transit to and from a worker, for a time. */
+  cutLinks(worker: HistoryWorker, cutMs: number): void {
+    worker.cutUntilMs = this.clock.nowMs() + cutMs;
+    for (const each of this.#connectionsOf(worker.node)) each.cut();
+    this.#connectionsOf(worker.node).clear();
+  }
+
+  /** Closes a worker's connections from the keeper's end. */
+  resetLinks(worker: HistoryWorker): void {
+    for (const each of this.#connectionsOf(worker.node)) {
+      each.close(0, "reset");
+    }
+    this.#connectionsOf(worker.node).clear();
+  }
+
+  restartSidecar(worker: HistoryWorker, downMs: number): void {
+    const { sidecar } = worker;
+    if (sidecar === undefined) return;
+    worker.killSidecar();
+    for (const connection of this.#connectionsOf(worker.node)) {
+      connection.close(1, "killed");
+    }
+    void this.clock.sleep(downMs).then(() => worker.startSidecar());
+  }
+
+  /** Ends all faults; one keeper is left. */
+  heal(): void {
+    this.note("heal");
+    this.losesAnswersUntilMs = 0;
+    for (const { options } of this.keepers) {
+      options.clock.resume();
+      options.store.isCut = false;
+    }
+    for (const worker of this.workers) {
+      worker.cutUntilMs = 0;
+      worker.silence(false);
+      worker.runner.faults.length = 0;
+      worker.sidecar?.clock.resume();
+      if (worker.isDraining) worker.restartRunner();
+    }
+    if (!this.newestKeeper.isActive) this.elect();
+  }
+
+  #connect(
+    node: NodeId,
+    clock: ProcessClock,
+    hello: Extract<KeeperMessage, { kind: "hello" }>,
+  ): Connection | undefined {
+    const worker = this.workers.find((each) => each.node === node)!;
+    const { sidecar } = worker;
+    const isCut = this.clock.nowMs() < worker.cutUntilMs;
+    if (isCut || sidecar === undefined) return undefined;
+    const connection = new Connection([clock, sidecar.clock], this.#random);
+    connection.onSent = (from, message) =>
+      this.#noteMessage(from === 0 ? hello.keeper : node, message);
+    this.#connectionsOf(node).add(connection);
+    void sidecar.clock.sleep(0).then(() => sidecar.accept(connection, hello));
+    return connection;
+  }
+
+  #connectionsOf(node: NodeId): Set<Connection> {
+    const known = this.#connections.get(node);
+    if (known !== undefined) return known;
+    const connections = new Set<Connection>();
+    this.#connections.set(node, connections);
+    return connections;
+  }
+
+  /** Notes the messages that concern runs. */
+  #noteMessage(from: string, message: unknown): void {
+    const { kind } = message as { kind: string };
+    if (kind === "report" || kind === "renew" || kind === "noted") return;
+    const runs = JSON.stringify(message).matchAll(
+      /"task":"([^"]+)","run":(\d+)/g,
+    );
+    const names = [...runs].map(([, task, run]) => `${task}#${run}`);
+    this.note(`${from} sends ${kind} ${names.join(" ")}`);
+  }
+
+  async #checkShown(): Promise<void> {
+    while (true) {
+      await this.clock.sleep(shownIntervalMs);
+      for (const { directory } of this.keepers) {
+        for (const id of this.checker.jobs.keys()) {
+          this.checker.shown(id, directory.state(id));
+        }
+      }
+    }
+  }
+
+  /** A step of tasks that each take a quarter of a worker. */
+  static step(count: number, after: readonly number[] = []): StepDefinition {
+    return {
+      count,
+      resources: { cpuMilli: taskMilli, memoryBytes: 1, accelerators: 0 },
+      expectedMs: 1_500,
+      after,
+      savesProgress: false,
+      isGang: false,
+      sameRack: false,
+      label: undefined,
+      dataRack: undefined,
+      mostPerWorker: 0,
+      isSpeculative: false,
+      isService: false,
+      image: undefined,
+      targetLatencyMs: 0,
+      isFiller: false,
+      mostAway: 0,
+    };
+  }
+}
--- /dev/null
+++ b/scenarios/cell_histories/random_history.ts
@@ -0,0 +1,51 @@
+import type { SeededRandom } from "../../stand_ins/seeded_random.ts";
+import type { HistoryStep } from "./history_step.ts";
+
+const stepCount = 32;
+const maxPauseMs = 1_400;
+/** Some steps follow at once, so that messages cross. */
+const burstShare = 0.35;
+const maxBurstPauseMs = 60;
+const choices = 1_000;
+
+/** The kinds of steps, with how often each comes relative to the others. */
+const weights: readonly (readonly [HistoryStep["kind"], number])[] = [
+  ["submit", 4],
+  ["submit_wide", 5],
+  ["submit_chain", 3],
+  ["cancel", 3],
+  ["elect", 3],
+  ["pause_keeper", 2],
+  ["kill_keeper", 2],
+  ["restart_sidecar", 2],
+  ["pause_sidecar", 2],
+  ["restart_runner", 2],
+  ["silence_runner", 2],
+  ["cut_link", 3],
+  ["reset_link", 6],
+  ["lose_commands", 3],
+  ["cut_store", 1],
+  ["lose_appends", 2],
+  ["drain", 1],
+  ["fail_task", 2],
+];
+
+/** Draws the steps of a history. */
+export function randomHistory(random: SeededRandom): HistoryStep[] {
+  const total = weights.reduce((sum, [, weight]) => sum + weight, 0);
+  const drawKind = (): HistoryStep["kind"] => {
+    let left = random.next() * total;
+    for (const [kind, weight] of weights) {
+      left -= weight;
+      if (left < 0) return kind;
+    }
+    return "submit";
+  };
+  const draw = (below: number) => Math.floor(random.next() * below);
+  return Array.from({ length: stepCount }, (): HistoryStep => ({
+    afterMs: draw(random.next() < burstShare ? maxBurstPauseMs : maxPauseMs),
+    kind: drawKind(),
+    a: draw(choices),
+    b: draw(choices),
+  }));
+}
--- /dev/null
+++ b/scenarios/cell_histories/run_cell_history.ts
@@ -0,0 +1,125 @@
+import type { JobId } from "../../src/core/jobs/job_id.ts";
+import { SeededRandom } from "../../stand_ins/seeded_random.ts";
+import type { HistoryStep } from "./history_step.ts";
+import { HistoryWorld } from "./history_world.ts";
+import { randomHistory } from "./random_history.ts";
+
+/** Before the first step the first keeper has connected to all workers. */
+const leadMs = 1_500;
+const settleMs = 10_000;
+/** How long what a cancelled job runs may take to end. */
+const stopMs = 3_500;
+/** Work that is left after so many times `settleMs` of calm fails a history. */
+const maxSettles = 6;
+
+interface HistoryResult {
+  readonly checks: number;
+  readonly jobs: number;
+  readonly violations: readonly string[];
+  readonly trace: readonly string[];
+}
+
+/**
+ * Plays a history on virtual time, ends all faults, and waits until the work is
+ * done. The steps are drawn from the seed, unless some are given.
+ */
+export async function runCellHistory(
+  seed: number,
+  steps: readonly HistoryStep[] = randomHistory(new SeededRandom(seed)),
+): Promise<HistoryResult> {
+  const world = new HistoryWorld(seed);
+  const { checker, clock, trace } = world;
+  await clock.advance(leadMs);
+  for (const step of steps) {
+    await clock.advance(step.afterMs);
+    if (checker.violations.length > 0) break;
+    world.note(`step ${step.kind} ${step.a} ${step.b}`);
+    applyStep(world, step);
+  }
+  world.heal();
+  for (let round = 0; round < maxSettles && !isAllDone(world); round++) {
+    if (checker.violations.length > 0) break;
+    await clock.advance(settleMs);
+  }
+  await clock.advance(stopMs);
+  if (checker.violations.length === 0) {
+    const { directory } = world.newestKeeper;
+    checker.checkEnd((id) => directory.state(id));
+  }
+  const { checks, jobs, violations } = checker;
+  return { checks, jobs: jobs.size, violations, trace };
+}
+
+function isAllDone({ checker, newestKeeper }: HistoryWorld): boolean {
+  for (const id of checker.jobs.keys()) {
+    const state = newestKeeper.directory.state(id);
+    if (state === undefined || state === "queued" || state === "running") {
+      return false;
+    }
+  }
+  return true;
+}
+
+function applyStep(world: HistoryWorld, { kind, a, b }: HistoryStep): void {
+  const { checker, clock, newestKeeper: keeper } = world;
+  const worker = world.workers[a % world.workers.length]!;
+  const forMs = 300 + b * 8;
+  const after = (ms: number, then: () => void) =>
+    void clock.sleep(ms).then(then);
+  switch (kind) {
+    case "submit":
+      return world.submit([HistoryWorld.step(1 + a % 3)]);
+    case "submit_wide":
+      return world.submit([HistoryWorld.step(5 + a % 6)]);
+    case "submit_chain":
+      return world.submit([
+        HistoryWorld.step(1 + a % 3),
+        HistoryWorld.step(1 + b % 4, [0]),
+      ]);
+    case "cancel":
+      return world.cancel(`j${a % Math.max(1, checker.jobs.size)}` as JobId);
+    case "elect":
+      return world.elect();
+    case "pause_keeper":
+      keeper.options.clock.pause();
+      return after(forMs, () => keeper.options.clock.resume());
+    case "kill_keeper":
+      return world.killKeeper();
+    case "restart_sidecar":
+      return world.restartSidecar(worker, 50 + b);
+    case "pause_sidecar": {
+      const { sidecar } = worker;
+      sidecar?.clock.pause();
+      return after(forMs, () => sidecar?.clock.resume());
+    }
+    case "restart_runner":
+      return worker.restartRunner();
+    case "silence_runner":
+      worker.silence(true);
+      return after(forMs, () => worker.silence(false));
+    case "cut_link":
+      return world.cutLinks(worker, forMs);
+    case "reset_link":
+      return world.resetLinks(worker);
+    case "lose_commands":
+      for (let index = 0; index <= b % 6; index++) {
+        worker.runner.faults.push(faults[(a + index * b) % faults.length]!);
+      }
+      return;
+    case "cut_store":
+      keeper.options.store.isCut = true;
+      return after(forMs, () => keeper.options.store.isCut = false);
+    case "lose_appends":
+      world.losesAnswersUntilMs = clock.nowMs() + forMs;
+      return;
+    case "drain":
+      return worker.drain();
+    case "fail_task": {
+      const [task] = worker.runner.running.keys();
+      if (task !== undefined) worker.runner.end(task, "failed");
+      return;
+    }
+  }
+}
+
+const faults = ["lost", "late", "ignored"] as const;
--- /dev/null
+++ b/scenarios/cell_histories/run_checker.ts
@@ -0,0 +1,186 @@
+import type { JobDefinition } from "../../src/core/jobs/job_definition.ts";
+import type { JobId } from "../../src/core/jobs/job_id.ts";
+import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
+import type { RunEnd } from "../../src/core/jobs/run_end.ts";
+import type { RunId } from "../../src/core/jobs/run_id.ts";
+import type { StepDefinition } from "../../src/core/jobs/step_definition.ts";
+import type { TaskName } from "../../src/core/jobs/task_name.ts";
+import type { JobState } from "../../src/core/jobs/job_state.ts";
+
+interface TaskRecord {
+  /** The workers on which a run of it is active. */
+  readonly workers: Set<string>;
+  isDone: boolean;
+  isDoneNoted: boolean;
+  failures: number;
+  notedFailures: number;
+}
+
+interface JobRecord {
+  readonly definition: JobDefinition;
+  isCancelled: boolean;
+}
+
+/**
+ * Checks what the runners of a history see against what was submitted, without
+ * a look at the state of any process.
+ */
+export class RunChecker {
+  readonly jobs = new Map<JobId, JobRecord>();
+  readonly violations: string[] = [];
+  checks = 0;
+  readonly #tasks = new Map<TaskName, TaskRecord>();
+  readonly #used = new Map<string, number>();
+
+  constructor(readonly capacityMilli: number, readonly maxAttempts: number) {}
+
+  submit(definition: JobDefinition): void {
+    this.jobs.set(definition.id, { definition, isCancelled: false });
+  }
+
+  started(worker: string, { task, run }: RunId, payload: string): void {
+    const position = parseTaskName(task);
+    const job = position === undefined
+      ? undefined
+      : this.jobs.get(position.job);
+    const step = job?.definition.steps[position?.step ?? -1];
+    const name = `${task}#${run} on ${worker}`;
+    if (job === undefined || step === undefined || position === undefined) {
+      this.#fail("UNASKED", name);
+      return;
+    }
+    const record = this.#task(task);
+    const others = [...record.workers].join();
+    this.#check(record.workers.size === 0, "TWICE", `${name} beside ${others}`);
+    this.#check(!record.isDoneNoted, "TWICE", `${name} after it was done`);
+    this.#check(
+      record.notedFailures < this.maxAttempts,
+      "BUDGET",
+      `${name} after ${record.notedFailures} failures`,
+    );
+    this.#check(
+      payload === job.definition.payload,
+      "UNASKED",
+      `${name} payload`,
+    );
+    for (const earlier of step.after) {
+      const isDone = this.#isStepDone(job.definition, earlier);
+      this.#check(isDone, "ORDER", `${name} before step ${earlier}`);
+    }
+    record.workers.add(worker);
+    this.#use(worker, step, 1, name);
+  }
+
+  ended(worker: string, { task, outcome }: RunEnd): void {
+    const record = this.#task(task);
+    if (!record.workers.delete(worker)) return;
+    if (outcome === "done") record.isDone = true;
+    if (outcome === "failed") record.failures += 1;
+    this.#release(worker, task);
+  }
+
+  /** The runner has lost all its runs with its life. */
+  lostLife(worker: string): void {
+    for (const { workers } of this.#tasks.values()) workers.delete(worker);
+    this.#used.delete(worker);
+  }
+
+  /** An end was taken note of, with no lapse of the lease since it came. */
+  noted({ task, outcome }: RunEnd): void {
+    if (outcome === "done") this.#task(task).isDoneNoted = true;
+    if (outcome === "failed") this.#task(task).notedFailures += 1;
+  }
+
+  /** Checks a state that a keeper has shown. */
+  shown(id: JobId, state: JobState | undefined): void {
+    const job = this.jobs.get(id);
+    if (job === undefined || state === undefined) return;
+    const { definition } = job;
+    if (state === "completed") {
+      const isDone = definition.steps.every((_, step) =>
+        this.#isStepDone(definition, step)
+      );
+      this.#check(isDone, "MIXED", `${id} completed too early`);
+    }
+    if (state === "failed") {
+      const isSpent = [...namesOf(definition)].some((name) =>
+        this.#task(name).failures >= this.maxAttempts
+      );
+      this.#check(isSpent, "LOST", `${id} failed without cause`);
+    }
+    if (state === "cancelled") {
+      this.#check(job.isCancelled, "LOST", `${id} cancelled without cause`);
+    }
+  }
+
+  /** Checks that all work has ended, by the states that a keeper shows. */
+  checkEnd(stateOf: (id: JobId) => JobState | undefined): void {
+    for (const [id, { definition, isCancelled }] of this.jobs) {
+      const state = stateOf(id);
+      this.shown(id, state);
+      const isEnded = state === "completed" || state === "failed" ||
+        (isCancelled && state === "cancelled");
+      this.#check(isEnded, "LOST", `${id} is ${state ?? "unknown"} at the end`);
+      for (const name of namesOf(definition)) {
+        const { workers } = this.#task(name);
+        this.#check(workers.size === 0, "UNASKED", `${name} runs at the end`);
+      }
+    }
+  }
+
+  #use(worker: string, step: StepDefinition, sign: 1 | -1, name = ""): void {
+    const used = (this.#used.get(worker) ?? 0) + sign * step.resources.cpuMilli;
+    this.#used.set(worker, used);
+    this.#check(used <= this.capacityMilli, "LIMIT", `${name}: ${used}`);
+  }
+
+  #release(worker: string, task: TaskName): void {
+    const position = parseTaskName(task);
+    const job = this.jobs.get(position?.job ?? "" as JobId);
+    const step = job?.definition.steps[position?.step ?? -1];
+    if (step !== undefined) this.#use(worker, step, -1);
+  }
+
+  #isStepDone(definition: JobDefinition, step: number): boolean {
+    for (const name of namesOf(definition, step)) {
+      if (!this.#task(name).isDone) return false;
+    }
+    return true;
+  }
+
+  #task(name: TaskName): TaskRecord {
+    const known = this.#tasks.get(name);
+    if (known !== undefined) return known;
+    const record = {
+      workers: new Set<string>(),
+      isDone: false,
+      isDoneNoted: false,
+      failures: 0,
+      notedFailures: 0,
+    };
+    this.#tasks.set(name, record);
+    return record;
+  }
+
+  #check(isKept: boolean, rule: string, detail: string): void {
+    this.checks += 1;
+    if (!isKept) this.#fail(rule, detail);
+  }
+
+  #fail(rule: string, detail: string): void {
+    this.violations.push(`${rule}: ${detail}`);
+  }
+}
+
+/** The names of a job's tasks, or of those of one step; one occurrence. */
+function* namesOf(
+  { id, steps }: JobDefinition,
+  only?: number,
+): Generator<TaskName> {
+  for (const [step, { count }] of steps.entries()) {
+    if (only !== undefined && step !== only) continue;
+    for (let index = 0; index < count; index++) {
+      yield `${id}.0.${step}.${index}` as TaskName;
+    }
+  }
+}
