Malformed messages, answers and rows end nothing but their connection

Cause: JSON null between our processes, a store's answer that is null, short or no JSON, a row that is null: each threw in a handler and took the process down. PeerServer kept closed channels, since accepting a keeper replaced its handler. Messages are checked by shape at the channel; answers that cannot be read leave the outcome unknown.

--- a/src/cellhost/parse_json_row.ts
+++ b/src/cellhost/parse_json_row.ts
@@ -1,8 +1,9 @@
+import { isRecord } from "../core/check/is_record.ts";
 import type { Logger } from "../adapters/logger.ts";
 
 /**
- * Parses a row's value without checking its shape, since only the system's own
- * processes write rows. Returns undefined if it is not JSON.
+ * Parses a row's value, which must be an object. Its shape is not checked,
+ * since only the system's own processes write rows.
  */
 export function parseJsonRow<T>(
   value: string,
@@ -10,9 +11,11 @@
   log: Logger,
 ): T | undefined {
   try {
-    return JSON.parse(value) as T;
+    const row: unknown = JSON.parse(value);
+    if (isRecord(row)) return row as T;
+    log.warn("row_ignored", { key, reason: "not an object" });
   } catch {
     log.warn("row_ignored", { key, reason: "not JSON" });
-    return undefined;
   }
+  return undefined;
 }
--- a/src/cellhost/peer_link.ts
+++ b/src/cellhost/peer_link.ts
@@ -2,8 +2,10 @@
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { Channel } from "../link/channel.ts";
+import { isPeerMessage } from "../link/is_peer_message.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
+import type { KeeperLink } from "./keeper_link.ts";
 import type { PeerAddressRow } from "./peer_address_row.ts";
 
 const connectTimeoutMs = 500;
@@ -11,7 +13,7 @@
 const maxRetryMs = 800;
 
 /** A keeper's connection to one peer, reconnected whenever it breaks. */
-export class PeerLink {
+export class PeerLink implements KeeperLink {
   onOpen: () => void = () => {};
   onMessage: (message: PeerMessage) => void = () => {};
   onLost: () => void = () => {};
@@ -39,7 +41,7 @@
     const timer = setTimeout(() => socket.destroy(), connectTimeoutMs);
     socket.once("connect", () => {
       clearTimeout(timer);
-      this.#handleConnected(new Channel(socket));
+      this.#handleConnected(new Channel(socket, isPeerMessage));
     });
     socket.once("error", () => socket.destroy());
     socket.once("close", () => {
--- a/src/core/interfere/is_pressure_row.ts
+++ b/src/core/interfere/is_pressure_row.ts
@@ -1,9 +1,11 @@
+import { isListOf } from "../check/is_list_of.ts";
+import { isRecord } from "../check/is_record.ts";
 import type { PressureRow } from "./pressure_row.ts";
 
 /** Whether a stored value has the shape of a `PressureRow`. */
 export function isPressureRow(value: unknown): value is PressureRow {
-  if (typeof value !== "object" || value === null) return false;
-  const { fillers, services, loads } = value as Record<string, unknown>;
+  if (!isRecord(value)) return false;
+  const { fillers, services, loads } = value;
   return isListOf(fillers, isText) && isListOf(services, isService) &&
     isListOf(loads, isLoad);
 }
@@ -19,10 +21,6 @@
   return Array.isArray(value) && isText(value[0]) && isNumber(value[1]);
 }
 
-function isListOf(value: unknown, isItem: (item: unknown) => boolean): boolean {
-  return Array.isArray(value) && value.every(isItem);
-}
-
 function isText(value: unknown): boolean {
   return typeof value === "string";
 }
--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -6,13 +6,16 @@
 const silenceTimeoutMs = 1_500;
 /** A peer that reads too slowly is disconnected at this backlog. */
 const maxUnsentBytes = 4_000_000;
+/** A longer line is not one of the system's messages. */
+const maxLineBytes = 16_000_000;
 /** How long a closed socket may take to send what is buffered. */
 const closeTimeoutMs = 200;
 const newlineByte = 10;
 
 /**
  * A connection that carries messages both ways, each a line of JSON. It closes
- * when its peer falls silent, since a peer may vanish without a reset.
+ * when its peer falls silent, since a peer may vanish without a reset, and at
+ * anything that is not a message.
  */
 export class Channel<Out, In> {
   onMessage: (message: In) => void = () => {};
@@ -22,9 +25,13 @@
   #isOpen = true;
   #sentAtMs = 0;
   #partialLine: Buffer[] = [];
+  #partialBytes = 0;
   readonly #timer: NodeJS.Timeout;
 
-  constructor(readonly socket: Socket) {
+  constructor(
+    readonly socket: Socket,
+    readonly isMessage: (value: unknown) => value is In,
+  ) {
     socket.setNoDelay(true);
     socket.on("data", (chunk: Buffer) => this.#receive(chunk));
     socket.on("error", (cause) => this.close(cause.message));
@@ -75,20 +82,28 @@
         ? this.#partialLine[0]!.toString("utf8")
         : Buffer.concat(this.#partialLine).toString("utf8");
       this.#partialLine = [];
+      this.#partialBytes = 0;
       from = at + 1;
       if (line !== "") this.#deliver(line);
     }
-    if (from < chunk.length) this.#partialLine.push(chunk.subarray(from));
+    if (from === chunk.length) return;
+    this.#partialLine.push(chunk.subarray(from));
+    this.#partialBytes += chunk.length - from;
+    if (this.#partialBytes > maxLineBytes) this.close("message too long");
   }
 
   #deliver(line: string): void {
-    let message: In;
-    try {
-      message = JSON.parse(line) as In;
-    } catch {
-      this.close("malformed message");
-      return;
-    }
-    this.onMessage(message);
+    const message = parse(line);
+    if (this.isMessage(message)) this.onMessage(message);
+    else this.close("malformed message");
+  }
+}
+
+/** Parses a line; undefined, which is no message, if it is not JSON. */
+function parse(line: string): unknown {
+  try {
+    return JSON.parse(line);
+  } catch {
+    return undefined;
   }
 }
--- /dev/null
+++ b/src/link/is_peer_message.ts
@@ -0,0 +1,57 @@
+import { isListOf } from "../core/check/is_list_of.ts";
+import { isRecord } from "../core/check/is_record.ts";
+import { isRunId } from "../core/check/is_run_id.ts";
+import type { PeerMessage } from "./peer_message.ts";
+
+/**
+ * Whether a received value has the shape of a `PeerMessage`. A kind that is not
+ * known here passes: it may be one of a later version, and is ignored.
+ */
+export function isPeerMessage(value: unknown): value is PeerMessage {
+  if (!isRecord(value)) return false;
+  switch (value.kind) {
+    case "report":
+      return Number.isSafeInteger(value.number) && isReport(value.report);
+    case "superseded":
+      return Number.isSafeInteger(value.epoch);
+    case "started":
+      return isRunId(value);
+    case "refused":
+      return isRefusal(value);
+    default:
+      return typeof value.kind === "string";
+  }
+}
+
+function isReport(value: unknown): boolean {
+  return isRecord(value) && typeof value.life === "string" &&
+    typeof value.pool === "string" && isListOf(value.labels, isText) &&
+    isResources(value.capacity) && isListOf(value.running, isStatus) &&
+    isListOf(value.ends, isEnd) && isListOf(value.unsettled, isText) &&
+    (value.refusals === undefined || isListOf(value.refusals, isRefusal));
+}
+
+function isResources(value: unknown): boolean {
+  return isRecord(value) && Number.isFinite(value.cpuMilli) &&
+    Number.isFinite(value.memoryBytes) && Number.isFinite(value.accelerators);
+}
+
+function isStatus(value: unknown): boolean {
+  return isRunId(value) && typeof (value as { checkpoint?: unknown })
+        .checkpoint === "string";
+}
+
+function isEnd(value: unknown): boolean {
+  return isRunId(value) && isRecord(value) &&
+    Number.isSafeInteger(value.number) && isText(value.outcome) &&
+    isText(value.checkpoint);
+}
+
+function isRefusal(value: unknown): boolean {
+  return isRunId(value) && isRecord(value) && isText(value.life) &&
+    isText(value.reason);
+}
+
+function isText(value: unknown): boolean {
+  return typeof value === "string";
+}
--- a/src/nodes/peer_server.ts
+++ b/src/nodes/peer_server.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from "node:net";
 import { Channel } from "../link/channel.ts";
+import { isKeeperMessage } from "../link/is_keeper_message.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
 
@@ -17,9 +18,9 @@
     ) => void,
   ) {
     this.#server = createServer((socket) => {
-      const channel: KeeperChannel = new Channel(socket);
+      const channel: KeeperChannel = new Channel(socket, isKeeperMessage);
       this.#channels.add(channel);
-      channel.onClose = () => this.#channels.delete(channel);
+      socket.once("close", () => this.#channels.delete(channel));
       channel.onMessage = (message) => {
         if (message.kind === "hello") this.onKeeper(channel, message);
         else channel.close("the first message was not a hello");
@@ -27,6 +28,11 @@
     });
   }
 
+  /** How many channels are open. */
+  get openChannels(): number {
+    return this.#channels.size;
+  }
+
   async listen(host: string, port: number): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once("error", reject);
--- a/tests/platform/decode_test.ts
+++ b/tests/platform/decode_test.ts
@@ -177,7 +177,7 @@
   }
 
   it("round-trip through encoding and decoding", () => {
-    const page = decodeRecords(encodeAnswer(encodeRecords(rows), 9n, 0n), 6);
+    const page = decodeRecords(encodeAnswer(encodeRecords(rows), 9n, 0n), 6)!;
     expect(page.rows.map(({ key, value }) => ({ key, value }))).to.eql(rows);
     expect(page.rows.map(({ offset }) => offset)).to.eql([6, 7, 8]);
     expect([page.next, page.end, page.unreadable]).to.eql([9, 9, 0]);
@@ -191,14 +191,14 @@
       empty,
       encodeRecords(rows.slice(0, 1)),
     ]);
-    const page = decodeRecords(encodeAnswer(records, 3n, 0n), 0);
+    const page = decodeRecords(encodeAnswer(records, 3n, 0n), 0)!;
     expect(page.rows.map(({ offset }) => offset)).to.eql([2]);
     expect(page.unreadable).to.equal(2);
   });
 
   it("that are truncated are left for the next read", () => {
     const records = encodeRecords(rows).subarray(0, 12);
-    const page = decodeRecords(encodeAnswer(records, 3n, 0n), 0);
+    const page = decodeRecords(encodeAnswer(records, 3n, 0n), 0)!;
     expect([page.rows.length, page.next]).to.eql([1, 1]);
   });
 
@@ -210,7 +210,7 @@
       ],
       hasMore: true,
       end: 5,
-    });
+    })!;
     expect(page).to.eql({
       rows: [{ key: "a", value: "1", offset: 3 }],
       unreadable: 1,
--- a/tests/soak/store_stand_in.ts
+++ b/tests/soak/store_stand_in.ts
@@ -75,7 +75,7 @@
     const { rows } = decodeRecords(
       Buffer.concat([Buffer.alloc(headerBytes), body]),
       0,
-    );
+    )!;
     const result = await this.model.append(stream, rows, parseGuard(url));
     for (const wake of this.#waiters) wake();
     sendResult(response, result, (value) => sendJson(response, 200, value));
--- a/tests/takeover_test.ts
+++ b/tests/takeover_test.ts
@@ -1,11 +1,13 @@
 import { type AddressInfo, createServer } from "node:net";
 import { expect } from "chai";
+import { systemClock } from "../src/adapters/system_clock.ts";
 import { Logger } from "../src/adapters/logger.ts";
 import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
 import { JobDirectory } from "../src/cellhost/job_directory.ts";
 import { PeerLinks } from "../src/cellhost/peer_links.ts";
 import type { PeerAddressRow } from "../src/cellhost/peer_address_row.ts";
 import { Channel } from "../src/link/channel.ts";
+import { isKeeperMessage } from "../src/link/is_keeper_message.ts";
 import type { KeeperMessage } from "../src/link/keeper_message.ts";
 import type { PeerMessage } from "../src/link/peer_message.ts";
 import { KeeperSession } from "../src/cellhost/keeper_session.ts";
@@ -41,16 +43,20 @@
     new VirtualClock(),
     log,
   );
-  const session = new KeeperSession(
+  const hello = { kind: "hello", epoch, keeper: "k" } as const;
+  const session = new KeeperSession({
     epoch,
     writer,
     directory,
     bounds,
+    links: new PeerLinks(hello, log),
+    advisor: {
+      requestTickets: () => Promise.reject(new Error("no advisor")),
+    },
+    clock: systemClock,
+    metrics: new PrometheusMetrics(),
     log,
-    "k" as NodeId,
-    { requestTickets: () => Promise.reject(new Error("no advisor")) },
-    new PrometheusMetrics(),
-  );
+  });
   return { session, directory };
 }
 
@@ -59,7 +65,10 @@
   const received: string[] = [];
   let notify = () => {};
   const server = createServer((socket) => {
-    const channel = new Channel<PeerMessage, KeeperMessage>(socket);
+    const channel = new Channel<PeerMessage, KeeperMessage>(
+      socket,
+      isKeeperMessage,
+    );
     channel.onMessage = ({ kind }) => {
       received.push(kind);
       notify();
