A process that was paused closes its connections before it acts on what waited in them

Cause: after a stop in the wait for input, Node reads from sockets before it runs timers, so orders that had waited longer than a peer's silence were carried out before the check that closes the connection. Test red before, green after.

--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -64,15 +64,25 @@
 
   #checkPeer(): void {
     const nowMs = performance.now();
-    if (nowMs - this.receivedAtMs > silenceTimeoutMs) this.close("silent");
+    if (this.#isSilentAt(nowMs)) this.close("silent");
     else if (nowMs - this.#sentAtMs >= pingIntervalMs) {
       this.#sentAtMs = nowMs;
       this.socket.write("\n");
     }
   }
 
+  #isSilentAt(nowMs: number): boolean {
+    return nowMs - this.receivedAtMs > silenceTimeoutMs;
+  }
+
   #receive(chunk: Buffer): void {
-    this.receivedAtMs = performance.now();
+    const nowMs = performance.now();
+    // What waited here while this process was paused may be out of date.
+    if (this.#isSilentAt(nowMs)) {
+      this.close("silent");
+      return;
+    }
+    this.receivedAtMs = nowMs;
     let from = 0;
     while (this.#isOpen) {
       const at = chunk.indexOf(newlineByte, from);
--- a/tests/malformed_test.ts
+++ b/tests/malformed_test.ts
@@ -1,4 +1,4 @@
-import { type AddressInfo, connect, createServer } from "node:net";
+import { type AddressInfo, connect, createServer, Socket } from "node:net";
 import { createServer as createHttpServer } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
@@ -60,6 +60,24 @@
   }
 });
 
+describe("a process that was paused for longer than its peers' silence", () => {
+  it("does not act on the messages that waited meanwhile", () => {
+    const socket = new Socket();
+    const channel = new Channel(socket, isKeeperMessage);
+    const messages: unknown[] = [];
+    let reason = "";
+    channel.onMessage = (message) => messages.push(message);
+    channel.onClose = (text) => reason = text;
+    // A process that was stopped while it waited for input reads from its
+    // sockets before it looks at its timers.
+    const untilMs = performance.now() + 1_700;
+    while (performance.now() < untilMs);
+    socket.emit("data", Buffer.from('{"kind":"unsure"}\n'));
+    expect([messages, reason]).to.eql([[], "silent"]);
+    socket.destroy();
+  });
+});
+
 describe("a peer server", () => {
   it("forgets the channels that have closed", async () => {
     let accepted = 0;
