--- a/scenarios/cell_histories/history_world.ts
+++ b/scenarios/cell_histories/history_world.ts
@@ -22,7 +22,6 @@
 const workerCount = 3;
 const maxHoldMs = 6_000;
 const capacityMilli = 4_000;
-const taskMilli = 1_000;
 /** How long after a keeper's death another is elected. */
 const electionMs = 900;
 const shownIntervalMs = 500;
@@ -240,26 +239,4 @@
       }
     }
   }
-
-  /** A step of tasks that each take a quarter of a worker. */
-  static step(count: number, after: readonly number[] = []): StepDefinition {
-    return {
-      count,
-      resources: { cpuMilli: taskMilli, memoryBytes: 1, accelerators: 0 },
-      expectedMs: 1_500,
-      after,
-      savesProgress: false,
-      isGang: false,
-      sameRack: false,
-      label: undefined,
-      dataRack: undefined,
-      mostPerWorker: 0,
-      isSpeculative: false,
-      isService: false,
-      image: undefined,
-      targetLatencyMs: 0,
-      isFiller: false,
-      mostAway: 0,
-    };
-  }
 }
--- a/scenarios/cell_histories/run_cell_history.ts
+++ b/scenarios/cell_histories/run_cell_history.ts
@@ -1,4 +1,6 @@
 import type { JobId } from "../../src/core/jobs/job_id.ts";
+import type { StepDefinition } from "../../src/core/jobs/step_definition.ts";
+import { plainStep } from "../../stand_ins/plain_step.ts";
 import { SeededRandom } from "../../stand_ins/seeded_random.ts";
 import type { HistoryStep } from "./history_step.ts";
 import { HistoryWorld } from "./history_world.ts";
@@ -6,6 +8,8 @@
 
 /** Before the first step the first keeper has connected to all workers. */
 const leadMs = 1_500;
+/** About how long a task runs. */
+const expectedMs = 1_500;
 const settleMs = 10_000;
 /** How long what a cancelled job runs may take to end. */
 const stopMs = 3_500;
@@ -68,13 +72,13 @@
     void clock.sleep(ms).then(then);
   switch (kind) {
     case "submit":
-      return world.submit([HistoryWorld.step(1 + a % 3)]);
+      return world.submit([newStep(1 + a % 3)]);
     case "submit_wide":
-      return world.submit([HistoryWorld.step(5 + a % 6)]);
+      return world.submit([newStep(5 + a % 6)]);
     case "submit_chain":
       return world.submit([
-        HistoryWorld.step(1 + a % 3),
-        HistoryWorld.step(1 + b % 4, [0]),
+        newStep(1 + a % 3),
+        newStep(1 + b % 4, [0]),
       ]);
     case "cancel":
       return world.cancel(`j${a % Math.max(1, checker.jobs.size)}` as JobId);
@@ -123,3 +127,8 @@
 }
 
 const faults = ["lost", "late", "ignored"] as const;
+
+/** A step of tasks that each take a quarter of a worker. */
+function newStep(count: number, after: readonly number[] = []): StepDefinition {
+  return plainStep({ count, after, expectedMs });
+}
--- a/stand_ins/load/load_callers.ts
+++ b/stand_ins/load/load_callers.ts
@@ -2,6 +2,7 @@
 import type { JobId } from "../../src/core/jobs/job_id.ts";
 import type { StepDefinition } from "../../src/core/jobs/step_definition.ts";
 import type { RandomSource } from "../../src/core/random/random_source.ts";
+import { plainStep } from "../plain_step.ts";
 import type { LoadOptions } from "./load_options.ts";
 import type { LoadResult } from "./load_result.ts";
 import type { TaskTruth } from "./task_truth.ts";
@@ -209,22 +210,9 @@
     & Partial<StepDefinition>
     & { count: number; cpuMilli: number },
 ): StepDefinition {
-  return {
+  return plainStep({
     resources: { cpuMilli, memoryBytes: 2 ** 30, accelerators: 0 },
     expectedMs: 0,
-    after: [],
-    savesProgress: false,
-    isGang: false,
-    sameRack: false,
-    label: undefined,
-    dataRack: undefined,
-    mostPerWorker: 0,
-    isSpeculative: false,
-    isService: false,
-    image: undefined,
-    targetLatencyMs: 0,
-    isFiller: false,
-    mostAway: 0,
     ...change,
-  };
+  });
 }
--- a/tests/cell_fixture.ts
+++ b/tests/cell_fixture.ts
@@ -11,38 +11,12 @@
 import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
 import type { RunOutcome } from "../src/core/jobs/run_outcome.ts";
 import type { RunStatus } from "../src/core/jobs/run_status.ts";
+import { plainStep } from "../stand_ins/plain_step.ts";
 import type { StepDefinition } from "../src/core/jobs/step_definition.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
 
 const bytesPerMb = 1_048_576;
 
-/** A step of one task, without constraints. */
-function plainStep(change: Partial<StepDefinition> = {}): StepDefinition {
-  return {
-    count: 1,
-    resources: {
-      cpuMilli: 1_000,
-      memoryBytes: 100 * bytesPerMb,
-      accelerators: 0,
-    },
-    expectedMs: 1_000,
-    after: [],
-    savesProgress: false,
-    isGang: false,
-    sameRack: false,
-    label: undefined,
-    dataRack: undefined,
-    mostPerWorker: 0,
-    isSpeculative: false,
-    isService: false,
-    image: undefined,
-    targetLatencyMs: 0,
-    isFiller: false,
-    mostAway: 0,
-    ...change,
-  };
-}
-
 /**
  * A cell on virtual time. It collects the effects that the cell returns; tests
  * play the workers by reporting what they run and what has ended.
