--- a/src/cellhost/run_effects.ts
+++ b/src/cellhost/run_effects.ts
@@ -20,7 +20,7 @@
   for (const effect of effects) {
     switch (effect.kind) {
       case "start":
-        if (cell.mayOrder(effect.node, effect.command)) {
+        if (cell.markOrdered(effect.node, effect.command)) {
           batch.add(effect.node, effect.command);
         } else metrics.count("starts_dropped");
         break;
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -152,10 +152,10 @@
   }
 
   /**
-   * Whether a start whose claim is stored may leave for its worker now; from
-   * then on it counts as ordered. The claim may have gone in the meantime.
+   * Marks a start, whose claim is stored, as ordered. Returns false if it must
+   * not leave for its worker, since the claim has gone in the meantime.
    */
-  mayOrder(node: NodeId, { task, run, life }: StartCommand): boolean {
+  markOrdered(node: NodeId, { task, run, life }: StartCommand): boolean {
     const claim = this.workers.get(node)?.claimedTask(task, run)?.claim;
     if (claim?.life !== life || claim.phase === "stopping") return false;
     claim.isOrdered = true;
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -170,7 +170,7 @@
           break;
         case "start": {
           const { command, node } = effect;
-          if (!this.#cell.mayOrder(node, command)) break;
+          if (!this.#cell.markOrdered(node, command)) break;
           const { job, step } = parseTaskName(command.task)!;
           const truth = this.#callers.jobs.get(job)!.truths[step]!;
           this.#workers.get(node)?.start(command, truth, this.#nowMs);
--- a/tests/cell_fixture.ts
+++ b/tests/cell_fixture.ts
@@ -151,7 +151,7 @@
     for (const effect of effects) {
       this.effects.push(effect);
       if (effect.kind !== "start" || this.isStoreSlow) continue;
-      this.cell.mayOrder(effect.node, effect.command);
+      this.cell.markOrdered(effect.node, effect.command);
     }
   }
 
--- a/tests/refusal_test.ts
+++ b/tests/refusal_test.ts
@@ -157,7 +157,7 @@
     fixture.collect(fixture.cell.cancel(job.definition.id, fixture.nowMs));
     expect(fixture.newStops()).to.eql([]);
     const [worker] = fixture.cell.workers.values();
-    expect(fixture.cell.mayOrder(worker!.node, start!)).to.equal(false);
+    expect(fixture.cell.markOrdered(worker!.node, start!)).to.equal(false);
     expect(worker!.claims.size).to.equal(0);
   });
 });
