A runner's list is read without the rows that cannot be

Cause: a number that is none in a runner's list went into the report, where the new check of messages would have closed the connection each time.

--- a/tests/malformed_test.ts
+++ b/tests/malformed_test.ts
@@ -10,6 +10,7 @@
 import { isPeerMessage } from "../src/link/is_peer_message.ts";
 import type { PeerMessage } from "../src/link/peer_message.ts";
 import { PeerServer } from "../src/nodes/peer_server.ts";
+import { RunnerHttpClient } from "../platform/runner_http_client.ts";
 import { StoreClient } from "../platform/store_client.ts";
 import { CellFixture } from "./cell_fixture.ts";
 import { GateFixture } from "./gate_fixture.ts";
@@ -243,3 +244,33 @@
     });
   }
 });
+
+describe("a runner's list", () => {
+  it("is read without the rows that cannot be", async () => {
+    const server = createHttpServer((_request, response) => {
+      response.writeHead(200).end(JSON.stringify({
+        born: 5,
+        clockMs: 7,
+        running: [["j.0.0.0", 1, "", 20, "fast"], ["j.0.0.1", "one"], null, 3],
+        ended: [[4, "j.0.0.2", 1, "done", ""], ["four", "j.0.0.3", 1, "done"]],
+      }));
+    });
+    await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+    const { port } = server.address() as AddressInfo;
+    const client = new RunnerHttpClient(`127.0.0.1:${port}`);
+    const answer = await client.hold({
+      instance: "i",
+      epoch: 1,
+      forgetUpTo: 0,
+      leaseEndClockMs: undefined,
+      waitMs: 0,
+    });
+    const list = answer.isOk ? answer.value : undefined;
+    expect(list?.running.map(({ task, figure }) => [task, figure])).to.eql([
+      ["j.0.0.0", 0],
+    ]);
+    expect(list?.ends.map(({ number }) => number)).to.eql([4]);
+    server.closeAllConnections();
+    server.close();
+  });
+});
