Checks of messages: a run id's check is a type guard; one getter less

Reading the change again: isRunId said only yes or no, so four checks asked once more whether the value is a record, or cast it; EndLedger.isForgettingDue was used by one method. Behaviour as before. Lint and 183 tests of the parts concerned, histories among them; the whole suite was not run again on this commit.

--- a/src/gate/end_ledger.ts
+++ b/src/gate/end_ledger.ts
@@ -21,15 +21,11 @@
   /** The runner has confirmed that it forgot the ends up to this number. */
   #forgottenUpTo = 0;
 
-  /** Whether the runner lists ends that are stored. */
-  get isForgettingDue(): boolean {
-    return this.#storedUpTo > this.#forgottenUpTo;
-  }
-
   /** The number up to which a poll now lets ends be forgotten; 0 for none. */
   upToForPoll(nowMs: number): number {
     const isConfirmed = nowMs - this.#confirmedAtMs <= confirmationValidMs;
-    return this.isForgettingDue && isConfirmed ? this.#storedUpTo : 0;
+    const isNeeded = this.#storedUpTo > this.#forgottenUpTo;
+    return isNeeded && isConfirmed ? this.#storedUpTo : 0;
   }
 
   /** Whether an end has come that no report holds. */
--- a/src/link/is_keeper_message.ts
+++ b/src/link/is_keeper_message.ts
@@ -37,13 +37,12 @@
 }
 
 function isStart(value: unknown): boolean {
-  return isStop(value) && isRecord(value) && isRecord(value.resources) &&
+  return isStop(value) && isRecord(value.resources) &&
     typeof value.payload === "string" && typeof value.checkpoint === "string";
 }
 
-function isStop(value: unknown): boolean {
-  return isRunId(value) && typeof (value as { life?: unknown }).life ===
-      "string";
+function isStop(value: unknown): value is Record<string, unknown> {
+  return isRunId(value) && typeof value.life === "string";
 }
 
 function isState(value: unknown): boolean {
--- a/src/link/is_peer_message.ts
+++ b/src/link/is_peer_message.ts
@@ -37,19 +37,16 @@
 }
 
 function isStatus(value: unknown): boolean {
-  return isRunId(value) && typeof (value as { checkpoint?: unknown })
-        .checkpoint === "string";
+  return isRunId(value) && isText(value.checkpoint);
 }
 
 function isEnd(value: unknown): boolean {
-  return isRunId(value) && isRecord(value) &&
-    Number.isSafeInteger(value.number) && isText(value.outcome) &&
-    isText(value.checkpoint);
+  return isRunId(value) && Number.isSafeInteger(value.number) &&
+    isText(value.outcome) && isText(value.checkpoint);
 }
 
 function isRefusal(value: unknown): boolean {
-  return isRunId(value) && isRecord(value) && isText(value.life) &&
-    isText(value.reason);
+  return isRunId(value) && isText(value.life) && isText(value.reason);
 }
 
 function isText(value: unknown): boolean {
