Jobs are stored in another stream while theirs cannot be reached

Ruled out: a store that is wholly away (starts and progress were stored). Change: submissions go to the first of three streams that takes them, entries read all three. A new keeper begins without a stream that it cannot read if it knows the job of each progress row.

--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -24,6 +24,7 @@
 /** Help text and label names of each counter, by name without the prefix. */
 const counters = {
   requests: ["Callers' requests", ["call", "outcome"]],
+  submission_failovers: ["Rows stored in a spare stream", []],
   store_calls: ["Calls to the store", ["call", "outcome"]],
   starts: ["Runs that were ordered", []],
   starts_dropped: ["Starts given up before they left the keeper", []],
--- a/src/cellhost/job_directory.ts
+++ b/src/cellhost/job_directory.ts
@@ -51,6 +51,11 @@
     return undefined;
   }
 
+  /** Whether the job of each progress row is known. */
+  get isComplete(): boolean {
+    return [...this.rows.keys()].every((id) => this.definitions.has(id));
+  }
+
   /** The ids of the queue's jobs that have not started. */
   *waiting(queue: string): Generator<JobId> {
     for (const [id, definition] of this.definitions) {
@@ -69,6 +74,8 @@
     if (this.definitions.has(definition.id)) return;
     this.definitions.set(definition.id, definition);
     this.onSubmitted(definition);
+    // The cancellation may have been read first, from another stream.
+    if (this.cancelled.has(definition.id)) this.onCancelled(definition.id);
   }
 
   /** Applies a cancellation that the store holds. */
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -12,6 +12,7 @@
 import { RowWriter } from "../cellhost/row_writer.ts";
 import { StreamTail } from "../cellhost/stream_tail.ts";
 import { streams } from "../cellhost/streams.ts";
+import { submissionStreams } from "../cellhost/submission_streams.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { KeeperView } from "../cellhost/keeper_view.ts";
@@ -22,6 +23,7 @@
 import { announcePeer } from "./announce_peer.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { NodeOptions } from "./node_options.ts";
+import { SubmissionTails } from "./submission_tails.ts";
 
 /** How long a tail's read of the store waits for a new row. */
 const tailWaitMs = 2_000;
@@ -42,7 +44,7 @@
 /** An entry: knows the jobs and their states, and may be elected keeper. */
 export class EntryNode {
   readonly directory: JobDirectory;
-  readonly jobsTail: StreamTail;
+  readonly jobTails: SubmissionTails;
   readonly #election: Election;
   #cellTail: StreamTail;
   #peersTail: StreamTail | undefined;
@@ -71,10 +73,9 @@
     this.directory = new JobDirectory(log);
     this.directory.onSubmitted = (job) => this.#session?.submit(job);
     this.directory.onCancelled = (id) => this.#session?.cancel(id);
-    this.jobsTail = new StreamTail(
+    this.jobTails = new SubmissionTails(
       store,
-      streams.jobs,
-      { waitMs: tailWaitMs, pauseMs: 0 },
+      submissionStreams(options.submissionStreams),
       (rows) => this.directory.applyJobRows(rows),
       log,
     );
@@ -113,7 +114,7 @@
       strength,
     } as const;
     void announcePeer(this.store, node, row, this.log);
-    void this.jobsTail.run();
+    this.jobTails.run();
     void this.#cellTail.run();
     void this.#election.tail.run();
     void this.#watch();
@@ -130,8 +131,8 @@
    * A read may wait `tailWaitMs` for a row, so this time is added to the limit.
    */
   isFresh(withinMs: number): boolean {
-    return this.jobsTail.isCaughtUp &&
-      performance.now() - this.jobsTail.readAtMs < withinMs + tailWaitMs;
+    return this.jobTails.isCaughtUp &&
+      performance.now() - this.jobTails.readAtMs < withinMs + tailWaitMs;
   }
 
   /**
@@ -147,9 +148,8 @@
     this.#isClosed = true;
     this.#endSession();
     this.#server.close();
-    for (
-      const tail of [this.jobsTail, this.#cellTail, this.#election.tail]
-    ) tail.stop();
+    this.jobTails.stop();
+    for (const tail of [this.#cellTail, this.#election.tail]) tail.stop();
   }
 
   #newCellTail(): StreamTail {
@@ -207,7 +207,7 @@
       isIneligible: this.#session !== undefined || this.#isTakingOver ||
         this.#hasResigned,
       isCaughtUp: tail.isCaughtUp && this.#cellTail.isCaughtUp &&
-        this.jobsTail.isCaughtUp,
+        this.jobTails.isCaughtUp,
       isStrong: this.options.strength >= minStrong,
       winner: this.#election.winnerKind,
       hasResigned: this.#resignedEpoch >= this.#election.epoch &&
@@ -250,9 +250,10 @@
       !this.#isClosed && this.#election.epoch === epoch && !writer.isDeposed;
     while (end !== undefined && isCurrent()) {
       // A job is stored before its progress row, so the jobs are read last: no
-      // job is then missing of which a progress row was read.
+      // job is then missing of which a progress row was read. Where a stream of
+      // jobs cannot be read, it suffices that the jobs of all rows are known.
       const isRead = await this.#cellTail.readUntil(end) &&
-        await this.jobsTail.refresh();
+        (await this.jobTails.refresh() || this.directory.isComplete);
       if (isRead && isCurrent()) {
         this.#beginSession(epoch, writer);
         break;
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -7,9 +7,9 @@
 import type { JobState } from "../core/jobs/job_state.ts";
 import { describeSteps } from "../core/jobs/describe_steps.ts";
 import type { Row } from "../core/store/row.ts";
+import type { RowAppender } from "../core/store/row_appender.ts";
 import type { EntryNode } from "./entry_node.ts";
 import type { StoreHealth } from "./store_health.ts";
-import type { SubmissionWriter } from "./submission_writer.ts";
 
 /** The pause before a retry while no append may have stored the row. */
 const retryPauseMs = 15;
@@ -34,7 +34,7 @@
 export class JobService {
   constructor(
     readonly entry: EntryNode,
-    readonly writer: SubmissionWriter,
+    readonly writer: RowAppender,
     readonly health: StoreHealth,
     readonly metrics: PrometheusMetrics,
     readonly log: Logger,
@@ -61,7 +61,7 @@
   async state(id: JobId): Promise<JobState | "unknown" | "unsure"> {
     const known = this.entry.directory.state(id);
     if (known !== undefined) return known;
-    const isFresh = await this.entry.jobsTail.refresh();
+    const isFresh = await this.entry.jobTails.refresh();
     const refreshed = this.entry.directory.state(id);
     if (refreshed !== undefined) return refreshed;
     return isFresh || this.entry.isFresh(freshWithinMs) ? "unknown" : "unsure";
--- a/src/nodes/node_options.ts
+++ b/src/nodes/node_options.ts
@@ -12,4 +12,6 @@
   readonly bounds: KeeperBounds;
   /** The share of a keeper's resource needs that its machine meets, 0 to 1. */
   readonly strength: number;
+  /** In how many streams jobs are stored; more than one for failover. */
+  readonly submissionStreams: number;
 }
--- /dev/null
+++ b/src/nodes/submission_tails.ts
@@ -0,0 +1,53 @@
+import type { Store } from "../core/store/store.ts";
+import type { StoredRow } from "../core/store/stored_row.ts";
+import type { Logger } from "../adapters/logger.ts";
+import { StreamTail } from "../cellhost/stream_tail.ts";
+
+/** How long a tail's read of the store waits for a new row. */
+const tailWaitMs = 2_000;
+
+/** Follows all streams that hold jobs and cancellations. */
+export class SubmissionTails {
+  readonly #tails: readonly StreamTail[];
+
+  constructor(
+    store: Store,
+    streams: readonly string[],
+    onRows: (rows: readonly StoredRow[]) => void,
+    log: Logger,
+  ) {
+    const options = { waitMs: tailWaitMs, pauseMs: 0 };
+    this.#tails = streams.map((stream) =>
+      new StreamTail(store, stream, options, onRows, log)
+    );
+  }
+
+  /** Whether the rows stored before the first read of each stream are known. */
+  get isCaughtUp(): boolean {
+    return this.#tails.every(({ isCaughtUp }) => isCaughtUp);
+  }
+
+  /** When each stream had been read successfully at least once since. */
+  get readAtMs(): number {
+    return Math.min(...this.#tails.map(({ readAtMs }) => readAtMs));
+  }
+
+  run(): void {
+    for (const tail of this.#tails) void tail.run();
+  }
+
+  stop(): void {
+    for (const tail of this.#tails) tail.stop();
+  }
+
+  /**
+   * Reads all rows stored so far, of all streams at once; returns whether every
+   * stream could be read.
+   */
+  async refresh(): Promise<boolean> {
+    const isRead = await Promise.all(
+      this.#tails.map((tail) => tail.refresh()),
+    );
+    return isRead.every((isStreamRead) => isStreamRead);
+  }
+}
--- a/src/nodes/submission_writer.ts
+++ b/src/nodes/submission_writer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../core/clock/clock.ts";
 import type { AppendResult } from "../core/store/append_result.ts";
 import type { Row } from "../core/store/row.ts";
+import type { RowAppender } from "../core/store/row_appender.ts";
 import type { Store } from "../core/store/store.ts";
 import type { StoreResult } from "../core/store/store_result.ts";
 
@@ -23,7 +24,7 @@
  * meanwhile go out together in the next one, since a slow store executes the
  * appends to a stream one after the other.
  */
-export class SubmissionWriter {
+export class SubmissionWriter implements RowAppender {
   #pending: PendingRow[] = [];
   #isBusy = false;
   #failedAtMs: number | undefined;
--- a/stand_ins/store/store_model.ts
+++ b/stand_ins/store/store_model.ts
@@ -38,6 +38,8 @@
   readonly faults: Fault[] = [];
   /** Whether every call is refused. */
   isDown = false;
+  /** The streams that cannot be reached, and how calls to them fail. */
+  readonly lostStreams = new Map<string, "refused" | "hung">();
   appendCount = 0;
   #delayed: (() => void)[] = [];
   readonly #streams = new Map<string, Stream>();
@@ -48,7 +50,9 @@
     guard: WriteGuard,
   ): Promise<StoreResult<AppendResult>> {
     this.appendCount += 1;
-    const fault = this.isDown ? "refused" : this.faults.shift();
+    const fault = this.isDown
+      ? "refused"
+      : this.lostStreams.get(stream) ?? this.faults.shift();
     const unknown = { kind: "unknown", detail: fault ?? "" } as const;
     switch (fault) {
       case undefined:
@@ -67,7 +71,9 @@
   }
 
   read(stream: string, from: number): Promise<StoreResult<RowPage>> {
-    if (this.isDown) return fail({ kind: "refused", detail: "down" });
+    if (this.isDown || this.lostStreams.has(stream)) {
+      return fail({ kind: "refused", detail: "down" });
+    }
     const { rows, first } = this.#stream(stream);
     if (from < first) return fail({ kind: "trimmed", first });
     const end = first + rows.length;
@@ -76,7 +82,9 @@
   }
 
   readNewest(stream: string): Promise<StoreResult<NewestPage>> {
-    if (this.isDown) return fail({ kind: "refused", detail: "down" });
+    if (this.isDown || this.lostStreams.has(stream)) {
+      return fail({ kind: "refused", detail: "down" });
+    }
     const { rows, first } = this.#stream(stream);
     const newest = new Map(rows.map((row) => [row.key, row]));
     const kept = [...newest.values()].filter(({ value }) =>
--- /dev/null
+++ b/tests/failover_test.ts
@@ -0,0 +1,108 @@
+import { expect } from "chai";
+import { Logger } from "../src/adapters/logger.ts";
+import { cancellationKey } from "../src/cellhost/cancellation_key.ts";
+import { JobDirectory } from "../src/cellhost/job_directory.ts";
+import { progressKey } from "../src/cellhost/progress_key.ts";
+import { submissionStreams } from "../src/cellhost/submission_streams.ts";
+import type { JobId } from "../src/core/jobs/job_id.ts";
+import { FailoverWriter } from "../src/nodes/failover_writer.ts";
+import { SubmissionTails } from "../src/nodes/submission_tails.ts";
+import { SubmissionWriter } from "../src/nodes/submission_writer.ts";
+import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
+import { StoreModel } from "../stand_ins/store/store_model.ts";
+
+const log = new Logger("silent", {});
+const streams = submissionStreams(3);
+const id = "00000000000000a1" as JobId;
+const job = JSON.stringify({ id, queue: "q", payload: "", steps: [] });
+
+function createFixture() {
+  const clock = new VirtualClock();
+  const store = new StoreModel();
+  const writer = new FailoverWriter(
+    streams.map((stream) => new SubmissionWriter(store, stream, clock)),
+  );
+  const append = async () => {
+    const result = await writer.append({ key: id, value: job });
+    return result.isOk ? "stored" : result.error.kind;
+  };
+  return { clock, store, writer, append };
+}
+
+describe("submissions while the store serves only some streams", () => {
+  const cases = [
+    { lost: [], outcome: "stored", stream: "jobs" },
+    { lost: ["jobs"], outcome: "stored", stream: "jobs-2" },
+    { lost: ["jobs", "jobs-2"], outcome: "stored", stream: "jobs-3" },
+    { lost: streams, outcome: "refused", stream: undefined },
+  ] as const;
+  for (const { lost, outcome, stream } of cases) {
+    for (const fault of ["refused", "hung"] as const) {
+      // Without failover a submission is lost though the store would take it.
+      const expected = fault === "hung" && outcome === "refused"
+        ? "unknown"
+        : outcome;
+      it(`are ${expected} with ${lost.length} streams ${fault}`, async () => {
+        const { store, append } = createFixture();
+        for (const each of lost) store.lostStreams.set(each, fault);
+        expect(await append()).to.equal(expected);
+        const holders = streams.filter((each) =>
+          store.newestValue(each, id) !== undefined
+        );
+        expect(holders).to.eql(stream === undefined ? [] : [stream]);
+      });
+    }
+  }
+
+  it("are not refused if a stream may have stored them earlier", async () => {
+    const { clock, store, append } = createFixture();
+    store.faults.push("hung", "refused", "refused");
+    expect(await append()).to.equal("unknown");
+    await clock.advance(1_000);
+    for (const each of streams) store.lostStreams.set(each, "refused");
+    expect(await append()).to.equal("unknown");
+  });
+});
+
+describe("the jobs that are read from several streams", () => {
+  it("come from the streams that can be read", async () => {
+    const { store, append } = createFixture();
+    store.lostStreams.set("jobs", "refused");
+    await append();
+    const directory = new JobDirectory(log);
+    const tails = new SubmissionTails(
+      store,
+      streams,
+      (rows) => directory.applyJobRows(rows),
+      log,
+    );
+    expect(await tails.refresh()).to.equal(false);
+    expect(tails.isCaughtUp).to.equal(false);
+    expect(directory.state(id)).to.equal("queued");
+    store.lostStreams.clear();
+    expect(await tails.refresh()).to.equal(true);
+    expect(tails.isCaughtUp).to.equal(true);
+  });
+
+  it("are cancelled if the cancellation is read first", () => {
+    const directory = new JobDirectory(log);
+    const events: string[] = [];
+    directory.onSubmitted = () => events.push("submitted");
+    directory.onCancelled = () => events.push("cancelled");
+    const row = (key: string, value: string) => ({ key, value, offset: 0 });
+    directory.applyJobRows([row(cancellationKey(id), "1")]);
+    directory.applyJobRows([row(id, job)]);
+    expect(events).to.eql(["cancelled", "submitted", "cancelled"]);
+    expect(directory.state(id)).to.equal("cancelled");
+  });
+
+  // A new keeper that did not know a job would stop its runs as unknown ones.
+  it("are complete only if the job of each progress row is known", () => {
+    const directory = new JobDirectory(log);
+    const progress = { key: progressKey(id), value: '{"s":"r"}', offset: 0 };
+    directory.applyProgressRows([progress]);
+    expect(directory.isComplete).to.equal(false);
+    directory.applyJobRows([{ key: id, value: job, offset: 0 }]);
+    expect(directory.isComplete).to.equal(true);
+  });
+});
