--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -27,6 +27,10 @@
   store_calls: ["Calls to the store", ["call", "outcome"]],
   starts: ["Runs that were ordered", []],
   starts_dropped: ["Starts given up before they left the keeper", []],
+  starts_held: [
+    "Starts held until the operator's stream was read again",
+    [],
+  ],
   start_refusals: ["Runs that were surely not started", ["reason"]],
   stops: ["Runs that were told to stop", ["reason"]],
   ends: ["Runs that ended", ["outcome"]],
@@ -41,6 +45,8 @@
   configuration_version: "Version of the configuration in force",
   jobs_live: "Jobs without outcome that the keeper knows",
   workers: "Workers that the keeper has adopted",
+  operator_rows_age_ms: "How old the keeper's read of the operator's rows is",
+  evacuated_tasks: "Tasks that run in evacuated data centres",
 } as const;
 
 /** The metrics of a process, exported in the Prometheus text format. */
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -1,32 +1,29 @@
 import { Cell } from "../core/cell/cell.ts";
 import type { CellEffect } from "../core/cell/cell_effect.ts";
-import type { JobProgressRow } from "../core/cell/job_progress_row.ts";
 import type { SidecarReport } from "../core/cell/sidecar_report.ts";
-import { decodeJob } from "../core/cell/decode_job.ts";
 import { applyRefusal } from "../core/cell/apply_refusal.ts";
 import { buildStart } from "../core/cell/build_start.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { RunId } from "../core/jobs/run_id.ts";
-import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
 import type { KeeperLink } from "./keeper_link.ts";
 import type { KeeperSessionOptions } from "./keeper_session_options.ts";
+import { EvacuationControl } from "./evacuation_control.ts";
+import { requestTickets } from "./request_tickets.ts";
 import { runEffects } from "./run_effects.ts";
 import type { DeferredEffect } from "./deferred_effect.ts";
+import { loadJob } from "./load_job.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
 import type { PeerAddressRow } from "./peer_address_row.ts";
 import { servicePressures } from "./service_pressures.ts";
 import { TermLog } from "./term_log.ts";
+import { UnsureNotice } from "./unsure_notice.ts";
 import { UnsavedRows } from "./unsaved_rows.ts";
 
 const tickIntervalMs = 50;
-/** After this long without a confirmed append, entries are sent `unsure`. */
-const unsureAfterMs = 1_200;
-/** Resend interval of `unsure` while the store stays unreachable. */
-const unsureIntervalMs = 400;
 /** A run is stuck after this share of its expected time without progress. */
 const stuckFactor = 0.5;
 /** The shortest time without progress after which a run is stuck. */
@@ -37,13 +34,15 @@
   readonly cell = new Cell({ stuckFactor, stuckMinMs });
   readonly #leases: LeaseTracker;
   readonly #termLog: TermLog;
+  /** Undefined if the deployment evacuates no data centres. */
+  readonly #evacuation: EvacuationControl | undefined;
   readonly #openedAtMs: number;
   readonly #unsaved = new UnsavedRows();
   #deferred: DeferredEffect[] = [];
   #isFlushing = false;
   #isClosed = false;
   #isResigning = false;
-  #unsureSentAtMs = 0;
+  readonly #unsureNotice: UnsureNotice;
 
   constructor(readonly options: KeeperSessionOptions) {
     const { epoch, bounds, clock, links, log, metrics, writer } = options;
@@ -52,19 +51,27 @@
     this.#termLog = new TermLog(epoch, log, metrics, clock);
     links.onMessage = (link, message) =>
       this.#guard(() => this.#receive(link, message));
-    links.onSidecarLost = (node) => this.cell.handleDisconnect(node);
+    if (bounds.evacuateMs !== undefined) {
+      const { evacuateMs } = bounds;
+      this.#evacuation = new EvacuationControl(this.cell, options, evacuateMs);
+    }
+    links.onSidecarLost = (node) => {
+      this.cell.handleDisconnect(node);
+      this.#evacuation?.forget(node);
+    };
     links.onEntryConnected = (link) => this.#sendStates(link);
+    this.#unsureNotice = new UnsureNotice(writer, links);
     void this.#tickUntilClosed();
   }
 
   /** Loads the cell's jobs, claims and cancellations from the directory. */
   load(queues: Iterable<Queue>): void {
-    const { clock, directory } = this.options;
+    const { clock, directory, log } = this.options;
     const nowMs = clock.nowMs();
     this.setQueues(queues);
     const { definitions, rows, cancelled, learned } = directory;
     for (const [id, definition] of definitions) {
-      this.#load(definition, rows.get(id), nowMs);
+      loadJob(this.cell, definition, rows.get(id), nowMs, log);
     }
     if (learned !== undefined) this.cell.restoreLearned(learned);
     for (const id of cancelled) this.#applyAll(this.cell.cancel(id, nowMs));
@@ -83,31 +90,29 @@
     this.#flushSoon();
   }
 
+  /** Evacuates these data centres, and no others. */
+  setEvacuations(zones: ReadonlySet<string>): void {
+    if (this.#evacuation === undefined || this.#isClosed) return;
+    this.#guard(() => this.#evacuate(zones));
+  }
+
+  #evacuate(zones: ReadonlySet<string>): void {
+    const nowMs = this.options.clock.nowMs();
+    this.#applyAll(this.cell.setEvacuations(zones, nowMs));
+    this.#evacuation?.tellSidecars();
+  }
+
   submit(job: JobDefinition): void {
-    const { clock, directory } = this.options;
+    const { clock, directory, log } = this.options;
     const row = directory.rows.get(job.id);
     if (row === undefined) {
       this.#applyAll(this.cell.submit(job, clock.wallMs()));
     } else if (!this.cell.jobs.has(job.id)) {
-      this.#load(job, row, clock.nowMs());
+      loadJob(this.cell, job, row, clock.nowMs(), log);
       this.#flushSoon();
     }
   }
 
-  /** Loads a job; one that cannot be read is left out, and holds up no other. */
-  #load(
-    job: JobDefinition,
-    row: JobProgressRow | undefined,
-    nowMs: number,
-  ): void {
-    try {
-      this.cell.load(decodeJob(job, row, nowMs));
-    } catch (cause) {
-      const detail = cause instanceof Error ? cause.stack : String(cause);
-      this.options.log.error("job_unreadable", { job: job.id, detail });
-    }
-  }
-
   cancel(id: JobId): void {
     const { clock, log } = this.options;
     log.info("job_cancelled", { job: id });
@@ -191,10 +196,11 @@
     if (refusals.length > 0) link.send({ kind: "noted", refusals });
     const isUnsure = isFirst || report.unexplained > 0;
     if (isUnsure && worker.isReconciled) this.#sendKnownRuns(link);
+    const age = this.#evacuation?.recordReport(node);
     if (!this.#leases.mayRenew) return;
     this.#leases.renew(node);
     const pressures = servicePressures(worker, this.cell.pressure);
-    link.send({ kind: "renew", report: number, pressures });
+    link.send({ kind: "renew", report: number, pressures, ...age });
     if (isFirst) this.#termLog.recordRenewal(this.cell);
   }
 
@@ -218,22 +224,15 @@
       this.#termLog.recordStop(effect);
       const stops = [{ task, run, life }];
       this.options.links.send(node, { kind: "orders", starts: [], stops });
-    } else if (effect.kind === "ask") void this.#ask(effect.step, effect.lives);
+    } else if (effect.kind === "ask") void this.#ask(effect);
     else this.#deferred.push(effect);
   }
 
-  async #ask(step: string, lives: readonly RunnerLife[]): Promise<void> {
-    const { advisor, log } = this.options;
-    try {
-      const tickets = await advisor.requestTickets(step, lives);
-      if (this.#isClosed) return;
-      log.info("advised", { step, asked: lives.length, may: tickets.size });
-      this.cell.advice.storeAnswer(step, tickets);
-      this.#flushSoon();
-    } catch (cause) {
-      const reason = (cause as Error).message;
-      log.warn("advice_failed", { step, reason });
-    }
+  async #ask(effect: Extract<CellEffect, { kind: "ask" }>): Promise<void> {
+    const tickets = await requestTickets(effect, this.options);
+    if (tickets === undefined || this.#isClosed) return;
+    this.cell.advice.storeAnswer(effect.step, tickets);
+    this.#flushSoon();
   }
 
   async #tickUntilClosed(): Promise<void> {
@@ -271,16 +270,20 @@
     const { clock, metrics, writer } = this.options;
     const nowMs = clock.nowMs();
     this.#releaseLostWorkers(nowMs);
-    this.#reportUnsure(nowMs);
+    this.#unsureNotice.sendIfDue(nowMs);
     metrics.setGauge("jobs_live", this.cell.liveJobs.size);
     const effects = this.cell.tick(nowMs, clock.wallMs());
     for (const effect of effects) this.#apply(effect);
+    this.#evacuation?.tellSidecars();
     const rows = this.#unsaved.take();
-    if (rows.length === 0 && this.#deferred.length === 0) return;
+    const isStartDue = this.#evacuation?.hasDueStarts ?? false;
+    if (rows.length === 0 && this.#deferred.length === 0 && !isStartDue) return;
     const deferred = this.#deferred;
     this.#deferred = [];
     writer.write(rows, () => {
-      if (!this.#isClosed) runEffects(deferred, this.cell, this.options);
+      if (this.#isClosed) return;
+      const due = this.#evacuation?.release(deferred) ?? deferred;
+      runEffects(due, this.cell, this.options);
     });
   }
 
@@ -295,13 +298,6 @@
     }
   }
 
-  #reportUnsure(nowMs: number): void {
-    if (nowMs - this.options.writer.confirmedAtMs < unsureAfterMs) return;
-    if (nowMs - this.#unsureSentAtMs < unsureIntervalMs) return;
-    this.#unsureSentAtMs = nowMs;
-    this.options.links.sendToEntries({ kind: "unsure" });
-  }
-
   #sendStates(link: KeeperLink): void {
     const { directory } = this.options;
     const jobs = [...this.cell.jobs.keys()]
--- a/src/cellhost/keeper_session_options.ts
+++ b/src/cellhost/keeper_session_options.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "../adapters/logger.ts";
 import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
 import type { Clock } from "../core/clock/clock.ts";
+import type { OperatorRead } from "../core/evacuate/operator_read.ts";
 import type { Advisor } from "./advisor.ts";
 import type { JobDirectory } from "./job_directory.ts";
 import type { KeeperBounds } from "./keeper_bounds.ts";
@@ -15,6 +16,8 @@
   readonly directory: JobDirectory;
   readonly bounds: KeeperBounds;
   readonly links: KeeperLinks;
+  /** The newest complete read of the operator's stream. */
+  readonly operatorRead?: () => OperatorRead | undefined;
   readonly advisor: Advisor;
   readonly clock: Clock;
   readonly metrics: PrometheusMetrics;
--- a/src/cellhost/stream_tail.ts
+++ b/src/cellhost/stream_tail.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import type { OperatorRead } from "../core/evacuate/operator_read.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Store } from "../core/store/store.ts";
 import type { Logger } from "../adapters/logger.ts";
@@ -21,6 +22,13 @@
   isCaughtUp = false;
   /** When the last read succeeded. */
   readAtMs = 0;
+  /**
+   * When the newest read that reached the end of the stream was sent; it
+   * returned every row that was acknowledged before.
+   */
+  completeRead: OperatorRead | undefined;
+  /** Receives the keys of all rows at a read of the newest ones, and the end. */
+  onSnapshot: (keys: ReadonlySet<string>, end: number) => void = () => {};
   /** When a read last returned new rows. */
   grewAtMs = 0;
   /** The highest end of the stream that a read has returned. */
@@ -81,6 +89,8 @@
   async #catchUp(): Promise<boolean> {
     let from: number | undefined;
     let after: string | undefined;
+    const keys = new Set<string>();
+    const sent = now();
     do {
       const page = await this.store.readNewest(this.stream, after);
       if (this.#isStopped) return false;
@@ -90,12 +100,15 @@
       }
       from ??= page.value.end;
       after = page.value.more;
+      for (const { key } of page.value.rows) keys.add(key);
       const newer = this.#deliver(page.value.rows);
       for (const { key, offset } of newer) {
         this.#seen.set(key, offset);
         this.#maxSeenOffset = Math.max(this.#maxSeenOffset, offset);
       }
     } while (after !== undefined);
+    this.onSnapshot(keys, from ?? 0);
+    this.completeRead = sent;
     this.#next ??= from;
     this.end = Math.max(this.end, from ?? 0);
     this.#recordSuccess(true);
@@ -106,6 +119,7 @@
     from: number,
     waitMs = this.#isReachable ? this.options.waitMs : 0,
   ): Promise<"read" | "overtaken" | "failed"> {
+    const sent = now();
     const page = await this.store.read(this.stream, from, waitMs);
     if (this.#isStopped) return "failed";
     if (this.#next !== from) return "overtaken";
@@ -122,6 +136,7 @@
     this.#next = next;
     this.end = Math.max(this.end, end);
     this.#deliver(rows);
+    if (next >= end) this.completeRead = sent;
     if (next > this.#maxSeenOffset) this.#seen.clear();
     this.#recordSuccess(rows.length > 0);
     return "read";
@@ -156,3 +171,7 @@
     this.#isReachable = false;
   }
 }
+
+function now(): OperatorRead {
+  return { sentAtMs: performance.now(), sentAtWallMs: Date.now() };
+}
--- a/src/core/cell/apply_refusal.ts
+++ b/src/core/cell/apply_refusal.ts
@@ -25,5 +25,6 @@
     // The runner's new life is unknown until the sidecar's next report.
     worker.isReconciled = false;
   }
-  yield* cell.releaseClaim(worker, task, nowMs);
+  const outcome = reason === "evacuated" ? "stopped" : "lapsed";
+  yield* cell.releaseClaim(worker, task, nowMs, outcome);
 }
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -1,17 +1,17 @@
 import type { JobDefinition } from "../jobs/job_definition.ts";
 import type { JobId } from "../jobs/job_id.ts";
 import type { NodeId } from "../jobs/node_id.ts";
-import { runKey } from "../jobs/run_key.ts";
 import { parseTaskName } from "../jobs/parse_task_name.ts";
 import type { Queue } from "../jobs/queue.ts";
 import type { RunEnd } from "../jobs/run_end.ts";
-import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
 import { AdviceCache } from "./advice_cache.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { reconcileRuns } from "./reconcile_runs.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
+import { releaseClaimsOfOtherLives } from "./release_claims_of_other_lives.ts";
+import { stopUnseenStart } from "../evacuate/stop_unseen_start.ts";
 import { drainWorkers } from "./drain_workers.ts";
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
 import { applyRefusal } from "./apply_refusal.ts";
@@ -45,6 +45,8 @@
   readonly liveJobs = new Set<Job>();
   readonly workers = new Map<NodeId, Worker>();
 
+  /** The data centres in which nothing may be started. */
+  evacuatedZones: ReadonlySet<string> = new Set();
   readonly pressure = new PressureModel();
   readonly advice = new AdviceCache();
   /** When it first decided, by the keeper's monotonic clock. */
@@ -112,6 +114,7 @@
       worker.statuses.clear();
     }
     worker.report = report;
+    worker.isEvacuated = this.evacuatedZones.has(report.zone);
     const runs = new Map(report.running.map((run) => [run.task, run]));
     for (const refusal of report.refusals ?? []) {
       yield* applyRefusal(this, worker, refusal, nowMs);
@@ -126,7 +129,7 @@
       worker.isReconciled = false;
       return;
     }
-    yield* this.#releaseClaimsOfOtherLives(worker, report, runs, nowMs);
+    yield* releaseClaimsOfOtherLives(this, worker, report, runs, nowMs);
     yield* reconcileRuns(this, worker, runs, nowMs);
     worker.isReconciled = true;
     if (!sampleWorker(worker, runs, this.pressure, nowMs)) return;
@@ -142,6 +145,18 @@
     }
   }
 
+  /** Sets the data centres to evacuate, and withdraws the starts there. */
+  *setEvacuations(zones: ReadonlySet<string>, nowMs: number): Effects {
+    this.evacuatedZones = zones;
+    for (const worker of this.workers.values()) {
+      worker.isEvacuated = zones.has(worker.report?.zone ?? "");
+      if (!worker.isEvacuated) continue;
+      for (const task of [...worker.claims.values()]) {
+        yield* stopUnseenStart(this, task, nowMs);
+      }
+    }
+  }
+
   /** Marks a claimed run as running. */
   markStarted(node: NodeId, name: TaskName, run: number, nowMs: number): void {
     const claim = this.workers.get(node)?.claimedTask(name, run)?.claim;
@@ -196,29 +211,6 @@
     return this.jobs.get(job)?.taskAt(occurrence, step, index);
   }
 
-  /**
-   * Releases claims made for other lives of the runner, except those whose run
-   * is active or unsettled in the current life: a start command does not tell
-   * lives of one runner id apart, so it can reach a later life.
-   */
-  *#releaseClaimsOfOtherLives(
-    worker: Worker,
-    { life, unsettled }: SidecarReport,
-    runs: ReadonlyMap<TaskName, RunStatus>,
-    nowMs: number,
-  ): Effects {
-    for (const task of [...worker.claims.values()]) {
-      const { claim } = task;
-      if (claim === undefined || claim.life === life) continue;
-      const mayRunHere = runs.get(task.name)?.run === task.run ||
-        unsettled.includes(runKey({ task: task.name, run: task.run }));
-      if (mayRunHere) {
-        task.claim = { ...claim, life };
-        yield { kind: "save", job: task.group.job };
-      } else yield* this.releaseClaim(worker, task, nowMs);
-    }
-  }
-
   *#applyEnds(worker: Worker, report: SidecarReport, nowMs: number): Effects {
     for (const end of report.ends) {
       if (end.number <= worker.lastEnd) continue;
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -69,6 +69,7 @@
 ): boolean {
   const { report } = worker;
   if (report === undefined || !worker.isReconciled) return false;
+  if (worker.isEvacuated) return false;
   if (!report.isUp || report.isDraining || report.pool !== queue.pool) {
     return false;
   }
--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -7,6 +7,7 @@
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { reservedResources } from "./reserved_resources.ts";
+import { stopUnseenStart } from "../evacuate/stop_unseen_start.ts";
 import { buildStart } from "./build_start.ts";
 import { stopEffectFor } from "./stop_effect_for.ts";
 import type { Task } from "./task.ts";
@@ -49,7 +50,7 @@
     if (!worker.strays.has(key)) worker.strayStopSentAtMs.delete(key);
   }
   for (const task of worker.claims.values()) {
-    yield* resendCommand(worker, task, runs, nowMs);
+    yield* resendCommand(cell, worker, task, runs, nowMs);
   }
 }
 
@@ -73,13 +74,19 @@
 
 /** Resends a claim's command, which a lost connection or sidecar can drop. */
 function* resendCommand(
+  cell: Cell,
   worker: Worker,
   task: Task,
   runs: ReadonlyMap<TaskName, RunStatus>,
   nowMs: number,
 ): Effects {
   const { claim } = task;
-  if (claim === undefined || !claim.isOrdered) return;
+  if (claim === undefined) return;
+  if (worker.isEvacuated && claim.phase === "starting") {
+    yield* stopUnseenStart(cell, task, nowMs);
+    return;
+  }
+  if (!claim.isOrdered) return;
   const isStopping = claim.phase === "stopping";
   if (!isStopping && runs.get(task.name)?.run === task.run) return;
   if (worker.isReconciled && nowMs - claim.phaseSinceMs < resendMs) return;
--- /dev/null
+++ b/src/core/cell/release_claims_of_other_lives.ts
@@ -0,0 +1,31 @@
+import { runKey } from "../jobs/run_key.ts";
+import type { RunStatus } from "../jobs/run_status.ts";
+import type { TaskName } from "../jobs/task_name.ts";
+import type { Cell } from "./cell.ts";
+import type { CellEffect } from "./cell_effect.ts";
+import type { SidecarReport } from "./sidecar_report.ts";
+import type { Worker } from "./worker.ts";
+
+/**
+ * Releases claims made for other lives of the runner, except those whose run is
+ * active or unsettled in the current life: a start command does not tell lives
+ * of one runner id apart, so it can reach a later life.
+ */
+export function* releaseClaimsOfOtherLives(
+  cell: Cell,
+  worker: Worker,
+  { life, unsettled }: SidecarReport,
+  runs: ReadonlyMap<TaskName, RunStatus>,
+  nowMs: number,
+): Generator<CellEffect, void> {
+  for (const task of [...worker.claims.values()]) {
+    const { claim } = task;
+    if (claim === undefined || claim.life === life) continue;
+    const mayRunHere = runs.get(task.name)?.run === task.run ||
+      unsettled.includes(runKey({ task: task.name, run: task.run }));
+    if (mayRunHere) {
+      task.claim = { ...claim, life };
+      yield { kind: "save", job: task.group.job };
+    } else yield* cell.releaseClaim(worker, task, nowMs);
+  }
+}
--- a/src/core/cell/start_refusal.ts
+++ b/src/core/cell/start_refusal.ts
@@ -12,5 +12,7 @@
   /** The command was for an earlier life of the runner. */
   | "other_life"
   | "draining"
+  /** The runner's data centre is evacuated. */
+  | "evacuated"
   /** The runner rejected the command as malformed. */
   | "rejected";
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -18,6 +18,8 @@
    * the runs of its current life.
    */
   isReconciled = false;
+  /** Whether its data centre is evacuated, so that nothing may start on it. */
+  isEvacuated = false;
   /** The tasks whose current run is claimed here. */
   readonly claims = new Map<TaskName, Task>();
   /** The resources of unclaimed runs, by run key. */
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -13,6 +13,7 @@
 import type { RunnerHeartbeat } from "./runner_heartbeat.ts";
 import { RunnerLease } from "./runner_lease.ts";
 import type { RunnerPollResult } from "./runner_poll_result.ts";
+import { StartWindow } from "./start_window.ts";
 
 /** How long a poll waits at the runner for a run to end. */
 const pollWaitMs = 400;
@@ -37,6 +38,7 @@
   isDraining = false;
   isStopped = false;
   readonly lease: RunnerLease;
+  readonly startWindow: StartWindow;
   readonly #tracker: RunTracker;
   readonly #paceController: PaceController;
   /** The newest connection of a keeper. */
@@ -58,7 +60,9 @@
     maxHoldMs: number,
     readonly clock: Clock,
     readonly log: Logger,
+    evacuateMs?: number,
   ) {
+    this.startWindow = new StartWindow(evacuateMs);
     this.lease = new RunnerLease(maxHoldMs, clock.nowMs());
     this.#tracker = new RunTracker(this);
     this.#paceController = new PaceController(this, this.#tracker);
@@ -94,6 +98,7 @@
   attachKeeper(epoch: number, send: Send): boolean {
     if (epoch < this.epoch) return false;
     this.epoch = epoch;
+    this.startWindow.reset(this.clock.nowMs());
     this.#attached = send;
     this.#send = undefined;
     void this.#poll(0).then(() => {
@@ -121,8 +126,13 @@
     switch (message.kind) {
       case "renew":
         this.lease.renew(message.report);
+        this.startWindow.renew(message.report, message.operatorAgeMs);
         this.#paceController.pressures = message.pressures;
         break;
+      case "evacuated":
+        this.startWindow.setEvacuated(message.isEvacuated);
+        if (message.isEvacuated) this.#tracker.giveUpStarts("evacuated");
+        break;
       case "orders":
         for (const command of message.stops) this.#tracker.stop(command);
         for (const command of message.starts) this.#tracker.start(command);
@@ -265,6 +275,7 @@
     this.#reportNumber += 1;
     this.#reportedAtMs = nowMs;
     this.#endLedger.setReported();
+    this.startWindow.recordReport(this.#reportNumber, nowMs);
     if (this.isUp) this.lease.recordReport(this.#reportNumber, nowMs);
     this.#send({
       kind: "report",
--- a/src/gate/gate_context.ts
+++ b/src/gate/gate_context.ts
@@ -5,11 +5,13 @@
 import type { RunnerClient } from "./runner_client.ts";
 import type { RunnerHeartbeat } from "./runner_heartbeat.ts";
 import type { RunnerLease } from "./runner_lease.ts";
+import type { StartWindow } from "./start_window.ts";
 
 /** What a gate shares with its parts. */
 export interface GateContext {
   readonly runner: RunnerClient;
   readonly lease: RunnerLease;
+  readonly startWindow: StartWindow;
   readonly clock: Clock;
   readonly log: Logger;
   /** The newest heartbeat of the runner, which names its current life. */
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -6,9 +6,10 @@
 import { lifeOf } from "./life_of.ts";
 import { newRun } from "./new_run.ts";
 import type { Run } from "./run.ts";
+import { sendStop } from "./send_stop.ts";
 import { RefusedStarts } from "./refused_starts.ts";
 import { runKey } from "../core/jobs/run_key.ts";
-import type { RunnerFailure } from "./runner_failure.ts";
+import { refusalFor } from "./refusal_for.ts";
 import type { RunnerPollResult } from "./runner_poll_result.ts";
 
 const retryPauseMs = 30;
@@ -122,6 +123,14 @@
     return isDone;
   }
 
+  /** Stops the runs that are being started; they are refused once gone. */
+  giveUpStarts(reason: StartRefusal): void {
+    for (const run of this.runs.values()) {
+      const isStarting = run.phase === "starting" && !run.isStopRequested;
+      if (isStarting) this.#giveUpStart(run, reason);
+    }
+  }
+
   /** Starts a run; refuses it if the runner cannot take it now. */
   start(command: StartCommand): void {
     const { context } = this;
@@ -152,7 +161,7 @@
       void this.#stop(run);
     } else {
       this.#refuse(run, run.refusal);
-      void this.#sendStop(run, () => !context.isStopped);
+      void sendStop(context, run, () => !context.isStopped);
     }
   }
 
@@ -168,8 +177,12 @@
   }
 
   #refusalReason(start: StartCommand): StartRefusal | undefined {
-    const { lastHeartbeat: last, isDraining, isUp, lease } = this.context;
+    const { clock, lastHeartbeat: last, isDraining, isUp, lease, startWindow } =
+      this.context;
     if (last === undefined || start.life !== lifeOf(last)) return "other_life";
+    if (startWindow.isEvacuated) return "evacuated";
+    const nowMs = clock.nowMs();
+    if (!startWindow.isOpen(nowMs, nowMs)) return "late";
     if (isDraining) return "draining";
     if (!isUp || lease.endClockMs === undefined) return "unhealthy";
     const others = [...this.runs.values()];
@@ -180,7 +193,12 @@
   async #start(run: Run, command: StartCommand): Promise<void> {
     const { context } = this;
     const instance = context.lastHeartbeat!.instance;
+    const arrivedAtMs = context.clock.nowMs();
     while (this.#isStarting(run) && !run.isStopRequested) {
+      if (!context.startWindow.isOpen(arrivedAtMs, context.clock.nowMs())) {
+        this.#giveUpStart(run, "late");
+        break;
+      }
       const answer = await context.runner.start({
         instance,
         epoch: context.epoch,
@@ -189,7 +207,7 @@
         payload: command.payload,
         ticket: command.ticket,
         checkpoint: command.checkpoint,
-        leaseEndClockMs: context.lease.grant() ?? 0,
+        leaseEndClockMs: this.#leaseEndForStart(arrivedAtMs),
       });
       // Meanwhile a poll may have listed the run as running or ended.
       if (!this.#isStarting(run)) return;
@@ -216,12 +234,30 @@
       }
       this.runs.delete(runKey(run));
       this.#refuse(run, refusalFor(answer.failure));
-      void this.#sendStop(run, () => !context.isStopped);
+      void sendStop(context, run, () => !context.isStopped);
       return;
     }
     if (this.#isStarting(run)) await this.#stop(run);
   }
 
+  /**
+   * The lease that a start carries ends with the window for starts, so that the
+   * runner rejects one that reaches it later. Polls extend the lease.
+   */
+  #leaseEndForStart(arrivedAtMs: number): number {
+    const { lease, startWindow } = this.context;
+    const endMs = startWindow.endMsFor(arrivedAtMs);
+    const lastClockMs = Math.floor(lease.clock.lowestReadingAt(endMs));
+    return Math.min(lease.grant() ?? 0, lastClockMs);
+  }
+
+  #giveUpStart(run: Run, reason: StartRefusal): void {
+    run.isStopRequested = true;
+    run.refusal ??= reason;
+    const { task } = run;
+    this.context.log.info("start_given_up", { task, run: run.run, reason });
+  }
+
   #started(run: Run): void {
     run.isStartUncertain = false;
     run.phase = "running";
@@ -235,34 +271,12 @@
     const { context } = this;
     const mayBeListed = run.phase === "running";
     run.phase = "stopping";
-    if (!await this.#sendStop(run, () => this.#isCurrent(run))) return;
+    if (!await sendStop(context, run, () => this.#isCurrent(run))) return;
     run.stopAcknowledgedAtMs = context.clock.nowMs();
     // The end of a listed run completes the poll that is waiting.
     if (!mayBeListed) context.pollNow();
   }
 
-  /**
-   * Sends a run's stop until the runner's current life acknowledges it: from
-   * then on that life rejects the run, also if another process starts it.
-   * Returns whether it was acknowledged.
-   */
-  async #sendStop(
-    { task, run }: Run,
-    isNeeded: () => boolean,
-  ): Promise<boolean> {
-    const { context } = this;
-    const { instance, bornMs } = context.lastHeartbeat!;
-    while (isNeeded()) {
-      const { epoch } = context;
-      const answer = await context.runner.stop({ instance, epoch, task, run });
-      if (context.lastHeartbeat?.bornMs !== bornMs) return false;
-      context.recordClock(answer);
-      if (answer.isOk) return isNeeded();
-      await context.clock.sleep(retryPauseMs);
-    }
-    return false;
-  }
-
   #recordUnanswered(run: Run): void {
     const nowMs = this.context.clock.nowMs();
     for (const [key, { atMs }] of this.#unanswered) {
@@ -288,17 +302,3 @@
     return !this.context.isStopped && this.runs.get(runKey(run)) === run;
   }
 }
-
-function refusalFor(failure: RunnerFailure): StartRefusal {
-  switch (failure) {
-    case "old":
-    case "late":
-    case "no_room":
-    case "ticket":
-    case "other_life":
-    case "rejected":
-      return failure;
-    default:
-      return "unhealthy";
-  }
-}
--- a/src/gate/runner_failure.ts
+++ b/src/gate/runner_failure.ts
@@ -1,8 +1,11 @@
 import type { StartRefusal } from "../core/cell/start_refusal.ts";
 
-/** Why a call to the runner failed. Only the gate refuses with `draining`. */
+/**
+ * Why a call to the runner failed. Only the gate refuses with `draining` and
+ * `evacuated`.
+ */
 export type RunnerFailure =
-  | Exclude<StartRefusal, "draining">
+  | Exclude<StartRefusal, "draining" | "evacuated">
   /** No effect: the runner has seen a higher epoch. */
   | "fenced"
   /** No effect: the connection was refused. */
--- a/src/link/is_keeper_message.ts
+++ b/src/link/is_keeper_message.ts
@@ -15,7 +15,11 @@
         typeof value.keeper === "string";
     case "renew":
       return Number.isSafeInteger(value.report) &&
-        isListOf(value.pressures, isPressure);
+        isListOf(value.pressures, isPressure) &&
+        (value.operatorAgeMs === undefined ||
+          Number.isFinite(value.operatorAgeMs));
+    case "evacuated":
+      return typeof value.isEvacuated === "boolean";
     case "orders":
       return isListOf(value.starts, isStart) && isListOf(value.stops, isStop);
     case "known":
--- a/src/link/keeper_message.ts
+++ b/src/link/keeper_message.ts
@@ -14,7 +14,14 @@
     readonly kind: "renew";
     readonly report: number;
     readonly pressures: readonly ServicePressure[];
+    /**
+     * How old the keeper's read of the operator's stream is; only where data
+     * centres can be evacuated.
+     */
+    readonly operatorAgeMs?: number;
   }
+  /** Whether the sidecar's data centre is evacuated; on connect and change. */
+  | { readonly kind: "evacuated"; readonly isEvacuated: boolean }
   | {
     readonly kind: "orders";
     readonly starts: readonly StartCommand[];
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -3,23 +3,21 @@
 import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import type { Advisor } from "../cellhost/advisor.ts";
+import { EvacuationRequests } from "../cellhost/evacuation_requests.ts";
 import { Election } from "../cellhost/election.ts";
 import { JobDirectory } from "../cellhost/job_directory.ts";
 import { KeeperSession } from "../cellhost/keeper_session.ts";
 import { PeerLinks } from "../cellhost/peer_links.ts";
-import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
-import { parseJsonRow } from "../cellhost/parse_json_row.ts";
 import { RowWriter } from "../cellhost/row_writer.ts";
 import { StreamTail } from "../cellhost/stream_tail.ts";
 import { streams } from "../cellhost/streams.ts";
-import type { NodeId } from "../core/jobs/node_id.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { KeeperView } from "../cellhost/keeper_view.ts";
 import { campaignReason } from "../cellhost/campaign_reason.ts";
-import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Store } from "../core/store/store.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import { announcePeer } from "./announce_peer.ts";
+import { createPeersTail } from "./create_peers_tail.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { NodeOptions } from "./node_options.ts";
 
@@ -43,6 +41,8 @@
 export class EntryNode {
   readonly directory: JobDirectory;
   readonly jobsTail: StreamTail;
+  /** Undefined if the deployment evacuates no data centres. */
+  readonly evacuations: EvacuationRequests | undefined;
   readonly #election: Election;
   #cellTail: StreamTail;
   #peersTail: StreamTail | undefined;
@@ -67,7 +67,12 @@
     readonly metrics: PrometheusMetrics,
     readonly log: Logger,
   ) {
-    const { node, incarnation } = options;
+    const { node, incarnation, bounds: { evacuateMs } } = options;
+    if (evacuateMs !== undefined) {
+      const requests = new EvacuationRequests(evacuateMs, log);
+      requests.onChange = () => this.#session?.setEvacuations(requests.zones);
+      this.evacuations = requests;
+    }
     this.directory = new JobDirectory(log);
     this.directory.onSubmitted = (job) => this.#session?.submit(job);
     this.directory.onCancelled = (id) => this.#session?.cancel(id);
@@ -273,33 +278,21 @@
       directory: this.directory,
       bounds,
       links: new PeerLinks(hello, this.log),
+      operatorRead: () => this.evacuations?.read,
       advisor: this.advisor,
       clock: systemClock,
       metrics: this.metrics,
       log: this.log,
     });
     session.load(this.#queues);
+    if (this.evacuations) session.setEvacuations(this.evacuations.zones);
     this.#session = session;
     writer.write([], () => {});
-    this.#peersTail = new StreamTail(
-      this.store,
-      streams.members,
-      { waitMs: tailWaitMs, pauseMs: 0 },
-      (rows) => this.#applyPeerRows(session, rows),
-      this.log,
-    );
+    this.#peersTail = createPeersTail(session, node, this.store, this.log);
     void this.#peersTail.run();
     if (this.#hasResigned) session.resign();
   }
 
-  #applyPeerRows(session: KeeperSession, rows: readonly StoredRow[]): void {
-    for (const { key, value } of rows) {
-      if (value === undefined || key === this.options.node) continue;
-      const row = parseJsonRow<PeerAddressRow>(value, key, this.log);
-      if (row !== undefined) session.setPeer(key as NodeId, row);
-    }
-  }
-
   #handleDeposed(epoch: number): void {
     if (this.#session?.epoch === epoch) this.#endSession();
   }
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -25,6 +25,7 @@
       options.bounds.maxHoldMs,
       systemClock,
       log,
+      options.bounds.evacuateMs,
     );
     this.#server = new PeerServer((channel, hello) =>
       acceptKeeper(this.gate, channel, hello, log)
