--- a/tests/gate_fixture.ts
+++ b/tests/gate_fixture.ts
@@ -19,7 +19,14 @@
   /** Whether the keeper renews the lease on each report. */
   isRenewing = true;
 
-  constructor(rate = 1) {
+  /** How old the keeper says that its read of the operator's stream is. */
+  operatorAgeMs: number | undefined;
+  #stoppedReadingAtMs: number | undefined;
+
+  constructor(
+    rate = 1,
+    readonly options: { readonly evacuateMs?: number | undefined } = {},
+  ) {
     this.runner = new RunnerModel(this.clock, rate);
     this.gate = this.#newGate();
   }
@@ -36,6 +43,17 @@
     this.#connect();
   }
 
+  /** Lets the keeper's read grow older from now on. */
+  stopReading(): void {
+    this.#stoppedReadingAtMs = this.clock.nowMs();
+  }
+
+  /** Replaces the keeper's connection. */
+  reconnect(): void {
+    this.gate.detachKeeper(this.#send);
+    this.gate.attachKeeper(1, this.#send);
+  }
+
   /** Closes the keeper's connection. */
   detach(): void {
     this.gate.detachKeeper(this.#send);
@@ -111,7 +129,13 @@
 
   #newGate(): Gate {
     const log = new Logger("silent", {});
-    return new Gate(this.runner, GateFixture.maxHoldMs, this.clock, log);
+    return new Gate(
+      this.runner,
+      GateFixture.maxHoldMs,
+      this.clock,
+      log,
+      this.options.evacuateMs,
+    );
   }
 
   #connect(): void {
@@ -126,6 +150,13 @@
     this.sent.push(message);
     if (message.kind !== "report" || !this.isRenewing) return;
     const { number: report } = message;
-    this.gate.handleMessage({ kind: "renew", report, pressures: [] });
+    const renewal = { kind: "renew", report, pressures: [] } as const;
+    if (this.operatorAgeMs === undefined) this.gate.handleMessage(renewal);
+    else {
+      const sinceMs = this.clock.nowMs() -
+        (this.#stoppedReadingAtMs ?? this.clock.nowMs());
+      const operatorAgeMs = this.operatorAgeMs + sinceMs;
+      this.gate.handleMessage({ ...renewal, operatorAgeMs });
+    }
   }
 }
