--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -1,4 +1,3 @@
-import { setTimeout as sleep } from "node:timers/promises";
 import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { cancellationKey } from "../cellhost/cancellation_key.ts";
@@ -6,51 +5,45 @@
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
 import { describeSteps } from "../core/jobs/describe_steps.ts";
-import type { Row } from "../core/store/row.ts";
+import type { CallerTime } from "./caller_time.ts";
 import type { EntryNode } from "./entry_node.ts";
-import type { StoreHealth } from "./store_health.ts";
-import type { SubmissionWriter } from "./submission_writer.ts";
+import type { RowStorer } from "./row_storer.ts";
+import type { StoreOutcome } from "./store_outcome.ts";
 
-/** The pause before a retry while no append may have stored the row. */
-const retryPauseMs = 15;
-/** The pause before a retry once an append may have stored the row. */
-const uncertainPauseMs = 100;
-/** The share of a caller's time for retries; another entry may use the rest. */
-const retryShare = 0.5;
-/** How many refused appends end a request as refused. */
-const maxRefusals = 3;
 /** An older read may miss jobs that were submitted to other entries. */
 const freshWithinMs = 1_500;
 
-/** The outcome of a request to store a row. */
-type Stored =
-  | "stored"
-  /** Not stored, and will not be. */
-  | "refused"
-  /** It may have been stored, or may be yet. */
-  | "unknown";
+/** The refusal of a cancellation of a job that may exist. */
+const unsureRefusal = {
+  kind: "refused",
+  reason: "store_refusal",
+  retryAfterMs: 1_000,
+} as const;
 
 /** Serves callers' requests to submit, query and cancel jobs. */
 export class JobService {
   constructor(
     readonly entry: EntryNode,
-    readonly writer: SubmissionWriter,
-    readonly health: StoreHealth,
+    readonly storer: RowStorer,
     readonly metrics: PrometheusMetrics,
     readonly log: Logger,
   ) {}
 
   /** Stores a new job. Submitting a known id again changes nothing. */
-  async submit(definition: JobDefinition, withinMs: number): Promise<Stored> {
+  async submit(
+    definition: JobDefinition,
+    time: CallerTime,
+  ): Promise<StoreOutcome> {
     const { id, queue } = definition;
     const { directory } = this.entry;
-    if (directory.definitions.has(id)) return "stored";
+    if (directory.definitions.has(id)) return { kind: "stored" };
     const row = { key: id, value: JSON.stringify(definition) };
-    const outcome = await this.#store(row, withinMs);
-    if (outcome === "stored") directory.submit(definition);
-    this.metrics.count("requests", { call: "submit", outcome });
+    const outcome = await this.storer.store(row, time);
+    const { kind } = outcome;
+    if (kind === "stored") directory.submit(definition);
+    this.metrics.count("requests", { call: "submit", outcome: kind });
     const shape = describeSteps(definition);
-    this.log.info("submit", { job: id, queue, outcome, shape });
+    this.log.info("submit", { job: id, queue, outcome: kind, shape });
     return outcome;
   }
 
@@ -68,16 +61,22 @@
   }
 
   /** Cancels a job; returns `gone` if there is no such job. */
-  async cancel(id: JobId, withinMs: number): Promise<Stored | "gone"> {
+  async cancel(
+    id: JobId,
+    time: CallerTime,
+  ): Promise<StoreOutcome | { readonly kind: "gone" }> {
     const state = await this.state(id);
-    if (state === "unknown") return "gone";
-    if (state === "unsure") return "refused";
-    if (state !== "queued" && state !== "running") return "stored";
+    if (state === "unknown") return { kind: "gone" };
+    if (state === "unsure") return unsureRefusal;
+    if (state !== "queued" && state !== "running") {
+      return { kind: "stored" };
+    }
     const row = { key: cancellationKey(id), value: JSON.stringify(Date.now()) };
-    const outcome = await this.#store(row, withinMs);
-    if (outcome === "stored") this.entry.directory.cancel(id);
-    this.metrics.count("requests", { call: "cancel", outcome });
-    this.log.info("cancel", { job: id, outcome });
+    const outcome = await this.storer.store(row, time);
+    const { kind } = outcome;
+    if (kind === "stored") this.entry.directory.cancel(id);
+    this.metrics.count("requests", { call: "cancel", outcome: kind });
+    this.log.info("cancel", { job: id, outcome: kind });
     return outcome;
   }
 
@@ -85,25 +84,4 @@
   waiting(queue: string): number {
     return [...this.entry.directory.waiting(queue)].length;
   }
-
-  /**
-   * Stores a row, retrying for a share of the caller's time. Once an append may
-   * have stored the row, the outcome is never `refused`.
-   */
-  async #store(row: Row, withinMs: number): Promise<Stored> {
-    if (this.health.isUnreachable(performance.now())) {
-      return this.writer.mayHaveStored(row.key) ? "unknown" : "refused";
-    }
-    const untilMs = performance.now() + withinMs * retryShare;
-    let isUncertain = false;
-    let refusals = 0;
-    while (performance.now() < untilMs && refusals < maxRefusals) {
-      const result = await this.writer.append(row);
-      if (result.isOk) return "stored";
-      if (result.error.kind === "unknown") isUncertain = true;
-      else if (!isUncertain) refusals += 1;
-      await sleep(isUncertain ? uncertainPauseMs : retryPauseMs);
-    }
-    return isUncertain ? "unknown" : "refused";
-  }
 }
--- a/src/nodes/node_options.ts
+++ b/src/nodes/node_options.ts
@@ -1,5 +1,6 @@
 import type { KeeperBounds } from "../cellhost/keeper_bounds.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
+import type { HardLoad } from "./hard_load.ts";
 
 /** The options that entries and sidecars start with. */
 export interface NodeOptions {
@@ -10,6 +11,7 @@
   /** The port for its keeper's connection. */
   readonly peerPort: number;
   readonly bounds: KeeperBounds;
+  readonly hardLoad: HardLoad;
   /** The share of a keeper's resource needs that its machine meets, 0 to 1. */
   readonly strength: number;
 }
--- a/tests/platform/decode_test.ts
+++ b/tests/platform/decode_test.ts
@@ -300,6 +300,23 @@
     });
   }
 
+  const features = [
+    { line: "", holds: false },
+    { line: "features.holdsSubmissions=false", holds: false },
+    { line: "features.holdsSubmissions=true", holds: true },
+  ];
+  for (const { line, holds } of features) {
+    it(`holds submissions in outages: ${holds} with "${line}"`, () => {
+      const { options } = parseSettings([...lines, line].join("\n"));
+      expect(options.hardLoad.holdsSubmissions).to.equal(holds);
+    });
+  }
+
+  it("rejects a feature that is neither on nor off", () => {
+    const text = `${lines.join("\n")}\nfeatures.holdsSubmissions=yes`;
+    expect(() => parseSettings(text)).to.throw("neither true nor false");
+  });
+
   it("rejects a word where a number is expected", () => {
     const text = `${lines.join("\n")}\nbounds.maxHoldMs=long`;
     expect(() => parseSettings(text)).to.throw("bounds.maxHoldMs is no number");
