--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -24,6 +24,8 @@
 /** Help text and label names of each counter, by name without the prefix. */
 const counters = {
   requests: ["Callers' requests", ["call", "outcome"]],
+  submissions_held: ["Submissions held in an outage", ["outcome"]],
+  refusals: ["Submissions refused, by reason", ["reason"]],
   store_calls: ["Calls to the store", ["call", "outcome"]],
   starts: ["Runs that were ordered", []],
   starts_dropped: ["Starts given up before they left the keeper", []],
@@ -40,6 +42,7 @@
   in_office: "1 while this process keeps the cell",
   configuration_version: "Version of the configuration in force",
   jobs_live: "Jobs without outcome that the keeper knows",
+  outage_forecast_ms: "Expected rest of the store's outage; 0 if there is none",
   workers: "Workers that the keeper has adopted",
 } as const;
 
@@ -49,6 +52,7 @@
   readonly #counters = new Map<string, Counter>();
   readonly #gauges = new Map<string, Gauge>();
   readonly #storeSeconds: Histogram;
+  readonly #holdSeconds: Histogram;
 
   constructor() {
     const registers = [this.#registry];
@@ -68,6 +72,12 @@
       buckets: latencyBucketsS,
       registers,
     });
+    this.#holdSeconds = new Histogram({
+      name: `${prefix}submission_hold_seconds`,
+      help: "How long submissions were held in outages",
+      buckets: latencyBucketsS,
+      registers,
+    });
     collectDefaultMetrics({ register: this.#registry, prefix });
   }
 
@@ -90,6 +100,11 @@
     this.#storeSeconds.observe({ call }, tookMs / msPerSecond);
   }
 
+  /** Records how long a submission was held in an outage. */
+  recordHold(heldMs: number): void {
+    this.#holdSeconds.observe(heldMs / msPerSecond);
+  }
+
   /** Returns all metrics in the text format. */
   async text(): Promise<string> {
     return await this.#registry.metrics();
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -23,8 +23,6 @@
 import { UnsavedRows } from "./unsaved_rows.ts";
 
 const tickIntervalMs = 50;
-/** After this long without a confirmed append, entries are sent `unsure`. */
-const unsureAfterMs = 1_200;
 /** Resend interval of `unsure` while the store stays unreachable. */
 const unsureIntervalMs = 400;
 /** A run is stuck after this share of its expected time without progress. */
@@ -296,7 +294,7 @@
   }
 
   #reportUnsure(nowMs: number): void {
-    if (nowMs - this.options.writer.confirmedAtMs < unsureAfterMs) return;
+    if (!this.options.writer.isUnsure(nowMs)) return;
     if (nowMs - this.#unsureSentAtMs < unsureIntervalMs) return;
     this.#unsureSentAtMs = nowMs;
     this.options.links.sendToEntries({ kind: "unsure" });
--- a/src/cellhost/row_writer.ts
+++ b/src/cellhost/row_writer.ts
@@ -4,6 +4,8 @@
 import type { Logger } from "../adapters/logger.ts";
 
 const appendTimeoutMs = 700;
+/** Without a confirmed append for this long, the store seems to be away. */
+const unsureAfterMs = 1_200;
 const retryPauseMs = 25;
 /** An idle writer appends a heartbeat at this interval, to show it is alive. */
 const heartbeatIntervalMs = 400;
@@ -39,6 +41,11 @@
     readonly log: Logger,
   ) {}
 
+  /** Whether the store seems to be away, as the appends show. */
+  isUnsure(nowMs: number): boolean {
+    return nowMs - this.confirmedAtMs >= unsureAfterMs;
+  }
+
   /**
    * Takes over the stream: no append of an earlier epoch takes effect once this
    * has succeeded. Returns the stream's end, or undefined if deposed.
--- a/src/core/outage/outage_forecast.ts
+++ b/src/core/outage/outage_forecast.ts
@@ -1,15 +1,14 @@
 /** The usual length of an outage before any was seen; those lasted 2.6-5.2 s. */
 const priorLengthMs = 3_000;
-/** Half an outage: the first one seen outweighs the prior. */
-const priorWeight = 0.5;
+/** The prior counts as one outage. */
+const priorWeight = 1;
 const maxLengths = 8;
 /** The weight of a length relative to that of the next newer one. */
 const olderWeight = 0.6;
-/**
- * How outages of one cause vary around a length, as factors with their shares.
- * For the prior they give 2.6 to 5.1 s, the range of the outages seen.
- */
-const spread = [[0.85, 0.3], [1, 0.4], [1.2, 0.2], [1.7, 0.1]] as const;
+/** The prior's lengths as factors with shares: the range of those seen. */
+const priorSpread = [[0.87, 0.3], [1, 0.4], [1.2, 0.2], [1.7, 0.1]] as const;
+/** How lengths around one that was seen are expected. */
+const seenSpread = [[0.95, 0.3], [1, 0.4], [1.05, 0.3]] as const;
 
 interface Weighted {
   readonly lengthMs: number;
@@ -32,13 +31,14 @@
   /**
    * The expected remaining time of an outage: the median of the lengths that
    * exceed its age. The mean would follow a single very long outage. An outage
-   * older than all lengths is expected to last as long again.
+   * older than all lengths is expected to last as long again. With another
+   * `share`, the time within which that share of outages ends.
    */
-  remainingMs(ageMs: number): number {
+  remainingMs(ageMs: number, share = 0.5): number {
     const longer = this.#lengths()
       .filter(({ lengthMs }) => lengthMs > ageMs)
       .sort((a, b) => a.lengthMs - b.lengthMs);
-    let left = longer.reduce((sum, { weight }) => sum + weight, 0) / 2;
+    let left = share * longer.reduce((sum, { weight }) => sum + weight, 0);
     for (const { lengthMs, weight } of longer) {
       left -= weight;
       if (left <= 0) return lengthMs - ageMs;
@@ -47,16 +47,22 @@
   }
 
   #lengths(): Weighted[] {
-    const seen = this.#lengthsMs.map((lengthMs, index) => ({
-      lengthMs,
-      weight: olderWeight ** index,
-    }));
-    return [...seen, { lengthMs: priorLengthMs, weight: priorWeight }]
-      .flatMap(({ lengthMs, weight }) =>
-        spread.map(([factor, share]) => ({
-          lengthMs: lengthMs * factor,
-          weight: weight * share,
-        }))
-      );
+    return [
+      ...spreadOf(priorLengthMs, priorWeight, priorSpread),
+      ...this.#lengthsMs.flatMap((lengthMs, index) =>
+        spreadOf(lengthMs, olderWeight ** index, seenSpread)
+      ),
+    ];
   }
 }
+
+function spreadOf(
+  lengthMs: number,
+  weight: number,
+  spread: typeof priorSpread | typeof seenSpread,
+): Weighted[] {
+  return spread.map(([factor, share]) => ({
+    lengthMs: lengthMs * factor,
+    weight: weight * share,
+  }));
+}
--- a/src/core/outage/return_time_ms.ts
+++ b/src/core/outage/return_time_ms.ts
@@ -3,9 +3,9 @@
 
 const minReturnMs = 1_000;
 /** The least time over which the callers' returns are spread. */
-const minSpreadMs = 250;
+const minSpreadMs = 100;
 /** The spread as a share of the remaining time, in which callers accumulate. */
-const spreadShare = 0.1;
+const spreadShare = 0.05;
 const hashRange = 2 ** 32;
 
 /**
@@ -16,10 +16,10 @@
 export function returnTimeMs(
   id: string,
   remainingMs: number,
-  withinMs: number,
+  leftMs: number,
 ): number {
   const delayMs = Math.max(minSpreadMs, remainingMs * spreadShare) *
     (hashText(id) / hashRange);
   const returnMs = Math.max(minReturnMs, Math.ceil(remainingMs + delayMs));
-  return Math.min(returnMs, latestReturnMs(withinMs) ?? returnMs);
+  return Math.min(returnMs, latestReturnMs(leftMs) ?? returnMs);
 }
--- a/src/http/caller_time_of.ts
+++ b/src/http/caller_time_of.ts
@@ -16,6 +16,7 @@
   response.once("close", () => closed.abort());
   return {
     arrivedAtMs: performance.now(),
+    deadlineMs,
     withinMs: Math.max(answerMarginMs, deadlineMs - answerMarginMs),
     signal: closed.signal,
   };
--- a/src/http/send_store_failure.ts
+++ b/src/http/send_store_failure.ts
@@ -8,7 +8,7 @@
 export function sendStoreFailure(
   response: ServerResponse,
   outcome: Refusal | { readonly kind: "unknown" },
-  { withinMs }: CallerTime,
+  { arrivedAtMs, deadlineMs }: CallerTime,
   error: string,
 ): void {
   if (outcome.kind === "unknown") {
@@ -19,7 +19,8 @@
   }
   const { reason, retryAfterMs } = outcome;
   const status = reason === "overload" ? 429 : 503;
+  const leftMs = deadlineMs - (performance.now() - arrivedAtMs);
   sendJson(response, status, { error, retryAfterMs }, {
-    "retry-after": String(retryAfterS(retryAfterMs, withinMs)),
+    "retry-after": String(retryAfterS(retryAfterMs, leftMs)),
   });
 }
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -105,13 +105,7 @@
   async start(): Promise<void> {
     const { node, host, peerPort: port, incarnation, strength } = this.options;
     await this.#server.listen(host, port);
-    const row = {
-      role: "entry",
-      host,
-      port,
-      incarnation,
-      strength,
-    } as const;
+    const row = { role: "entry", host, port, incarnation, strength } as const;
     void announcePeer(this.store, node, row, this.log);
     void this.jobsTail.run();
     void this.#cellTail.run();
@@ -134,6 +128,12 @@
       performance.now() - this.jobsTail.readAtMs < withinMs + tailWaitMs;
   }
 
+  /** Whether the keeper, perhaps this entry, cannot reach the store either. */
+  hearsOutage(nowMs: number): boolean {
+    return nowMs - this.#unsureAtMs <= unsureValidMs ||
+      this.#session?.options.writer.isUnsure(nowMs) === true;
+  }
+
   /**
    * Stops campaigning for good. If this entry is the keeper, it asks for a
    * successor and remains keeper until one is elected.
--- a/src/nodes/refusal_reason.ts
+++ b/src/nodes/refusal_reason.ts
@@ -10,5 +10,7 @@
   | "hold_full"
   /** The store answers but does not take the row. */
   | "store_refusal"
+  /** The caller closed its connection before the row was sent. */
+  | "withdrawn"
   /** The job cannot end in time for lack of capacity. */
   | "overload";
--- a/src/nodes/retrying_storer.ts
+++ b/src/nodes/retrying_storer.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from "node:timers/promises";
+import type { Clock } from "../core/clock/clock.ts";
 import type { Row } from "../core/store/row.ts";
 import type { CallerTime } from "./caller_time.ts";
 import type { RowStorer } from "./row_storer.ts";
@@ -27,21 +27,22 @@
   constructor(
     readonly writer: SubmissionWriter,
     readonly health: StoreHealth,
+    readonly clock: Clock,
   ) {}
 
   async store(row: Row, { withinMs }: CallerTime): Promise<StoreOutcome> {
-    if (this.health.isUnreachable(performance.now())) {
+    if (this.health.isUnreachable(this.clock.nowMs())) {
       return outcome(this.writer.mayHaveStored(row.key));
     }
-    const untilMs = performance.now() + withinMs * retryShare;
+    const untilMs = this.clock.nowMs() + withinMs * retryShare;
     let isUncertain = false;
     let refusals = 0;
-    while (performance.now() < untilMs && refusals < maxRefusals) {
+    while (this.clock.nowMs() < untilMs && refusals < maxRefusals) {
       const result = await this.writer.append(row);
       if (result.isOk) return { kind: "stored" };
       if (result.error.kind === "unknown") isUncertain = true;
       else if (!isUncertain) refusals += 1;
-      await sleep(isUncertain ? uncertainPauseMs : retryPauseMs);
+      await this.clock.sleep(isUncertain ? uncertainPauseMs : retryPauseMs);
     }
     return outcome(isUncertain);
   }
--- a/src/nodes/store_health.ts
+++ b/src/nodes/store_health.ts
@@ -6,6 +6,11 @@
   #isReached = true;
   #reachedAtMs = 0;
 
+  /** When a call was last answered. */
+  get reachedAtMs(): number {
+    return this.#reachedAtMs;
+  }
+
   /** Records whether a call was answered. */
   recordCall(isAnswered: boolean, nowMs: number): void {
     this.#isReached = isAnswered;
@@ -16,4 +21,9 @@
   isUnreachable(nowMs: number): boolean {
     return !this.#isReached && nowMs - this.#reachedAtMs > outageAfterMs;
   }
+
+  /** Since when the store cannot be reached; undefined if it can. */
+  unreachableSinceMs(nowMs: number): number | undefined {
+    return this.isUnreachable(nowMs) ? this.#reachedAtMs : undefined;
+  }
 }
