Calls left over from an outage no longer show a second one

Cause: in a trial with two entries and a store that hung for 3 s, each entry saw a second outage of 300 ms: calls sent before the store's return timed out after it and counted as new failures.

Measured: the new test is red without the change.

--- a/src/nodes/store_health.ts
+++ b/src/nodes/store_health.ts
@@ -11,8 +11,17 @@
     return this.#reachedAtMs;
   }
 
-  /** Records whether a call was answered. */
-  recordCall(isAnswered: boolean, nowMs: number): void {
+  /**
+   * `ignoresOvertaken`: a call without answer that was sent before the last
+   * answered one says nothing. Otherwise the calls that an outage has left
+   * without answer show another one when they time out after its end.
+   */
+  constructor(readonly ignoresOvertaken = false) {}
+
+  /** Records whether a call was answered, which took `tookMs`. */
+  recordCall(isAnswered: boolean, nowMs: number, tookMs = 0): void {
+    const isOvertaken = nowMs - tookMs < this.#reachedAtMs;
+    if (this.ignoresOvertaken && isOvertaken && !isAnswered) return;
     this.#isReached = isAnswered;
     if (isAnswered) this.#reachedAtMs = nowMs;
   }
--- a/tests/holding_storer_test.ts
+++ b/tests/holding_storer_test.ts
@@ -285,6 +285,22 @@
 });
 
 describe("an outage monitor", () => {
+  // The calls that a silent outage left without answer time out after it.
+  it("takes calls that time out after an outage for no second one", async () => {
+    const { clock, health, begin, end } = createOutageFixture();
+    await clock.advance(quietMs);
+    for (let lengthMs = 3_000; lengthMs < 4_000; lengthMs += 90) {
+      begin("silent");
+      await clock.advance(lengthMs);
+      end();
+      await clock.advance(200);
+      for (let waitedMs = 0; waitedMs < 1_000; waitedMs += 10) {
+        await clock.advance(10);
+        expect(health.isUnreachable(clock.nowMs())).to.equal(false);
+      }
+    }
+  });
+
   // A partial outage ends for its own reasons and says nothing of full ones.
   for (const isPartial of [false, true]) {
     it(`learns of an outage, ${isPartial ? "partial" : "full"}`, async () => {
--- a/tests/outage_fixture.ts
+++ b/tests/outage_fixture.ts
@@ -86,9 +86,11 @@
   /** Whether the store served the call; undefined if it did not answer. */
   async #call(timeoutMs: number): Promise<boolean | undefined> {
     const { mode } = this;
+    const sentAtMs = this.clock.nowMs();
     const isAnswered = mode === undefined || mode === "refusing";
     await this.clock.sleep(isAnswered ? callMs : timeoutMs);
-    this.health.recordCall(mode === undefined, this.clock.nowMs());
+    const nowMs = this.clock.nowMs();
+    this.health.recordCall(mode === undefined, nowMs, nowMs - sentAtMs);
     return isAnswered ? mode === undefined : undefined;
   }
 }
@@ -96,7 +98,7 @@
 /** An entry's storer on virtual time, with a store that can fail. */
 export function createOutageFixture(forecast = new OutageForecast()) {
   const clock = new VirtualClock();
-  const health = new StoreHealth();
+  const health = new StoreHealth(true);
   const store = new OutageStore(clock, health);
   const metrics = new PrometheusMetrics();
   const log = new Logger("silent", {});
