Hold bound from Deadline-Ms; refusals log how long the submission waited

Cause: the bound was a quarter of the time less the margin for the answer of a request that is served (150 ms), which is longer than short time limits: an attempt with 100 ms left was held for up to 37 ms, more than a quarter.

Change: a quarter of Deadline-Ms less 40 ms. submission_refused has waitedMs.

--- a/src/nodes/holding_storer.ts
+++ b/src/nodes/holding_storer.ts
@@ -18,6 +18,8 @@
 const reviewIntervalMs = 10;
 /** Callers count a refusal as late after a quarter of their time. */
 const holdShare = 0.25;
+/** For the refusal to arrive in that time; 20 ms are too few on a busy machine. */
+const refusalMarginMs = 40;
 /** The share of a caller's time for retries; another entry may use the rest. */
 const retryShare = 0.5;
 /** The return time where another entry can take the retry. */
@@ -185,8 +187,9 @@
     if (isStored(key)) return this.#settle(row, { kind: "stored" });
     if (this.#uncertain.has(key)) return this.#settle(row, { kind: "unknown" });
     const outage = monitor.state;
+    const nowMs = clock.nowMs();
     const retryAfterMs = outage.scope === "full"
-      ? returnTimeMs(key, outage.remainingMs, leftMs(row, clock.nowMs()))
+      ? returnTimeMs(key, outage.remainingMs, leftMs(row, nowMs))
       : retryElsewhereMs;
     if (reason !== "withdrawn") this.#firstAttempts.note(key, row.firstAtMs);
     monitor.count("refused");
@@ -197,6 +200,7 @@
       scope: outage.scope,
       outageMs: Math.round(outage.ageMs),
       forecastMs: Math.round(outage.remainingMs),
+      waitedMs: Math.round(nowMs - row.time.arrivedAtMs),
       retryAfterMs,
     });
     this.#settle(row, { kind: "refused", reason, retryAfterMs });
@@ -216,8 +220,7 @@
 }
 
 function holdUntilMs({ time }: WaitingRow): number {
-  const { arrivedAtMs, deadlineMs, withinMs } = time;
-  return arrivedAtMs + Math.min(deadlineMs, withinMs) * holdShare;
+  return time.arrivedAtMs + time.deadlineMs * holdShare - refusalMarginMs;
 }
 
 function leftMs({ time }: WaitingRow, nowMs: number): number {
