--- a/src/cellhost/unsure_notice.ts
+++ b/src/cellhost/unsure_notice.ts
@@ -1,8 +1,6 @@
 import type { KeeperLinks } from "./keeper_links.ts";
 import type { RowWriter } from "./row_writer.ts";
 
-/** After this long without a confirmed append, entries are sent `unsure`. */
-const unsureAfterMs = 1_200;
 /** Resend interval of `unsure` while the store stays unreachable. */
 const unsureIntervalMs = 400;
 
@@ -16,7 +14,7 @@
   ) {}
 
   sendIfDue(nowMs: number): void {
-    if (nowMs - this.writer.confirmedAtMs < unsureAfterMs) return;
+    if (!this.writer.isUnsure(nowMs)) return;
     if (nowMs - this.#sentAtMs < unsureIntervalMs) return;
     this.#sentAtMs = nowMs;
     this.links.sendToEntries({ kind: "unsure" });
--- a/src/nodes/store_health.ts
+++ b/src/nodes/store_health.ts
@@ -6,8 +6,22 @@
   #isReached = true;
   #reachedAtMs = 0;
 
-  /** Records whether a call was answered. */
-  recordCall(isAnswered: boolean, nowMs: number): void {
+  /** When a call was last answered. */
+  get reachedAtMs(): number {
+    return this.#reachedAtMs;
+  }
+
+  /**
+   * `ignoresOvertaken`: a call without answer that was sent before the last
+   * answered one says nothing. Otherwise the calls that an outage has left
+   * without answer show another one when they time out after its end.
+   */
+  constructor(readonly ignoresOvertaken = false) {}
+
+  /** Records whether a call was answered, which took `tookMs`. */
+  recordCall(isAnswered: boolean, nowMs: number, tookMs = 0): void {
+    const isOvertaken = nowMs - tookMs < this.#reachedAtMs;
+    if (this.ignoresOvertaken && isOvertaken && !isAnswered) return;
     this.#isReached = isAnswered;
     if (isAnswered) this.#reachedAtMs = nowMs;
   }
@@ -16,4 +30,9 @@
   isUnreachable(nowMs: number): boolean {
     return !this.#isReached && nowMs - this.#reachedAtMs > outageAfterMs;
   }
+
+  /** Since when the store cannot be reached; undefined if it can. */
+  unreachableSinceMs(nowMs: number): number | undefined {
+    return this.isUnreachable(nowMs) ? this.#reachedAtMs : undefined;
+  }
 }
--- a/src/nodes/submission_tails.ts
+++ b/src/nodes/submission_tails.ts
@@ -32,6 +32,17 @@
     return Math.min(...this.#tails.map(({ readAtMs }) => readAtMs));
   }
 
+  /** The end of the preferred stream, as far as it was read. */
+  get end(): number {
+    return this.#tails[0]?.end ?? 0;
+  }
+
+  /** When a stream was last read successfully; -Infinity if it never was. */
+  readAtMsOf(stream: string): number {
+    const tail = this.#tails.find((each) => each.stream === stream);
+    return tail?.isCaughtUp === true ? tail.readAtMs : -Infinity;
+  }
+
   run(): void {
     for (const tail of this.#tails) void tail.run();
   }
--- a/tests/failover_test.ts
+++ b/tests/failover_test.ts
@@ -1,11 +1,12 @@
 import { expect } from "chai";
+import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
 import { Logger } from "../src/adapters/logger.ts";
 import { cancellationKey } from "../src/cellhost/cancellation_key.ts";
 import { JobDirectory } from "../src/cellhost/job_directory.ts";
 import { progressKey } from "../src/cellhost/progress_key.ts";
 import { submissionStreams } from "../src/cellhost/submission_streams.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
-import { FailoverWriter } from "../src/nodes/failover_writer.ts";
+import { FailoverStore } from "../src/nodes/failover_store.ts";
 import { SubmissionTails } from "../src/nodes/submission_tails.ts";
 import { SubmissionWriter } from "../src/nodes/submission_writer.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
@@ -19,14 +20,21 @@
 function createFixture() {
   const clock = new VirtualClock();
   const store = new StoreModel();
-  const writer = new FailoverWriter(
-    streams.map((stream) => new SubmissionWriter(store, stream, clock)),
-  );
+  const readAtMs = new Map<string, number>();
+  const failoverStore = new FailoverStore({
+    store,
+    streams,
+    readAtMs: (stream) => readAtMs.get(stream) ?? 0,
+    clock,
+    metrics: new PrometheusMetrics(),
+    log,
+  });
+  const writer = new SubmissionWriter(failoverStore, "jobs", clock);
   const append = async () => {
     const result = await writer.append({ key: id, value: job });
     return result.isOk ? "stored" : result.error.kind;
   };
-  return { clock, store, writer, append };
+  return { clock, store, readAtMs, append };
 }
 
 describe("submissions while the store serves only some streams", () => {
@@ -62,6 +70,33 @@
     for (const each of streams) store.lostStreams.set(each, "refused");
     expect(await append()).to.equal("unknown");
   });
+
+  it("avoid a stream that failed until it was read again", async () => {
+    const { clock, store, readAtMs, append } = createFixture();
+    await clock.advance(10);
+    store.lostStreams.set("jobs", "hung");
+    await append();
+    store.lostStreams.clear();
+    const appendsBefore = store.appendCount;
+    await append();
+    expect(store.appendCount).to.equal(appendsBefore + 1);
+    expect(store.newestValue("jobs", id)).to.equal(undefined);
+    readAtMs.set("jobs", clock.nowMs() + 1);
+    await append();
+    expect(store.newestValue("jobs", id)).to.equal(job);
+  });
+
+  // Each call to a silent store takes until its time-out.
+  it("try one stream at a time while all of them fail", async () => {
+    const { clock, store, append } = createFixture();
+    await clock.advance(10);
+    for (const each of streams) store.lostStreams.set(each, "hung");
+    await append();
+    await clock.advance(1_000);
+    const appendsBefore = store.appendCount;
+    await append();
+    expect(store.appendCount).to.equal(appendsBefore + 1);
+  });
 });
 
 describe("the jobs that are read from several streams", () => {
