Placement skips demand that cannot have found capacity since the last tick

Cause: each tick sorted every ready group of every live job and compared each waiting task with every worker and its claims, though nothing had changed.

Change: waiting groups fall into classes of demand that fit the same workers. A class keeps the workers that may have room; one that has none is looked at again when it may have gained capacity (found by comparison in WorkerState: claims removed, report, reconciliation, suspension, and for fillers measured use, settling and pressures), or after 500 ms. Urgencies are computed only for groups with a candidate. DemandIndex.noteCapacityChange is for conditions that WorkerState does not compare. Jobs cache their waiting groups, groups count their claims. Reading the pressure model no longer adds services to it, which made what is learned depend on how often it was asked.

The whole suite was not run.

--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -12,7 +12,9 @@
 import { reconcileRuns } from "./reconcile_runs.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
+import { DemandIndex } from "./demand_index.ts";
 import { drainWorkers } from "./drain_workers.ts";
+import { openDueOccurrences } from "./open_due_occurrences.ts";
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
 import { applyRefusal } from "./apply_refusal.ts";
 import { applyRunEnd } from "./apply_run_end.ts";
@@ -47,6 +49,7 @@
 
   readonly pressure = new PressureModel();
   readonly advice = new AdviceCache();
+  readonly demand = new DemandIndex();
   /** When it first decided, by the keeper's monotonic clock. */
   beganAtMs = Infinity;
   /** Jobs with checkpoints that are not in the store yet. */
@@ -168,15 +171,12 @@
    */
   *tick(nowMs: number, wallMs: number): Effects {
     this.beganAtMs = Math.min(this.beganAtMs, nowMs);
-    for (const job of this.liveJobs) {
-      if (job.definition.schedule === undefined) continue;
-      if (job.openDueOccurrences(wallMs)) yield { kind: "save", job };
-    }
+    yield* openDueOccurrences(this.liveJobs, wallMs);
     yield* this.#saveCheckpoints(nowMs);
     yield* this.#saveLearned(nowMs);
     yield* stopStuckRuns(this, nowMs);
     yield* drainWorkers(this, nowMs);
-    yield* placeWaitingTasks(this, nowMs, wallMs);
+    yield* (this.options.place ?? placeWaitingTasks)(this, nowMs, wallMs);
   }
 
   /** Returns the worker of that name, and adds it if it is unknown. */
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -31,7 +31,11 @@
 /** Penalty for each step of `addedImageMix`. */
 const imageMixPenalty = 2;
 
-/** Returns the eligible worker of the lowest cost for a task, if any. */
+/**
+ * Returns the eligible worker of the lowest cost for a task, if any. Names the
+ * workers that cannot take the task to `onUnfit`. This must not depend on the
+ * task itself, but only on its group, or on what `DemandIndex` distinguishes.
+ */
 export function chooseWorker(
   task: Task,
   queue: Queue,
@@ -40,26 +44,39 @@
   nowMs: number,
   mode: PlacementMode,
   tickets?: ReadonlyMap<RunnerLife, string>,
+  onUnfit?: (worker: Worker) => void,
 ): Worker | undefined {
   let best: Worker | undefined;
   let bestCost = Infinity;
+  const { isFiller } = task.group.definition;
   for (const worker of workers) {
-    const { life } = worker.report ?? {};
-    if (tickets !== undefined && (life === undefined || !tickets.has(life))) {
-      continue;
-    }
-    if (!isEligible(task, queue, worker, nowMs, mode)) continue;
-    const { isFiller } = task.group.definition;
-    const cost = isFiller
+    const isFit = hasTicket(worker, tickets) &&
+      isEligible(task, queue, worker, nowMs, mode);
+    const cost = !isFit
+      ? Infinity
+      : isFiller
       ? fillerCost(task, worker, pressure, mode, nowMs)
       : taskCost(task, worker);
-    if (cost >= bestCost) continue;
-    best = worker;
-    bestCost = cost;
+    if (cost === Infinity) onUnfit?.(worker);
+    else if (
+      cost < bestCost ||
+      (cost === bestCost && best !== undefined && worker.order < best.order)
+    ) {
+      best = worker;
+      bestCost = cost;
+    }
   }
   return best;
 }
 
+function hasTicket(
+  { report }: Worker,
+  tickets: ReadonlyMap<RunnerLife, string> | undefined,
+): boolean {
+  return tickets === undefined ||
+    (report !== undefined && tickets.has(report.life));
+}
+
 function isEligible(
   task: Task,
   queue: Queue,
--- a/src/core/cell/filler_cpu_demand.ts
+++ b/src/core/cell/filler_cpu_demand.ts
@@ -1,8 +1,7 @@
+import { settledAfterMs } from "./settled_after_ms.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
-/** A run's use of CPU is representative once it has run for this long. */
-const settledAfterMs = 1_500;
 /** The share of its request that a settled run is expected to use in addition. */
 const growthShare = 0.1;
 
--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -22,6 +22,11 @@
    */
   idleSinceMs: number | undefined;
   outcome: "completed" | "failed" | "cancelled" | undefined;
+  /** How often its claims, ends or open occurrences have changed. */
+  changeCount = 0;
+  #waitingGroups: readonly TaskGroup[] = [];
+  /** The change count for which the waiting groups were found. */
+  #waitingAtChange = -1;
 
   constructor(readonly definition: JobDefinition) {
     this.criticalPathsMs = criticalPaths(definition.steps);
@@ -60,6 +65,7 @@
 
   /** Opens an occurrence, whether it is due or not. */
   openOccurrence(number: number): Occurrence {
+    this.changeCount += 1;
     const groups: TaskGroup[] = [];
     this.definition.steps.forEach((definition, step) => {
       const tasks: Task[] = [];
@@ -70,6 +76,7 @@
         definition,
         tasks,
         unfinishedCount: definition.count,
+        claimCount: 0,
       };
       for (let index = 0; index < definition.count; index++) {
         tasks.push(this.#createTask(group, index));
@@ -94,9 +101,23 @@
     }
   }
 
-  /** Whether any of its tasks has a claimed run. */
+  /**
+   * Its ready groups with a task that waits for a run; of gangs, those whose
+   * tasks all wait.
+   */
+  get waitingGroups(): readonly TaskGroup[] {
+    if (this.#waitingAtChange !== this.changeCount) {
+      this.#waitingAtChange = this.changeCount;
+      this.#waitingGroups = [...this.readyGroups()].filter(isWaiting);
+    }
+    return this.#waitingGroups;
+  }
+
+  /** Whether any task of its open occurrences has a claimed run. */
   get hasClaims(): boolean {
-    for (const { claim } of this.tasks()) if (claim !== undefined) return true;
+    for (const { groups } of this.openOccurrences.values()) {
+      for (const { claimCount } of groups) if (claimCount > 0) return true;
+    }
     return false;
   }
 
@@ -151,3 +172,8 @@
     };
   }
 }
+
+function isWaiting({ tasks, definition }: TaskGroup): boolean {
+  const waits = ({ isDone, claim }: Task) => !isDone && claim === undefined;
+  return definition.isGang ? tasks.every(waits) : tasks.some(waits);
+}
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -23,7 +23,8 @@
 
 /**
  * Places waiting tasks, the most urgent group first. A group that fits nowhere
- * does not hold up the others.
+ * does not hold up the others. Groups whose class of demand has no worker are
+ * left out before urgencies are computed, so that the cost follows the changes.
  */
 export function* placeWaitingTasks(
   cell: Cell,
@@ -32,13 +33,15 @@
 ): Effects {
   const waiting: Urgency[] = [];
   const isSettling = isCellSettling(cell, nowMs);
+  cell.demand.update(cell, nowMs);
   for (const job of cell.liveJobs) {
     const queue = cell.queues.get(job.definition.queue);
     if (queue === undefined) continue;
-    for (const group of job.readyGroups()) {
-      if (!hasWaiting(group)) continue;
+    for (const group of job.waitingGroups) {
       if (isSettling && group.definition.isFiller) continue;
-      waiting.push(urgencyOf(group, queue, wallMs));
+      if (isPlaceable(cell, group, queue, nowMs)) {
+        waiting.push(urgencyOf(group, queue, wallMs));
+      } else noteIdle(job, nowMs);
     }
   }
   waiting.sort(compareUrgency);
@@ -50,6 +53,27 @@
   }
 }
 
+/**
+ * Whether some worker may take a task of the group. A queue with an advisor is
+ * always tried, since the attempt also renews its tickets.
+ */
+function isPlaceable(
+  cell: Cell,
+  group: TaskGroup,
+  queue: Queue,
+  nowMs: number,
+): boolean {
+  if (queue.advice !== undefined) return true;
+  const { job, definition } = group;
+  const mayRelax = isRelaxed(job, nowMs) && !job.hasClaims;
+  if (definition.isGang) {
+    return cell.demand.mayTryGang(group, queue, nowMs, mayRelax);
+  }
+  const { demand } = cell;
+  return demand.hasWorker(cell, group, queue, nowMs, "strict") ||
+    (mayRelax && demand.hasWorker(cell, group, queue, nowMs, "relaxed"));
+}
+
 /**
  * Whether a new keeper still waits for workers with claims to report. After a
  * loss of all workers each report releases services, which need room without
@@ -98,10 +122,8 @@
   tickets: Tickets,
   mayRelax: boolean,
 ): Worker | undefined {
-  const workers = [...cell.workers.values()];
-  const { pressure } = cell;
   const choose = (mode: PlacementMode) =>
-    chooseWorker(task, queue, workers, pressure, nowMs, mode, tickets);
+    cell.demand.choose(cell, task, queue, nowMs, mode, tickets);
   const best = choose("strict");
   return best === undefined && mayRelax ? choose("relaxed") : best;
 }
@@ -138,7 +160,19 @@
   // Claims of this attempt do not count: they are undone unless all fit.
   const mayRelax = isRelaxed(group.job, nowMs) && !group.job.hasClaims;
   for (const task of group.tasks) {
-    const worker = chooseForTask(cell, task, queue, nowMs, tickets, mayRelax);
+    // Claims on trial must not mark workers as full, so that all are scanned.
+    const choose = (mode: PlacementMode) =>
+      chooseWorker(
+        task,
+        queue,
+        cell.workers.values(),
+        cell.pressure,
+        nowMs,
+        mode,
+        tickets,
+      );
+    const worker = choose("strict") ??
+      (mayRelax ? choose("relaxed") : undefined);
     if (worker === undefined) break;
     task.checkpoint = checkpoint;
     claimRun(worker, task, run, nowMs, tickets);
@@ -146,6 +180,7 @@
   }
   if (claimed.length < group.tasks.length) {
     for (const [worker, task] of claimed) undoClaim(worker, task);
+    cell.demand.noteGangUnplaced(group, queue, nowMs, mayRelax);
     noteIdle(group.job, nowMs);
     return;
   }
@@ -187,7 +222,7 @@
 }
 
 function undoClaim(worker: Worker, task: Task): void {
-  worker.removeClaim(task);
+  worker.undoClaim(task);
   task.claim = undefined;
   task.run -= 1;
 }
@@ -204,10 +239,6 @@
   yield { kind: "start", node: worker.node, command: buildStart(task) };
 }
 
-function hasWaiting(group: TaskGroup): boolean {
-  return group.tasks.some((task) => isWaiting(task));
-}
-
 function isWaiting(task: Task): boolean {
   return !task.isDone && task.claim === undefined;
 }
--- a/src/core/cell/task_group.ts
+++ b/src/core/cell/task_group.ts
@@ -11,4 +11,6 @@
   readonly tasks: readonly Task[];
   /** How many of the tasks are not done. */
   unfinishedCount: number;
+  /** How many of the tasks have a claimed run; kept by `Worker`. */
+  claimCount: number;
 }
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -9,8 +9,12 @@
 import type { Task } from "./task.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
 
+let workerCount = 0;
+
 /** A worker, as its keeper knows it. */
 export class Worker {
+  /** Of workers of equal cost, the one created first is chosen. */
+  readonly order = workerCount++;
   /** The newest report of its sidecar. */
   report: SidecarReport | undefined;
   /**
@@ -42,6 +46,12 @@
   sampledAtMs = -Infinity;
   /** When a filler here was last stopped to move to another worker. */
   fillersMovedAtMs = -Infinity;
+  /** How many claims were added and removed so far. */
+  additionCount = 0;
+  removalCount = 0;
+  /** How many claims are of fillers, and of services with a target. */
+  fillerCount = 0;
+  targetCount = 0;
   #claimedResources: Resources = noResources;
 
   constructor(readonly node: NodeId) {}
@@ -73,6 +83,8 @@
   addClaim(task: Task): void {
     if (this.claims.has(task.name)) return;
     this.claims.set(task.name, task);
+    this.additionCount += 1;
+    this.#count(task, 1);
     this.#claimedResources = addResources(
       this.#claimedResources,
       reservedResources(task.group.definition),
@@ -81,11 +93,31 @@
 
   /** Removes a task's claim and frees its resources. */
   removeClaim(task: Task): void {
+    task.group.job.changeCount += 1;
     if (!this.claims.delete(task.name)) return;
+    this.removalCount += 1;
+    this.#count(task, -1);
     this.statuses.delete(task.name);
     this.#claimedResources = subtractResources(
       this.#claimedResources,
       reservedResources(task.group.definition),
     );
   }
+
+  /**
+   * Removes a claim that was added on trial. The worker is as it was before, so
+   * this does not count as a removal.
+   */
+  undoClaim(task: Task): void {
+    this.removeClaim(task);
+    this.removalCount -= 1;
+  }
+
+  #count({ group }: Task, change: number): void {
+    group.job.changeCount += 1;
+    group.claimCount += change;
+    const { isFiller, isService, targetLatencyMs } = group.definition;
+    if (isFiller) this.fillerCount += change;
+    if (isService && targetLatencyMs > 0) this.targetCount += change;
+  }
 }
--- a/src/core/interfere/pressure_model.ts
+++ b/src/core/interfere/pressure_model.ts
@@ -26,6 +26,12 @@
   readonly pressures: ImagePressures;
 }
 
+/** What is assumed of a service before any sample of it; never updated. */
+const unknownService: Readonly<ServiceModel> = {
+  floor: initialFloor,
+  pressures: new ImagePressures(),
+};
+
 /**
  * Learns the pressure of filler images on service images: the load that a
  * filler image adds to a service, per share of the worker's processors that it
@@ -40,10 +46,13 @@
   readonly fillerImages = new Set<string>();
   /** How many samples it has learned from. */
   sampleCount = 0;
+  /** How often what it returns may have changed. */
+  changeCount = 0;
 
   /** Learns from one sample: a service's latency relative to its target. */
   learn(service: string, job: string, ratio: number, use: FillerUse): void {
     this.sampleCount += 1;
+    this.changeCount += 1;
     for (const image of use.keys()) this.#addFiller(image);
     const model = this.#modelOf(service);
     if (ratio < model.floor) {
@@ -62,18 +71,18 @@
 
   /** Returns the load to expect of a service of the job beside the fillers. */
   expectedLoad(service: string, job: string, use: FillerUse): number {
-    return this.callerLoadOf(job) +
-      this.#modelOf(service).pressures.addedLoad(use);
+    const { pressures } = this.#services.get(service) ?? unknownService;
+    return this.callerLoadOf(job) + pressures.addedLoad(use);
   }
 
   /** Returns the load at which a service's latency is at its target. */
   targetLoadOf(service: string): number {
-    return loadFromLatency(1, this.#modelOf(service).floor);
+    return loadFromLatency(1, this.floorOf(service));
   }
 
   /** Returns a service's latency when idle, relative to its target. */
   floorOf(service: string): number {
-    return this.#modelOf(service).floor;
+    return (this.#services.get(service) ?? unknownService).floor;
   }
 
   /** Returns the load that callers put on the services of a job. */
@@ -90,6 +99,7 @@
   /** Forgets the caller load of a job that has ended. */
   forgetJob(job: string): void {
     this.#loads.delete(job);
+    this.changeCount += 1;
   }
 
   /** Returns what was learned, for `restore`. */
@@ -109,6 +119,7 @@
 
   /** Adds what an earlier keeper learned. */
   restore({ fillers, services, loads }: PressureRow): void {
+    this.changeCount += 1;
     for (const image of fillers) this.#addFiller(image);
     for (const [image, floor, pressures, variances] of services) {
       const model = this.#modelOf(image);
--- a/tests/cell_fixture.ts
+++ b/tests/cell_fixture.ts
@@ -1,6 +1,7 @@
 import { applyRefusal } from "../src/core/cell/apply_refusal.ts";
 import { Cell } from "../src/core/cell/cell.ts";
 import type { CellEffect } from "../src/core/cell/cell_effect.ts";
+import type { placeWaitingTasks } from "../src/core/cell/place_waiting_tasks.ts";
 import type { StartCommand } from "../src/core/cell/start_command.ts";
 import type { StartRefusal } from "../src/core/cell/start_refusal.ts";
 import type { SidecarReport } from "../src/core/cell/sidecar_report.ts";
@@ -22,10 +23,7 @@
  * play the workers by reporting what they run and what has ended.
  */
 export class CellFixture {
-  readonly cell = new Cell({
-    stuckFactor: 0.5,
-    stuckMinMs: 2_000,
-  });
+  readonly cell: Cell;
   nowMs = 1_000;
   wallMs = 1_000_000;
   effects: CellEffect[] = [];
@@ -33,7 +31,11 @@
   isStoreSlow = false;
   #endNumber = 0;
 
-  constructor(readonly queue = { maxAttempts: 3 }) {
+  constructor(
+    readonly queue = { maxAttempts: 3 },
+    place?: typeof placeWaitingTasks,
+  ) {
+    this.cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 2_000, place });
     this.cell.queues.set("q", {
       name: "q",
       pool: "pool",
