Runs of a worker are checked for progress when one can have become stuck

Cause: every tick looked at every claim of every worker for stuck runs, which was most of an unchanged tick at 300 workers.

Change: a worker's runs are looked at when its claims have changed, when the first of them can be stuck, and at least every 500 ms, in case that limits come to depend on more than the step. Stops come at the same tick as before: the placement test makes its full scan look at each tick.

--- a/tests/placement_test.ts
+++ b/tests/placement_test.ts
@@ -35,6 +35,9 @@
       indexed.cell.demand.recheckMs = Infinity;
       const load = new RandomCellLoad(seed, [indexed, scanned]);
       for (let step = 0; step < steps; step++) {
+        for (const worker of scanned.cell.workers.values()) {
+          worker.stuckCheck.nextAtMs = -Infinity;
+        }
         const [actual = [], expected = []] = load.step();
         const at = `seed ${seed}, step ${step}`;
         expect(actual.map(textOf), at).to.eql(expected.map(textOf));
