A report that changes nothing starts no tick of its own

Cause: each sidecar's report made the keeper's cell decide again, 355 times a second at 160 workers, beside the regular tick every 50 ms.

Change: a report starts a tick at once if it has effects (an end, a refusal, a released claim), if it is the worker's first, or if the worker had or has a run that no claim names. Anything else waits for the regular tick, at most 50 ms.

Test: keeper_session_test counts ticks; on the code before, its case of the unchanged report fails (1 tick instead of 0), the other cases pass.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -8,7 +8,7 @@
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
-import type { RunId } from "../core/jobs/run_id.ts";
+import { runIdOf } from "../core/jobs/run_id_of.ts";
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
@@ -186,7 +186,9 @@
     const worker = this.cell.worker(node);
     const isFirst = !worker.isReconciled;
     this.#termLog.recordEnds(worker, report);
-    this.#applyAll(this.cell.handleReport(node, report, nowMs));
+    // Any other change without effects can wait for the next regular tick.
+    const isUrgent = isFirst || worker.strays.size > 0;
+    this.#applyAll(this.cell.handleReport(node, report, nowMs), isUrgent);
     const refusals = report.refusals?.map(runIdOf) ?? [];
     if (refusals.length > 0) link.send({ kind: "noted", refusals });
     const isUnsure = isFirst || report.unexplained > 0;
@@ -205,9 +207,14 @@
     if (runs.length > 0) link.send({ kind: "known", runs });
   }
 
-  #applyAll(effects: Iterable<CellEffect>): void {
-    for (const effect of effects) this.#apply(effect);
-    this.#flushSoon();
+  /** Applies effects; the cell decides soon if there are any, or if urgent. */
+  #applyAll(effects: Iterable<CellEffect>, isUrgent = true): void {
+    let isDue = isUrgent;
+    for (const effect of effects) {
+      this.#apply(effect);
+      isDue = true;
+    }
+    if (isDue) this.#flushSoon();
   }
 
   #apply(effect: CellEffect): void {
@@ -310,7 +317,3 @@
     if (this.#isResigning) link.send({ kind: "resigned" });
   }
 }
-
-function runIdOf({ task, run }: RunId): RunId {
-  return { task, run };
-}
--- /dev/null
+++ b/tests/keeper_session_test.ts
@@ -0,0 +1,150 @@
+import { expect } from "chai";
+import { Logger } from "../src/adapters/logger.ts";
+import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
+import { JobDirectory } from "../src/cellhost/job_directory.ts";
+import type { KeeperLinks } from "../src/cellhost/keeper_links.ts";
+import { KeeperSession } from "../src/cellhost/keeper_session.ts";
+import { RowWriter } from "../src/cellhost/row_writer.ts";
+import type { SidecarReport } from "../src/core/cell/sidecar_report.ts";
+import type { JobId } from "../src/core/jobs/job_id.ts";
+import type { NodeId } from "../src/core/jobs/node_id.ts";
+import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
+import type { TaskName } from "../src/core/jobs/task_name.ts";
+import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
+import { StoreModel } from "../stand_ins/store/store_model.ts";
+import { CellFixture } from "./cell_fixture.ts";
+
+const log = new Logger("silent", {});
+const node = "w" as NodeId;
+const life = "w@1" as RunnerLife;
+const workerReport: SidecarReport = {
+  life,
+  pool: "pool",
+  zone: "z",
+  rack: "r",
+  labels: [],
+  capacity: { cpuMilli: 4_000, memoryBytes: 2 ** 32, accelerators: 0 },
+  isDraining: false,
+  isUp: true,
+  isLapsed: false,
+  running: [],
+  ends: [],
+  unexplained: 0,
+  unsettled: [],
+};
+
+/** A session with one worker that counts its cell's ticks. */
+async function startSession() {
+  const clock = new VirtualClock();
+  const links: KeeperLinks = {
+    onEntryConnected: () => {},
+    onMessage: () => {},
+    onSidecarLost: () => {},
+    set: () => {},
+    send: () => {},
+    sendToEntries: () => {},
+    hasEntry: () => true,
+    close: () => {},
+  };
+  const row = () => ({ key: "keeper", value: "{}" });
+  const writer = new RowWriter(
+    new StoreModel(),
+    "cell",
+    1,
+    row,
+    () => {},
+    clock,
+    log,
+  );
+  await writer.takeOver();
+  const session = new KeeperSession({
+    epoch: 1,
+    writer,
+    directory: new JobDirectory(log),
+    bounds: { maxHoldMs: 6_000 },
+    links,
+    advisor: { requestTickets: () => Promise.resolve(new Map()) },
+    clock,
+    metrics: new PrometheusMetrics(),
+    log,
+  });
+  const counts = { ticks: 0 };
+  const { cell } = session;
+  const tick = cell.tick.bind(cell);
+  cell.tick = (nowMs, wallMs) => {
+    counts.ticks += 1;
+    return tick(nowMs, wallMs);
+  };
+  const report = (change: Partial<SidecarReport> = {}) =>
+    links.onMessage({ node, send: () => {} }, {
+      kind: "report",
+      number: 1,
+      report: { ...workerReport, ...change },
+    });
+  session.load([{
+    name: "q",
+    pool: "pool",
+    priority: 0,
+    maxAttempts: 3,
+    stretch: 2,
+    targetMs: 500,
+    advice: undefined,
+  }]);
+  session.submit({
+    id: "j" as JobId,
+    queue: "q",
+    payload: "",
+    steps: [CellFixture.step()],
+    schedule: undefined,
+    receivedMs: clock.wallMs(),
+  });
+  report();
+  await clock.advance(1);
+  return { session, clock, counts, report };
+}
+
+describe("a keeper's cell decides", () => {
+  const running = {
+    task: "j.0.0.0" as TaskName,
+    run: 1,
+    checkpoint: "",
+    percent: 10,
+    figure: 0,
+  };
+  const end = {
+    number: 1,
+    task: running.task,
+    run: 1,
+    outcome: "done",
+    checkpoint: "",
+  } as const;
+  const cases: [string, Partial<SidecarReport>, number][] = [
+    // With hundreds of workers, a tick for each report took most of the time.
+    ["not at once after an unchanged report", { running: [running] }, 0],
+    // A tick that came only with the next interval would delay the next step.
+    ["at once after the end of a run", { ends: [end] }, 1],
+    ["at once after a stray run", {
+      running: [running, { ...running, task: "x.0.0.0" as TaskName }],
+    }, 1],
+  ];
+  for (const [name, change, ticks] of cases) {
+    it(name, async () => {
+      const { session, clock, counts, report } = await startSession();
+      report({ running: [running] });
+      await clock.advance(1);
+      counts.ticks = 0;
+      report(change);
+      await clock.advance(1);
+      expect(counts.ticks).to.equal(ticks);
+      session.close();
+    });
+  }
+
+  it("at regular intervals without any report", async () => {
+    const { session, clock, counts } = await startSession();
+    counts.ticks = 0;
+    await clock.advance(500);
+    expect(counts.ticks).to.be.within(9, 11);
+    session.close();
+  });
+});
