Jobs cache whether they have claims; the check for stuck runs needs no version

Cause: an unchanged tick at 300 workers still asked every waiting job for its claims. A mutant that ignores changed claims in the check for stuck runs survived the placement test: a claim made later cannot become stuck before the next check, which comes within the shortest limit, so the version was of no use.

Change: both caches of a job hold until its change count moves, which closing an occurrence now does too. The worker keeps only the time of the next check.

Tests: a change that placement does not see takes effect after 500 ms, and at once when announced by DemandIndex.noteCapacityChange.

--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -25,8 +25,10 @@
   /** How often its claims, ends or open occurrences have changed. */
   changeCount = 0;
   #waitingGroups: readonly TaskGroup[] = [];
-  /** The change count for which the waiting groups were found. */
+  #hasClaims = false;
+  /** The change counts for which these two were found. */
   #waitingAtChange = -1;
+  #claimsAtChange = -1;
 
   constructor(readonly definition: JobDefinition) {
     this.criticalPathsMs = criticalPaths(definition.steps);
@@ -115,10 +117,13 @@
 
   /** Whether any task of its open occurrences has a claimed run. */
   get hasClaims(): boolean {
-    for (const { groups } of this.openOccurrences.values()) {
-      for (const { claimCount } of groups) if (claimCount > 0) return true;
+    if (this.#claimsAtChange !== this.changeCount) {
+      this.#claimsAtChange = this.changeCount;
+      this.#hasClaims = [...this.openOccurrences.values()].some(({ groups }) =>
+        groups.some(({ claimCount }) => claimCount > 0)
+      );
     }
-    return false;
+    return this.#hasClaims;
   }
 
   /** All tasks of its open occurrences. */
@@ -146,6 +151,7 @@
       return false;
     }
     this.openOccurrences.delete(number);
+    this.changeCount += 1;
     const isLast = this.openOccurrences.size === 0 &&
       this.nextOccurrence >= this.occurrenceCount;
     if (isLast) this.outcome ??= "completed";
--- a/src/core/cell/stop_stuck_runs.ts
+++ b/src/core/cell/stop_stuck_runs.ts
@@ -14,11 +14,8 @@
   nowMs: number,
 ): Generator<CellEffect, void> {
   for (const worker of cell.workers.values()) {
-    if (!worker.isReconciled) continue;
-    const { stuckCheck, claimVersion } = worker;
-    const isNew = stuckCheck.claimVersion !== claimVersion;
-    if (!isNew && nowMs < stuckCheck.nextAtMs) continue;
-    // A run that is starting cannot be stuck before the shortest limit.
+    if (!worker.isReconciled || nowMs < worker.stuckCheckAtMs) continue;
+    // A run that starts from now on cannot be stuck before the shortest limit.
     let nextAtMs = nowMs + Math.min(recheckMs, cell.options.stuckMinMs);
     for (const task of worker.claims.values()) {
       const atMs = stuckAtMs(cell, task);
@@ -29,7 +26,7 @@
       task.avoidedWorker = worker.node;
       yield* cell.stopRun(task, "stuck", nowMs);
     }
-    worker.stuckCheck = { claimVersion, nextAtMs };
+    worker.stuckCheckAtMs = nextAtMs;
   }
 }
 
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -48,8 +48,8 @@
   fillersMovedAtMs = -Infinity;
   /** How often the claims have changed. */
   claimVersion = 0;
-  /** For which claims its runs were checked for progress, and until when. */
-  stuckCheck = { claimVersion: -1, nextAtMs: -Infinity };
+  /** When one of its runs can be stuck at the earliest. */
+  stuckCheckAtMs = -Infinity;
   /** How many claims were removed, except those undone. */
   removalCount = 0;
   /** How many claims are of fillers, and of services with a target. */
--- a/tests/placement_test.ts
+++ b/tests/placement_test.ts
@@ -36,7 +36,7 @@
       const load = new RandomCellLoad(seed, [indexed, scanned]);
       for (let step = 0; step < steps; step++) {
         for (const worker of scanned.cell.workers.values()) {
-          worker.stuckCheck.nextAtMs = -Infinity;
+          worker.stuckCheckAtMs = -Infinity;
         }
         const [actual = [], expected = []] = load.step();
         const at = `seed ${seed}, step ${step}`;
@@ -58,3 +58,33 @@
     expect(counts.waits).to.be.above(counts.starts);
   });
 });
+
+describe("a change that placement does not see", () => {
+  // A class of demand that is left out for good makes its jobs wait for ever.
+  function fixtureWithUnseenLabel(): CellFixture {
+    const fixture = new CellFixture();
+    const labels: string[] = [];
+    fixture.reportWorker("w", { labels });
+    fixture.submit("j", [CellFixture.step({ label: "late" })]);
+    fixture.advance();
+    labels.push("late");
+    fixture.advance(50);
+    expect(fixture.newStarts()).to.eql([]);
+    return fixture;
+  }
+
+  it("takes effect within half a second", () => {
+    const fixture = fixtureWithUnseenLabel();
+    fixture.advance(400);
+    expect(fixture.newStarts()).to.eql([]);
+    fixture.advance(50);
+    expect(fixture.newStarts()).to.eql(["j.0.0.0#1@w"]);
+  });
+
+  it("takes effect at once if it is announced", () => {
+    const fixture = fixtureWithUnseenLabel();
+    fixture.cell.demand.noteCapacityChange();
+    fixture.advance(50);
+    expect(fixture.newStarts()).to.eql(["j.0.0.0#1@w"]);
+  });
+});
