--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -1,10 +1,9 @@
-import type { PressureModel } from "../interfere/pressure_model.ts";
 import { fits } from "../resources/fits.ts";
 import type { Queue } from "../jobs/queue.ts";
 import type { RunnerLife } from "../jobs/runner_life.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import { estimateFillerImpact } from "./estimate_filler_impact.ts";
-import { fillerCpuBudget } from "./filler_cpu_budget.ts";
+import type { FillerView } from "./filler_view.ts";
 import type { TaskGroup } from "./task_group.ts";
 import { reservedResources } from "./reserved_resources.ts";
 import type { Task } from "./task.ts";
@@ -31,35 +30,52 @@
 /** Penalty for each step of `addedImageMix`. */
 const imageMixPenalty = 2;
 
-/** Returns the eligible worker of the lowest cost for a task, if any. */
+/**
+ * Returns the eligible worker of the lowest cost for a task, if any. Names the
+ * workers that cannot take the task to `onUnfit`. This must not depend on the
+ * task itself, but only on its group, or on what `DemandIndex` distinguishes.
+ */
 export function chooseWorker(
   task: Task,
   queue: Queue,
   workers: Iterable<Worker>,
-  pressure: PressureModel,
-  nowMs: number,
+  view: FillerView,
   mode: PlacementMode,
   tickets?: ReadonlyMap<RunnerLife, string>,
+  onUnfit?: (worker: Worker) => void,
 ): Worker | undefined {
   let best: Worker | undefined;
   let bestCost = Infinity;
+  const { isFiller } = task.group.definition;
+  const { nowMs } = view;
   for (const worker of workers) {
-    const { life } = worker.report ?? {};
-    if (tickets !== undefined && (life === undefined || !tickets.has(life))) {
-      continue;
-    }
-    if (!isEligible(task, queue, worker, nowMs, mode)) continue;
-    const { isFiller } = task.group.definition;
-    const cost = isFiller
-      ? fillerCost(task, worker, pressure, mode, nowMs)
+    const isFit = hasTicket(worker, tickets) &&
+      isEligible(task, queue, worker, nowMs, mode);
+    const cost = !isFit
+      ? Infinity
+      : isFiller
+      ? fillerCost(task, worker, view, mode)
       : taskCost(task, worker);
-    if (cost >= bestCost) continue;
-    best = worker;
-    bestCost = cost;
+    if (cost === Infinity) onUnfit?.(worker);
+    else if (
+      cost < bestCost ||
+      (cost === bestCost && best !== undefined && worker.order < best.order)
+    ) {
+      best = worker;
+      bestCost = cost;
+    }
   }
   return best;
 }
 
+function hasTicket(
+  { report }: Worker,
+  tickets: ReadonlyMap<RunnerLife, string> | undefined,
+): boolean {
+  return tickets === undefined ||
+    (report !== undefined && tickets.has(report.life));
+}
+
 function isEligible(
   task: Task,
   queue: Queue,
@@ -87,25 +103,15 @@
 function fillerCost(
   task: Task,
   worker: Worker,
-  pressure: PressureModel,
+  view: FillerView,
   mode: PlacementMode,
-  nowMs: number,
 ): number {
-  const { excess, added } = estimateFillerImpact(
-    worker,
-    task,
-    pressure,
-    nowMs,
-  );
-  const { demandedMilli: othersMilli, unusedMilli } = fillerCpuBudget(
-    worker,
-    pressure,
-    nowMs,
-  );
+  const { demandedMilli: othersMilli, unusedMilli } = view.figuresOf(worker);
   const { cpuMilli } = task.group.definition.resources;
-  const isHarmless = excess <= maxExcess &&
-    othersMilli + cpuMilli * minFillerCpuShare <= unusedMilli;
-  if (mode === "strict" && !isHarmless) return Infinity;
+  const hasCpu = othersMilli + cpuMilli * minFillerCpuShare <= unusedMilli;
+  if (mode === "strict" && !hasCpu) return Infinity;
+  const { excess, added } = estimateFillerImpact(worker, task, view);
+  if (mode === "strict" && !(excess <= maxExcess)) return Infinity;
   return baseCost(task, worker) + excessWeight * excess +
     addedWeight * added + othersMilli / Math.max(1, unusedMilli) -
     sensitivityWeight * worker.fillerSensitivity;
--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -22,6 +22,13 @@
    */
   idleSinceMs: number | undefined;
   outcome: "completed" | "failed" | "cancelled" | undefined;
+  /** How often its claims, ends or open occurrences have changed. */
+  changeCount = 0;
+  #waitingGroups: readonly TaskGroup[] = [];
+  #hasClaims = false;
+  /** The change counts for which these two were found. */
+  #waitingAtChange = -1;
+  #claimsAtChange = -1;
 
   constructor(readonly definition: JobDefinition) {
     this.criticalPathsMs = criticalPaths(definition.steps);
@@ -60,6 +67,7 @@
 
   /** Opens an occurrence, whether it is due or not. */
   openOccurrence(number: number): Occurrence {
+    this.changeCount += 1;
     const groups: TaskGroup[] = [];
     this.definition.steps.forEach((definition, step) => {
       const tasks: Task[] = [];
@@ -70,6 +78,7 @@
         definition,
         tasks,
         unfinishedCount: definition.count,
+        claimCount: 0,
       };
       for (let index = 0; index < definition.count; index++) {
         tasks.push(this.#createTask(group, index));
@@ -94,10 +103,27 @@
     }
   }
 
-  /** Whether any of its tasks has a claimed run. */
+  /**
+   * Its ready groups with a task that waits for a run; of gangs, those whose
+   * tasks all wait.
+   */
+  get waitingGroups(): readonly TaskGroup[] {
+    if (this.#waitingAtChange !== this.changeCount) {
+      this.#waitingAtChange = this.changeCount;
+      this.#waitingGroups = [...this.readyGroups()].filter(isWaiting);
+    }
+    return this.#waitingGroups;
+  }
+
+  /** Whether any task of its open occurrences has a claimed run. */
   get hasClaims(): boolean {
-    for (const { claim } of this.tasks()) if (claim !== undefined) return true;
-    return false;
+    if (this.#claimsAtChange !== this.changeCount) {
+      this.#claimsAtChange = this.changeCount;
+      this.#hasClaims = [...this.openOccurrences.values()].some(({ groups }) =>
+        groups.some(({ claimCount }) => claimCount > 0)
+      );
+    }
+    return this.#hasClaims;
   }
 
   /** All tasks of its open occurrences. */
@@ -125,6 +151,7 @@
       return false;
     }
     this.openOccurrences.delete(number);
+    this.changeCount += 1;
     const isLast = this.openOccurrences.size === 0 &&
       this.nextOccurrence >= this.occurrenceCount;
     if (isLast) this.outcome ??= "completed";
@@ -151,3 +178,8 @@
     };
   }
 }
+
+function isWaiting({ tasks, definition }: TaskGroup): boolean {
+  const waits = ({ isDone, claim }: Task) => !isDone && claim === undefined;
+  return definition.isGang ? tasks.every(waits) : tasks.some(waits);
+}
