--- a/src/cellhost/evacuation_control.ts
+++ b/src/cellhost/evacuation_control.ts
@@ -1,13 +1,15 @@
 import type { Cell } from "../core/cell/cell.ts";
 import { runKey } from "../core/jobs/run_key.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
+import { EvacuationPlanner } from "../core/evacuate/evacuation_planner.ts";
 import { EvacuationGuard } from "../core/evacuate/evacuation_guard.ts";
+import { EvacuationProgress } from "./evacuation_progress.ts";
 import type { DeferredEffect } from "./deferred_effect.ts";
 import type { KeeperSessionOptions } from "./keeper_session_options.ts";
 
 type Options = Pick<
   KeeperSessionOptions,
-  "clock" | "links" | "log" | "metrics" | "operatorRead"
+  "clock" | "links" | "log" | "metrics" | "operatorRead" | "writer"
 >;
 
 /**
@@ -16,6 +18,7 @@
  * data centre is evacuated.
  */
 export class EvacuationControl {
+  readonly progress: EvacuationProgress;
   readonly #guard: EvacuationGuard;
   /** The starts that wait, by run. */
   readonly #held = new Map<string, DeferredEffect>();
@@ -28,7 +31,9 @@
     readonly options: Options,
     evacuateMs: number,
   ) {
+    this.progress = new EvacuationProgress(cell, options);
     this.#guard = new EvacuationGuard(evacuateMs);
+    cell.evacuationPlanner = new EvacuationPlanner(evacuateMs);
   }
 
   /** How old the newest read of the operator's stream is. */
@@ -68,10 +73,16 @@
     return released;
   }
 
+  /** Acts on what has changed since the last tick. */
+  update(): void {
+    this.options.metrics.setGauge("operator_rows_age_ms", this.ageMs);
+    this.tellSidecars();
+    this.progress.update();
+  }
+
   /** Tells each connected sidecar whether its data centre is evacuated. */
   tellSidecars(): void {
     const { ageMs } = this;
-    this.options.metrics.setGauge("operator_rows_age_ms", ageMs);
     const isFresh = this.#guard.mayStart(ageMs);
     for (const [node, told] of this.#told) {
       const { isEvacuated } = this.cell.worker(node);
--- a/src/cellhost/evacuation_requests.ts
+++ b/src/cellhost/evacuation_requests.ts
@@ -18,13 +18,15 @@
  */
 export class EvacuationRequests {
   readonly #rows = new EvacuationRows();
+  readonly #sinceMs = new Map<string, number>();
   #tail: Pick<StreamTail, "completeRead"> | undefined;
   onChange: () => void = () => {};
 
   constructor(readonly evacuateMs: number, readonly log: Logger) {}
 
-  get zones(): ReadonlySet<string> {
-    return this.#rows.zones;
+  /** Each data centre to evacuate, with when this entry read of it first. */
+  get zones(): ReadonlyMap<string, number> {
+    return new Map(this.#sinceMs);
   }
 
   /** When the newest complete read of the stream was sent. */
@@ -56,6 +58,8 @@
         continue;
       }
       isChanged = true;
+      if (change.kind === "ended") this.#sinceMs.delete(change.zone);
+      else this.#sinceMs.set(change.zone, Date.now());
       this.log.info(`evacuation_${change.kind}`, { zone: change.zone });
     }
     if (isChanged) this.onChange();
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -91,15 +91,11 @@
   }
 
   /** Evacuates these data centres, and no others. */
-  setEvacuations(zones: ReadonlySet<string>): void {
+  setEvacuations(zones: ReadonlyMap<string, number>): void {
     if (this.#evacuation === undefined || this.#isClosed) return;
-    this.#guard(() => this.#evacuate(zones));
-  }
-
-  #evacuate(zones: ReadonlySet<string>): void {
-    const nowMs = this.options.clock.nowMs();
-    this.#applyAll(this.cell.setEvacuations(zones, nowMs));
-    this.#evacuation?.tellSidecars();
+    const { progress } = this.#evacuation;
+    this.#guard(() => this.#applyAll(progress.apply(zones)));
+    this.#evacuation.tellSidecars();
   }
 
   submit(job: JobDefinition): void {
@@ -274,7 +270,7 @@
     metrics.setGauge("jobs_live", this.cell.liveJobs.size);
     const effects = this.cell.tick(nowMs, clock.wallMs());
     for (const effect of effects) this.#apply(effect);
-    this.#evacuation?.tellSidecars();
+    this.#evacuation?.update();
     const rows = this.#unsaved.take();
     const isStartDue = this.#evacuation?.hasDueStarts ?? false;
     if (rows.length === 0 && this.#deferred.length === 0 && !isStartDue) return;
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -11,6 +11,7 @@
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
 import { releaseClaimsOfOtherLives } from "./release_claims_of_other_lives.ts";
+import type { EvacuationPlanner } from "../evacuate/evacuation_planner.ts";
 import { stopUnseenStart } from "../evacuate/stop_unseen_start.ts";
 import { drainWorkers } from "./drain_workers.ts";
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
@@ -47,6 +48,8 @@
 
   /** The data centres in which nothing may be started. */
   evacuatedZones: ReadonlySet<string> = new Set();
+  /** Undefined if the deployment evacuates no data centres. */
+  evacuationPlanner: EvacuationPlanner | undefined;
   readonly pressure = new PressureModel();
   readonly advice = new AdviceCache();
   /** When it first decided, by the keeper's monotonic clock. */
@@ -191,6 +194,9 @@
     yield* this.#saveLearned(nowMs);
     yield* stopStuckRuns(this, nowMs);
     yield* drainWorkers(this, nowMs);
+    if (this.evacuationPlanner !== undefined) {
+      yield* this.evacuationPlanner.plan(this, nowMs);
+    }
     yield* placeWaitingTasks(this, nowMs, wallMs);
   }
 
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -1,5 +1,6 @@
 import type { PressureModel } from "../interfere/pressure_model.ts";
 import { fits } from "../resources/fits.ts";
+import { subtractResources } from "../resources/subtract_resources.ts";
 import type { Queue } from "../jobs/queue.ts";
 import type { RunnerLife } from "../jobs/runner_life.ts";
 import type { PlacementMode } from "./placement_mode.ts";
@@ -26,6 +27,11 @@
 /** A worker whose runs take this many times the expected time is penalised. */
 const slownessThreshold = 2;
 const remoteRackPenalty = 2;
+/**
+ * Penalty of a worker that is cold after its data centre was evacuated: work
+ * returns to it only as far as the others are full.
+ */
+const coldPenalty = 3;
 const avoidedWorkerPenalty = 4;
 const slownessPenalty = 10;
 /** Penalty for each step of `addedImageMix`. */
@@ -80,7 +86,10 @@
   if (mostPerWorker > 0 && countTasksOn(task.group, worker) >= mostPerWorker) {
     return false;
   }
-  return fits(reservedResources(definition), worker.free);
+  const room = definition.isFiller
+    ? subtractResources(worker.free, worker.reserved)
+    : worker.free;
+  return fits(reservedResources(definition), room);
 }
 
 /** The cost of a worker for a filler; infinite if strict mode rules it out. */
@@ -123,6 +132,7 @@
     ? slownessPenalty * worker.slowness
     : 0;
   if (task.avoidedWorker === worker.node) cost += avoidedWorkerPenalty;
+  if ((worker.report?.coldForMs ?? 0) > 0) cost += coldPenalty;
   if (isOnRemoteRack(task, worker)) cost += remoteRackPenalty;
   return cost;
 }
--- a/src/core/cell/sidecar_report.ts
+++ b/src/core/cell/sidecar_report.ts
@@ -12,6 +12,11 @@
   readonly rack: string;
   readonly labels: readonly string[];
   readonly capacity: Resources;
+  /**
+   * How long the runner stays cold after its data centre was evacuated; only
+   * where data centres can be evacuated.
+   */
+  readonly coldForMs?: number | undefined;
   /** The runner exits soon and accepts no new runs. */
   readonly isDraining: boolean;
   /** Whether the runner answers. */
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -20,6 +20,8 @@
   isReconciled = false;
   /** Whether its data centre is evacuated, so that nothing may start on it. */
   isEvacuated = false;
+  /** What new fillers must leave free for services that have to move. */
+  reserved: Resources = noResources;
   /** The tasks whose current run is claimed here. */
   readonly claims = new Map<TaskName, Task>();
   /** The resources of unclaimed runs, by run key. */
--- a/src/core/evacuate/evacuation_rows.ts
+++ b/src/core/evacuate/evacuation_rows.ts
@@ -1,9 +1,9 @@
 import type { StoredRow } from "../store/stored_row.ts";
 import type { EvacuationChange } from "./evacuation_change.ts";
+import { evacuationKey } from "./evacuation_key.ts";
+import { isZone } from "./is_zone.ts";
 
-const prefix = "evacuate/";
-/** A longer name of a data centre is taken for a mistake. */
-const maxZoneLength = 200;
+const prefix = evacuationKey("");
 
 /**
  * The evacuations that the operator requests: rows `evacuate/ZONE` that have a
@@ -44,18 +44,13 @@
     end: number,
   ): Generator<EvacuationChange, void> {
     for (const [zone, offset] of this.#offsets) {
-      if (offset >= end || keys.has(prefix + zone)) continue;
+      if (offset >= end || keys.has(evacuationKey(zone))) continue;
       this.#offsets.delete(zone);
       yield { kind: "ended", zone };
     }
   }
 }
 
-function isZone(zone: string): boolean {
-  return zone !== "" && zone.length <= maxZoneLength &&
-    !/[\s/\p{C}]/u.test(zone);
-}
-
 /** Whether a value is JSON that does not say "no". */
 function isRequest(value: string): boolean {
   try {
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -287,6 +287,7 @@
         rack: heartbeat.rack,
         labels: heartbeat.labels,
         capacity: heartbeat.capacity,
+        coldForMs: this.startWindow.evacuateMs && heartbeat.coldForMs,
         isDraining: this.isDraining,
         isUp: this.isUp,
         isLapsed: this.#hasLapsed(nowMs),
--- a/src/gate/runner_heartbeat.ts
+++ b/src/gate/runner_heartbeat.ts
@@ -3,7 +3,7 @@
 /** The part of a heartbeat that is passed on to the keeper. */
 type Reported = Pick<
   SidecarReport,
-  "pool" | "zone" | "rack" | "labels" | "capacity" | "isDraining"
+  "pool" | "zone" | "rack" | "labels" | "capacity" | "coldForMs" | "isDraining"
 >;
 
 /** A heartbeat of a runner. */
--- a/src/link/is_peer_message.ts
+++ b/src/link/is_peer_message.ts
@@ -26,7 +26,9 @@
 function isReport(value: unknown): boolean {
   return isRecord(value) && typeof value.life === "string" &&
     typeof value.pool === "string" && isListOf(value.labels, isText) &&
-    isResources(value.capacity) && isListOf(value.running, isStatus) &&
+    isResources(value.capacity) &&
+    (value.coldForMs === undefined || Number.isFinite(value.coldForMs)) &&
+    isListOf(value.running, isStatus) &&
     isListOf(value.ends, isEnd) && isListOf(value.unsettled, isText) &&
     (value.refusals === undefined || isListOf(value.refusals, isRefusal));
 }
--- a/tests/evacuation_control_test.ts
+++ b/tests/evacuation_control_test.ts
@@ -2,6 +2,7 @@
 import { Logger } from "../src/adapters/logger.ts";
 import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
 import type { DeferredEffect } from "../src/cellhost/deferred_effect.ts";
+import { RowWriter } from "../src/cellhost/row_writer.ts";
 import { EvacuationControl } from "../src/cellhost/evacuation_control.ts";
 import type { OperatorRead } from "../src/core/evacuate/operator_read.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
@@ -10,6 +11,7 @@
 import type { TaskName } from "../src/core/jobs/task_name.ts";
 import type { KeeperMessage } from "../src/link/keeper_message.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
+import { StoreModel } from "../stand_ins/store/store_model.ts";
 import { CellFixture } from "./cell_fixture.ts";
 
 const node = "w" as NodeId;
@@ -45,6 +47,8 @@
   const fixture = new CellFixture();
   const clock = new VirtualClock();
   const sent: KeeperMessage[] = [];
+  const store = new StoreModel();
+  const log = new Logger("silent", {});
   let read: OperatorRead | undefined;
   const control = new EvacuationControl(fixture.cell, {
     clock,
@@ -59,13 +63,22 @@
       close: () => {},
     },
     operatorRead: () => read,
+    writer: new RowWriter(
+      store,
+      "cell",
+      1,
+      () => ({ key: "keeper", value: "" }),
+      () => {},
+      clock,
+      log,
+    ),
     metrics: new PrometheusMetrics(),
-    log: new Logger("silent", {}),
+    log,
   }, 5_000);
   const readNow = () => {
     read = { sentAtMs: clock.nowMs(), sentAtWallMs: clock.wallMs() };
   };
-  return { fixture, clock, control, sent, readNow };
+  return { fixture, clock, control, sent, store, readNow };
 }
 
 describe("a keeper that has not read the operator's stream recently", () => {
@@ -119,3 +132,38 @@
     expect(control.recordReport(node)).to.eql({ operatorAgeMs: 1_000 });
   });
 });
+
+describe("a keeper records evacuations", () => {
+  it("in a row, when something has changed", async () => {
+    const { clock, control, fixture, store } = createControl();
+    const apply = (zones: Readonly<Record<string, number>>) =>
+      fixture.collect(control.progress.apply(new Map(Object.entries(zones))));
+    const rowNow = async () => {
+      control.update();
+      await clock.advance(0);
+      const value = store.newestValue("cell", "evacuation");
+      return value === undefined ? undefined : JSON.parse(value).zones;
+    };
+    expect(await rowNow()).to.eql([]);
+    fixture.reportWorker(node);
+    fixture.submit("j", [CellFixture.step()]);
+    fixture.advance();
+    fixture.reportWorker(node, { running: fixture.runningOn(node) });
+    apply({ z: 5, unknown: 6 });
+    const unknown = { zone: "unknown", sinceMs: 6, isCleared: true };
+    expect(await rowNow()).to.eql([
+      { zone: "z", sinceMs: 5, isCleared: false },
+      unknown,
+    ]);
+    const { appendCount } = store;
+    await rowNow();
+    expect(store.appendCount).to.equal(appendCount);
+    fixture.endRun(node, "j.0.0.0", 1, "done");
+    expect(await rowNow()).to.eql([
+      { zone: "z", sinceMs: 5, isCleared: true },
+      unknown,
+    ]);
+    apply({});
+    expect(await rowNow()).to.eql([]);
+  });
+});
--- a/tests/platform/decode_test.ts
+++ b/tests/platform/decode_test.ts
@@ -157,6 +157,14 @@
     });
   }
 
+  // A field that only lowers a preference must not cost a heartbeat.
+  it("reads how long the runner is cold, whatever else the field holds", () => {
+    const coldForMs = (coldRemainingMs?: unknown) =>
+      decodeHeartbeat("i-1", { ...heartbeat, coldRemainingMs })?.coldForMs;
+    expect([coldForMs(), coldForMs(900), coldForMs("long"), coldForMs(null)])
+      .to.eql([undefined, 900, 0, 0]);
+  });
+
   it("finds the rack among the labels", () => {
     expect(decodeHeartbeat("i-1", heartbeat)?.rack).to.equal("r1-3");
   });
@@ -288,6 +296,14 @@
     expect(storeAddress).to.equal("10.200.1.7:8169");
   });
 
+  it("lets a deployment evacuate only if the settings say so", () => {
+    const evacuateMs = (text: string) =>
+      parseSettings(text).options.bounds.evacuateMs;
+    const text = lines.join("\n");
+    expect(evacuateMs(text)).to.equal(undefined);
+    expect(evacuateMs(`${text}\nbounds.evacuateMs=5000`)).to.equal(5_000);
+  });
+
   const cases = [
     { without: "node", fault: "no node" },
     { without: "ip", fault: "no ip" },
