--- a/tests/soak/runner_stand_in.ts
+++ b/tests/soak/runner_stand_in.ts
@@ -47,6 +47,7 @@
     /** Where its sidecar receives heartbeats. */
     readonly controlAddress: string,
     readonly checker: GuaranteeChecker,
+    readonly zone: string,
   ) {
     this.#server = createJsonServer(async (_method, url, body) => {
       const request = body as RunnerRequest;
@@ -189,7 +190,7 @@
     const body = {
       service: "pool",
       address: `${this.host}:${this.port}`,
-      zone: "z",
+      zone: this.zone,
       version: "v1",
       slots: 8,
       state: "ready",
--- a/tests/soak/soak_deployment.ts
+++ b/tests/soak/soak_deployment.ts
@@ -36,6 +36,8 @@
     seed: number,
     readonly folder: string,
     readonly checker: GuaranteeChecker,
+    /** Settings of all processes, beside those that they need. */
+    readonly settings: Readonly<Record<string, string | number>> = {},
   ) {
     this.#subnet = firstSubnet + seed % subnetCount;
     for (let index = 0; index < entryCount; index++) this.#addEntry(index);
@@ -73,7 +75,14 @@
     const control = `${ip}:${ports.control}`;
     const name = `runner-${index}`;
     this.runners.push(
-      new RunnerStandIn(name, ip, ports.app, control, this.checker),
+      new RunnerStandIn(
+        name,
+        ip,
+        ports.app,
+        control,
+        this.checker,
+        `zone-${index}`,
+      ),
     );
     this.#add("sidecar", index, ip, {
       "listen.control": control,
@@ -95,6 +104,7 @@
       "platform.address": `${this.#host(0, 0)}:${ports.store}`,
       "bounds.maxHoldMs": leaseMs,
       "bounds.graceS": graceS,
+      ...this.settings,
       ...settings,
     };
     this.processes.push(
