--- a/src/cellhost/evacuation_progress.ts
+++ b/src/cellhost/evacuation_progress.ts
@@ -51,6 +51,7 @@
 
   /** Records what is left in the evacuated data centres. */
   update(): void {
+    if (this.#zones.size === 0 && this.#isStored) return;
     const { log, metrics } = this.options;
     const { workers } = this.cell;
     const counts = countEvacuatedTasks(workers.values(), this.#zones.keys());
@@ -82,6 +83,17 @@
 
   /** Stores the row if it has changed, and once in each session. */
   #store(): void {
+    if (this.#isStored) return;
+    const value = this.#encode();
+    this.#stored = value;
+    this.options.writer.write([{ key: evacuationRowKey, value }], () => {});
+  }
+
+  get #isStored(): boolean {
+    return this.#encode() === this.#stored;
+  }
+
+  #encode(): string {
     const row: EvacuationRow = {
       zones: [...this.#zones].map(([zone, sinceMs]) => ({
         zone,
@@ -89,10 +101,7 @@
         isCleared: this.#cleared.has(zone),
       })),
     };
-    const value = JSON.stringify(row);
-    if (value === this.#stored) return;
-    this.#stored = value;
-    this.options.writer.write([{ key: evacuationRowKey, value }], () => {});
+    return JSON.stringify(row);
   }
 
   #tasksIn(zones: readonly string[]): ReadonlyMap<string, number> {
--- a/src/core/evacuate/evacuation_planner.ts
+++ b/src/core/evacuate/evacuation_planner.ts
@@ -29,6 +29,7 @@
 export class EvacuationPlanner {
   readonly #moves = new Map<Task, Move>();
   #plannedAtMs = -Infinity;
+  #wasEvacuating = false;
 
   constructor(readonly evacuateMs: number) {}
 
@@ -37,9 +38,10 @@
     if (nowMs - this.#plannedAtMs < planIntervalMs) return;
     this.#plannedAtMs = nowMs;
     this.#dropEndedMoves(nowMs);
-    const leaving = cell.evacuatedZones.size === 0
-      ? []
-      : leavingOrder(cell.workers.values(), this.evacuateMs);
+    const isEvacuating = cell.evacuatedZones.size > 0;
+    if (!isEvacuating && !this.#wasEvacuating) return;
+    this.#wasEvacuating = isEvacuating;
+    const leaving = leavingOrder(cell.workers.values(), this.evacuateMs);
     reserveForServices(cell, leaving);
     const targets = new Set(
       [...this.#moves.values()].map(({ target }) => target),
