A keeper lets a runner forget ends only when the store confirms it

Cause: effects wait until the rows before them are stored; without any row they were executed at once. A deposed keeper that had not noticed yet reported an end of its successor's run as stored, though it had stored nothing, so the runner dropped it and the work was done again. Found by history 1447 (rule TWICE) of 2,000 with evacuations: 1 failed. Deployed keepers learn of a successor by their heartbeat within 400 ms; the histories have no heartbeat on virtual time. The fault does not depend on evacuations.

Change: such a batch stores the heartbeat row first.

Measured: the shortened history fails before and passes after.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -276,6 +276,10 @@
     if (rows.length === 0 && this.#deferred.length === 0 && !isStartDue) return;
     const deferred = this.#deferred;
     this.#deferred = [];
+    // Without a row the store would not confirm that this keeper, which lets a
+    // runner forget an end, has not been deposed.
+    const isForgetting = deferred.some(({ kind }) => kind === "forget");
+    if (isForgetting && rows.length === 0) rows.push(writer.heartbeatRow());
     writer.write(rows, () => {
       if (this.#isClosed) return;
       const due = this.#evacuation?.release(deferred) ?? deferred;
--- a/tests/cell_histories_test.ts
+++ b/tests/cell_histories_test.ts
@@ -11,6 +11,30 @@
   [2062, "a start was retried after its claim had been released"],
   [2082, "the runner's clock was never read, so leases seemed to last longer"],
 ];
+
+/** Shortened histories that once broke a rule. */
+const knownHistories: readonly (readonly [
+  reason: string,
+  seed: number,
+  steps: readonly (readonly [number, HistoryStep["kind"], number, number])[],
+])[] = [
+  [
+    "a deposed keeper that had nothing to store let a runner forget an end",
+    1447,
+    [
+      [865, "evacuate", 87, 594],
+      [135, "reset_link", 622, 841],
+      [24, "reset_link", 89, 396],
+      [5_001, "lose_commands", 926, 181],
+      [152, "silence_runner", 475, 591],
+      [1_929, "submit", 334, 122],
+      [327, "elect", 116, 756],
+      [944, "pause_keeper", 101, 385],
+      [89, "restart_sidecar", 389, 215],
+      [1_315, "elect", 713, 681],
+    ],
+  ],
+];
 const seedsPerTest = 20;
 const testCount = 8;
 
@@ -27,6 +51,15 @@
     it(`with seed ${seed}: ${reason}`, () =>
       expectNoViolation(seed, randomHistory(new SeededRandom(seed))));
   }
+  for (const [reason, seed, rows] of knownHistories) {
+    const steps = rows.map(([afterMs, kind, a, b]) => ({
+      afterMs,
+      kind,
+      a,
+      b,
+    }));
+    it(`known: ${reason}`, () => expectNoViolation(seed, steps));
+  }
   for (
     let first = 1;
     first <= seedsPerTest * testCount;
