--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -7,6 +7,7 @@
 import type { JobId } from "../../src/core/jobs/job_id.ts";
 import type { NodeId } from "../../src/core/jobs/node_id.ts";
 import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
+import { EvacuationPlanner } from "../../src/core/evacuate/evacuation_planner.ts";
 import { SeededRandom } from "../seeded_random.ts";
 import { InterferenceTruth } from "./interference_truth.ts";
 import { LoadCallers } from "./load_callers.ts";
@@ -28,6 +29,9 @@
 const harmFactor = 4;
 const maxAttempts = 4;
 const worstWindowMs = 5_000;
+const evacuateMs = 5_000;
+const evacuated = "z0";
+const measuredMs = 5_000;
 
 /**
  * Plays a load on virtual time: the deployed cell and pace decisions, on
@@ -42,6 +46,8 @@
   #cell: Cell;
   #nowMs = -leadMs;
   #stops = 0;
+  #clearedAfterMs = 0;
+  #leftInEvacuated = 0;
   readonly #service = { owedMs: 0, awayMs: 0 };
   /** The time of services over target, for each step. */
   readonly #overMs: number[] = [];
@@ -55,7 +61,14 @@
       const factor = index % 3 === 2 ? 1.5 : 1;
       const cpuMilli = options.workerCpuMilli * factor;
       const firstReportAtMs = this.#nowMs + random.next() * reportSpreadMs;
-      const worker = new LoadWorker(node, cpuMilli, truth, firstReportAtMs);
+      const zone = `z${index % (options.evacuation?.zoneCount ?? 1)}`;
+      const worker = new LoadWorker(
+        node,
+        cpuMilli,
+        truth,
+        firstReportAtMs,
+        zone,
+      );
       this.#workers.set(node, worker);
     }
     this.#cell = newCell();
@@ -88,6 +101,10 @@
       },
       wastedCoreS: wastedCoreMs / 1_000,
       stops: this.#stops,
+      evacuation: {
+        clearedAfterMs: this.#clearedAfterMs,
+        leftAfter5s: this.#leftInEvacuated,
+      },
     };
   }
 
@@ -111,11 +128,32 @@
       }
     }
     for (const worker of this.#workers.values()) worker.step(nowMs, stepMs);
+    const { evacuation } = this.options;
+    if (evacuation !== undefined && nowMs >= evacuation.atMs) {
+      this.#evacuate(nowMs - evacuation.atMs);
+    }
     if (!isDark) this.#decide();
     if (nowMs >= 0 && nowMs < durationMs) this.#countServices();
     this.#nowMs += stepMs;
   }
 
+  #evacuate(sinceMs: number): void {
+    if (this.#cell.evacuatedZones.size === 0) {
+      this.#cell.evacuationPlanner = new EvacuationPlanner(evacuateMs);
+      this.#apply(this.#cell.setEvacuations(new Set([evacuated]), this.#nowMs));
+    }
+    const left = this.#evacuatedRuns();
+    if (left > 0) this.#clearedAfterMs = sinceMs + stepMs;
+    if (sinceMs <= measuredMs) this.#leftInEvacuated = left;
+  }
+
+  #evacuatedRuns(): number {
+    return sum(
+      [...this.#workers.values()].filter(({ zone }) => zone === evacuated)
+        .map(({ runs }) => runs.size),
+    );
+  }
+
   #isAt(atMs: number): boolean {
     return this.#nowMs >= atMs && this.#nowMs < atMs + stepMs;
   }
--- a/stand_ins/load/load_options.ts
+++ b/stand_ins/load/load_options.ts
@@ -12,6 +12,8 @@
   readonly keeperChangesAtMs: readonly number[];
   /** When all workers and the keeper lose power; all runs end. */
   readonly powerLossesAtMs: readonly number[];
+  /** The evacuation of one of `zoneCount` data centres, to the end. */
+  readonly evacuation?: { readonly atMs: number; readonly zoneCount: number };
   /** Whether a keeper begins with what its predecessor has learned. */
   readonly keepsLearned: boolean;
   /** Whether the first keeper knows all pressures, for an upper bound. */
--- a/stand_ins/load/load_result.ts
+++ b/stand_ins/load/load_result.ts
@@ -7,6 +7,13 @@
   readonly wastedCoreS: number;
   /** Runs stopped to be placed elsewhere. */
   readonly stops: number;
+  /** Zero without an evacuation. */
+  readonly evacuation: {
+    /** From the request until no run was left in the data centre. */
+    readonly clearedAfterMs: number;
+    /** The runs left there 5 s after the request. */
+    readonly leftAfter5s: number;
+  };
 }
 
 /** How the jobs of a kind ended, relative to their objective. */
--- a/stand_ins/load/load_worker.ts
+++ b/stand_ins/load/load_worker.ts
@@ -59,6 +59,7 @@
     readonly cpuMilli: number,
     readonly truth: InterferenceTruth,
     firstReportAtMs: number,
+    readonly zone: string,
   ) {
     this.#reportedAtMs = firstReportAtMs - reportIntervalMs;
   }
@@ -139,7 +140,7 @@
     return {
       life: `${this.node}@${this.#life}` as RunnerLife,
       pool: "pool",
-      zone: "z",
+      zone: this.zone,
       rack: "r",
       labels: [],
       capacity: {
