--- a/scenarios/cell_histories/history_step.ts
+++ b/scenarios/cell_histories/history_step.ts
@@ -28,4 +28,5 @@
   "fail_task",
   "evacuate",
   "suspend_keeper",
+  "submit_long",
 ] as const;
--- a/scenarios/cell_histories/random_history.ts
+++ b/scenarios/cell_histories/random_history.ts
@@ -31,9 +31,14 @@
 ];
 
 /** How many steps are inserted at most. */
-const maxEvacuations = 6;
-/** The share of inserted steps that suspend the keeper's machine instead. */
-const suspensionShare = 0.25;
+const maxInserted = 8;
+/** What is inserted; long tasks with checkpoints are moved by evacuations. */
+const insertedKinds = [
+  "evacuate",
+  "evacuate",
+  "suspend_keeper",
+  "submit_long",
+] as const;
 
 /**
  * Draws the steps of a history. Evacuations come from a second source, so that
@@ -65,11 +70,9 @@
 
 function insertEvacuations(steps: HistoryStep[], random: SeededRandom): void {
   const draw = (below: number) => Math.floor(random.next() * below);
-  const count = 1 + draw(maxEvacuations);
+  const count = 1 + draw(maxInserted);
   for (let number = 0; number < count; number++) {
-    const kind = random.next() < suspensionShare
-      ? "suspend_keeper"
-      : "evacuate";
+    const kind = insertedKinds[draw(insertedKinds.length)]!;
     const step = {
       afterMs: 0,
       kind,
--- a/scenarios/cell_histories/run_cell_history.ts
+++ b/scenarios/cell_histories/run_cell_history.ts
@@ -9,6 +9,8 @@
 const leadMs = 1_500;
 /** About how long a task runs. */
 const expectedMs = 1_500;
+/** Tasks that would run on for longer than the bound leave a data centre. */
+const longExpectedMs = 20_000;
 const evacuateMs = 5_000;
 /** The longest time from an evacuation to its revocation. */
 const maxEvacuationMs = 16_000;
@@ -78,6 +80,10 @@
       return world.submit([newStep(1 + a % 3)]);
     case "submit_wide":
       return world.submit([newStep(5 + a % 6)]);
+    case "submit_long": {
+      const long = { savesProgress: true, expectedMs: longExpectedMs };
+      return world.submit([{ ...newStep(2 + a % 4), ...long }]);
+    }
     case "submit_chain":
       return world.submit([
         newStep(1 + a % 3),
