Tests of the bound where only the operator's stream cannot be read

Cause: with the guard and the gate's window taken out all cases passed: a read that was waiting when the fault began still delivered the row, and a keeper without a store starts nothing anyway.

--- a/scenarios/cell_histories/process_store.ts
+++ b/scenarios/cell_histories/process_store.ts
@@ -23,6 +23,8 @@
 /** One process's view of the store: calls take time, and may go wrong. */
 export class ProcessStore implements Store {
   isCut = false;
+  /** The streams of which no read is answered. */
+  readonly unreadable = new Set<string>();
   /** Whether appends only get no answer and have no effect. */
   isReadOnly = false;
 
@@ -62,6 +64,7 @@
     from: number,
     waitMs = 0,
   ): Promise<StoreResult<RowPage>> {
+    if (this.unreadable.has(stream)) return this.#timeOut(readTimeoutMs);
     const untilMs = this.clock.world.nowMs() + waitMs;
     return this.#read(async () => {
       while (true) {
--- a/tests/evacuation_bound_test.ts
+++ b/tests/evacuation_bound_test.ts
@@ -7,6 +7,8 @@
 const leadMs = 3_000;
 const submitIntervalMs = 150;
 const faultMs = 9_000;
+/** A read that waits for a row when the fault begins has ended by then. */
+const waitedMs = 1_300;
 const afterMs = 2_000;
 const seeds = [1, 2, 3, 4, 5, 6];
 
@@ -18,6 +20,13 @@
   return () => newestKeeper.options.store.isCut = false;
 };
 
+/** The store is reached for all else, so that claims are stored. */
+const cutOperatorStream: Fault = ({ newestKeeper }) => {
+  const { unreadable } = newestKeeper.options.store;
+  unreadable.add("op");
+  return () => unreadable.delete("op");
+};
+
 const loseCommands: Fault = (_world, { runner }) => {
   runner.faults.push(...Array.from({ length: 40 }, () => "ignored" as const));
   return () => runner.faults.length = 0;
@@ -31,9 +40,31 @@
   readonly leadMs?: number;
 }[] = [
   { name: "without any fault", fault: () => () => {} },
-  { name: "by a keeper that is cut off from the store", fault: cutStore },
+  {
+    name: "by a keeper that is cut off from the store",
+    leadMs: waitedMs,
+    fault: cutStore,
+  },
+  {
+    name: "by a keeper that cannot read the operator's stream",
+    leadMs: waitedMs,
+    fault: cutOperatorStream,
+  },
+  {
+    name: "by such a keeper of a command without an answer",
+    leadMs: waitedMs,
+    fault: (world, worker) => {
+      const ends = [
+        cutOperatorStream(world, worker),
+        loseCommands(world, worker),
+      ];
+      void world.clock.sleep(5_600).then(ends[1]);
+      return () => ends.forEach((end) => end());
+    },
+  },
   {
     name: "by a deposed keeper that is still connected",
+    leadMs: waitedMs,
     fault: (world, worker) => {
       const end = cutStore(world, worker);
       world.isBlocked = (epoch, node) => epoch > 1 && node === worker.node;
