--- a/src/core/cell/worker_state.ts
+++ b/src/core/cell/worker_state.ts
@@ -1,3 +1,4 @@
+import type { Resources } from "../../schema/resources.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
 import type { Worker } from "./worker.ts";
 import { settledAfterMs } from "./settled_after_ms.ts";
@@ -14,6 +15,7 @@
   #isReconciled = false;
   #isSuspended = false;
   #isEvacuated = false;
+  #reserved: Resources | undefined;
   #removalCount = -1;
   #claimVersion = -1;
   #strayCount = 0;
@@ -27,7 +29,7 @@
   update(nowMs: number, pressureVersion: number): Gain {
     const { worker } = this;
     const { report, isReconciled, removalCount, claimVersion } = worker;
-    const { isEvacuated } = worker;
+    const { isEvacuated, reserved } = worker;
     const isSuspended = nowMs < worker.suspendedUntilMs;
     const isReported = report !== this.#report;
     const hasRemovals = removalCount !== this.#removalCount;
@@ -35,8 +37,9 @@
       isSuspended !== this.#isSuspended ||
       isEvacuated !== this.#isEvacuated || hasRemovals ||
       (isReported && this.#isDifferent(report));
-    const hasFillerChange = worker.fillerCount > 0 &&
-      (isReported || nowMs >= this.#settlesAtMs);
+    const hasFillerChange = reserved !== this.#reserved ||
+      worker.fillerCount > 0 &&
+        (isReported || nowMs >= this.#settlesAtMs);
     const hasPressureChange = worker.targetCount > 0 &&
       pressureVersion !== this.#pressureVersion;
     if (
@@ -49,6 +52,7 @@
     this.#isReconciled = isReconciled;
     this.#isSuspended = isSuspended;
     this.#isEvacuated = isEvacuated;
+    this.#reserved = reserved;
     this.#removalCount = removalCount;
     this.#claimVersion = claimVersion;
     this.#strayCount = worker.strays.size;
--- a/tests/full_scan_choice.ts
+++ b/tests/full_scan_choice.ts
@@ -1,6 +1,7 @@
 import { fillerCpuDemand } from "../src/core/cell/filler_cpu_demand.ts";
 import type { PressureModel } from "../src/core/interfere/pressure_model.ts";
 import { fits } from "../src/core/resources/fits.ts";
+import { subtractResources } from "../src/core/resources/subtract_resources.ts";
 import type { Queue } from "../src/core/jobs/queue.ts";
 import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
 import type { PlacementMode } from "../src/core/cell/placement_mode.ts";
@@ -25,6 +26,7 @@
 /** A worker whose runs take this many times the expected time is penalised. */
 const slownessThreshold = 2;
 const remoteRackPenalty = 2;
+const coldPenalty = 3;
 const avoidedWorkerPenalty = 4;
 const slownessPenalty = 10;
 /** Penalty for each step of `addedImageMix`. */
@@ -79,7 +81,10 @@
   if (mostPerWorker > 0 && countTasksOn(task.group, worker) >= mostPerWorker) {
     return false;
   }
-  return fits(reservedResources(definition), worker.free);
+  const room = definition.isFiller
+    ? subtractResources(worker.free, worker.reserved)
+    : worker.free;
+  return fits(reservedResources(definition), room);
 }
 
 /** The cost of a worker for a filler; infinite if strict mode rules it out. */
@@ -122,6 +127,7 @@
     ? slownessPenalty * worker.slowness
     : 0;
   if (task.avoidedWorker === worker.node) cost += avoidedWorkerPenalty;
+  if ((worker.report?.coldForMs ?? 0) > 0) cost += coldPenalty;
   if (isOnRemoteRack(task, worker)) cost += remoteRackPenalty;
   return cost;
 }
