Learn run times instead of relying on declared ones alone

Urgencies, critical paths, stuck checks, drains and the slowness of workers use the run time that callers declare. Where it is off by a factor, jobs are ranked wrongly, and workers that run under-declared tasks count as slow.

`RunTimeEstimator` learns, by queue, shape of step and image, a decaying distribution of actual against declared times, and by a regression how far the declared time is trusted. What the tasks of a step have shown counts before what their kind has. Fillers count by the CPU that they used. The result is a row of its own key, `runTimes`, checked when it is read. Enabled by `learnsRunTimes` of the cell's options, off by default; a kind never seen is treated as before.

--- a/src/cellhost/job_directory.ts
+++ b/src/cellhost/job_directory.ts
@@ -2,6 +2,8 @@
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
+import { isRunTimeRow } from "../core/estimate/is_run_time_row.ts";
+import type { RunTimeRow } from "../core/estimate/run_time_row.ts";
 import { isPressureRow } from "../core/interfere/is_pressure_row.ts";
 import type { PressureRow } from "../core/interfere/pressure_row.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
@@ -10,6 +12,7 @@
 import { learnedKey } from "./learned_key.ts";
 import { parseJsonRow } from "./parse_json_row.ts";
 import { progressKey } from "./progress_key.ts";
+import { runTimesKey } from "./run_times_key.ts";
 
 const progressPrefix = progressKey("" as JobId);
 
@@ -30,6 +33,8 @@
   readonly rows = new Map<JobId, JobProgressRow>();
   /** What the keepers have learned of interference, unparsed. */
   #learned: string | undefined;
+  /** What the keepers have learned of run times, unparsed. */
+  #runTimes: string | undefined;
   readonly #states = new Map<JobId, JobState>();
   onSubmitted: (definition: JobDefinition) => void = () => {};
   onCancelled: (id: JobId) => void = () => {};
@@ -44,11 +49,12 @@
 
   /** What the keepers have learned of interference, if it was stored. */
   get learned(): PressureRow | undefined {
-    if (this.#learned === undefined) return undefined;
-    const row = parseJsonRow<unknown>(this.#learned, learnedKey, this.log);
-    if (row === undefined || isPressureRow(row)) return row;
-    this.log.warn("row_ignored", { key: learnedKey, reason: "shape" });
-    return undefined;
+    return this.#parseLearned(learnedKey, this.#learned, isPressureRow);
+  }
+
+  /** What the keepers have learned of run times, if it was stored. */
+  get runTimes(): RunTimeRow | undefined {
+    return this.#parseLearned(runTimesKey, this.#runTimes, isRunTimeRow);
   }
 
   /** The ids of the queue's jobs that have not started. */
@@ -96,6 +102,7 @@
   applyProgressRows(rows: readonly StoredRow[]): void {
     for (const { key, value } of rows) {
       if (key === learnedKey) this.#learned = value;
+      if (key === runTimesKey) this.#runTimes = value;
       const id = key.slice(progressPrefix.length) as JobId;
       if (!key.startsWith(progressPrefix)) continue;
       if (value === undefined) {
@@ -107,6 +114,18 @@
     }
   }
 
+  #parseLearned<T>(
+    key: string,
+    value: string | undefined,
+    isRow: (value: unknown) => value is T,
+  ): T | undefined {
+    if (value === undefined) return undefined;
+    const row = parseJsonRow<unknown>(value, key, this.log);
+    if (row === undefined || isRow(row)) return row;
+    this.log.warn("row_ignored", { key, reason: "shape" });
+    return undefined;
+  }
+
   #applyProgressRow(id: JobId, row: JobProgressRow): void {
     this.rows.set(id, row);
     if (row.s === "r") this.advance(id, "running");
--- a/src/cellhost/unsaved_rows.ts
+++ b/src/cellhost/unsaved_rows.ts
@@ -1,14 +1,17 @@
 import { encodeJob } from "../core/cell/encode_job.ts";
 import type { Job } from "../core/cell/job.ts";
+import type { RunTimeRow } from "../core/estimate/run_time_row.ts";
 import type { PressureRow } from "../core/interfere/pressure_row.ts";
 import type { Row } from "../core/store/row.ts";
 import { learnedKey } from "./learned_key.ts";
 import { progressKey } from "./progress_key.ts";
+import { runTimesKey } from "./run_times_key.ts";
 
 /** What a keeper has to write: the newest state counts, once per key. */
 export class UnsavedRows {
   readonly #jobs = new Set<Job>();
   #learned: PressureRow | undefined;
+  #runTimes: RunTimeRow | undefined;
 
   addJob(job: Job): void {
     this.#jobs.add(job);
@@ -18,6 +21,10 @@
     this.#learned = row;
   }
 
+  setRunTimes(row: RunTimeRow): void {
+    this.#runTimes = row;
+  }
+
   /** Removes and returns all rows. */
   take(): Row[] {
     const rows = [...this.#jobs].map((job) => ({
@@ -29,6 +36,10 @@
       rows.push({ key: learnedKey, value: JSON.stringify(this.#learned) });
     }
     this.#learned = undefined;
+    if (this.#runTimes !== undefined) {
+      rows.push({ key: runTimesKey, value: JSON.stringify(this.#runTimes) });
+    }
+    this.#runTimes = undefined;
     return rows;
   }
 }
--- a/src/core/cell/apply_run_end.ts
+++ b/src/core/cell/apply_run_end.ts
@@ -1,3 +1,4 @@
+import type { RunTimes } from "../estimate/run_times.ts";
 import type { RunEnd } from "../jobs/run_end.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
@@ -27,6 +28,9 @@
   const { group } = task;
   const { job } = group;
   updateHealth(cell, worker, task, end, nowMs);
+  if (end.outcome === "done") {
+    cell.estimator?.recordDone(task, nowMs, cell.beganAtMs);
+  }
   task.claim = undefined;
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
   if (job.outcome !== undefined) {
@@ -99,7 +103,7 @@
   if (end.outcome === "done") {
     worker.consecutiveFailures = 0;
     worker.consecutiveSuspensions = 0;
-    updateSlowness(worker, task, nowMs);
+    updateSlowness(worker, task, cell.runTimes, nowMs);
     return;
   }
   if (end.outcome !== "failed") return;
@@ -114,8 +118,14 @@
   worker.suspendedUntilMs = nowMs + Math.min(maxSuspensionMs, pauseMs);
 }
 
-function updateSlowness(worker: Worker, task: Task, nowMs: number): void {
-  const { isFiller, isService, isGang, expectedMs } = task.group.definition;
+function updateSlowness(
+  worker: Worker,
+  task: Task,
+  runTimes: RunTimes,
+  nowMs: number,
+): void {
+  const { isFiller, isService, isGang } = task.group.definition;
+  const expectedMs = runTimes.expectedMs(task.group);
   const { claim } = task;
   if (isFiller || isService || isGang || claim === undefined) return;
   if (claim.startCheckpoint !== "" || expectedMs === 0) return;
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -1,3 +1,6 @@
+import { DeclaredRunTimes } from "../estimate/declared_run_times.ts";
+import { RunTimeEstimator } from "../estimate/run_time_estimator.ts";
+import type { RunTimes } from "../estimate/run_times.ts";
 import type { JobDefinition } from "../jobs/job_definition.ts";
 import type { JobId } from "../jobs/job_id.ts";
 import type { NodeId } from "../jobs/node_id.ts";
@@ -12,6 +15,7 @@
 import { reconcileRuns } from "./reconcile_runs.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
+import { LearnedRows } from "./learned_rows.ts";
 import { drainWorkers } from "./drain_workers.ts";
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
 import { applyRefusal } from "./apply_refusal.ts";
@@ -31,8 +35,6 @@
 
 /** How often new checkpoints are saved. */
 const checkpointSaveIntervalMs = 1_000;
-/** How often what was learned of interference is saved. */
-const learnedSaveIntervalMs = 2_000;
 
 /**
  * The jobs and workers of one cell. Every decision about a task's runs is made
@@ -47,16 +49,19 @@
 
   readonly pressure = new PressureModel();
   readonly advice = new AdviceCache();
+  readonly estimator: RunTimeEstimator | undefined;
+  readonly runTimes: RunTimes;
   /** When it first decided, by the keeper's monotonic clock. */
   beganAtMs = Infinity;
   /** Jobs with checkpoints that are not in the store yet. */
   readonly #unsavedJobs = new Set<Job>();
   #checkpointsSavedAtMs = -Infinity;
-  /** The sample count of what was last saved of what was learned. */
-  #savedSampleCount = 0;
-  #learnedSavedAtMs = -Infinity;
+  readonly #learnedRows = new LearnedRows();
 
-  constructor(readonly options: CellOptions) {}
+  constructor(readonly options: CellOptions) {
+    if (options.learnsRunTimes) this.estimator = new RunTimeEstimator();
+    this.runTimes = this.estimator ?? new DeclaredRunTimes();
+  }
 
   /** Adds a job, with its claims, as it was read from the store. */
   load(job: Job): void {
@@ -128,6 +133,7 @@
     }
     yield* this.#releaseClaimsOfOtherLives(worker, report, runs, nowMs);
     yield* reconcileRuns(this, worker, runs, nowMs);
+    this.estimator?.observe(worker, runs, nowMs);
     worker.isReconciled = true;
     if (!sampleWorker(worker, runs, this.pressure, nowMs)) return;
     yield* moveFillers(this, worker, nowMs);
@@ -173,7 +179,7 @@
       if (job.openDueOccurrences(wallMs)) yield { kind: "save", job };
     }
     yield* this.#saveCheckpoints(nowMs);
-    yield* this.#saveLearned(nowMs);
+    yield* this.#learnedRows.take(this, nowMs);
     yield* stopStuckRuns(this, nowMs);
     yield* drainWorkers(this, nowMs);
     yield* placeWaitingTasks(this, nowMs, wallMs);
@@ -281,16 +287,6 @@
     this.#unsavedJobs.clear();
   }
 
-  /** A keeper that begins without it would place fillers beside any service. */
-  *#saveLearned(nowMs: number): Effects {
-    const isDue = nowMs - this.#learnedSavedAtMs >= learnedSaveIntervalMs;
-    const { sampleCount } = this.pressure;
-    if (sampleCount === this.#savedSampleCount || !isDue) return;
-    this.#savedSampleCount = sampleCount;
-    this.#learnedSavedAtMs = nowMs;
-    yield { kind: "learned", row: this.pressure.encode() };
-  }
-
   /** Saves and publishes a job's outcome and stops its remaining runs. */
   *finishJob(job: Job, nowMs: number): Effects {
     this.liveJobs.delete(job);
--- a/src/core/cell/cell_effect.ts
+++ b/src/core/cell/cell_effect.ts
@@ -1,3 +1,4 @@
+import type { RunTimeRow } from "../estimate/run_time_row.ts";
 import type { PressureRow } from "../interfere/pressure_row.ts";
 import type { JobId } from "../jobs/job_id.ts";
 import type { JobState } from "../jobs/job_state.ts";
@@ -16,6 +17,8 @@
   | { readonly kind: "save"; readonly job: Job }
   /** Save what the cell has learned of interference. */
   | { readonly kind: "learned"; readonly row: PressureRow }
+  /** Save what the cell has learned of run times. */
+  | { readonly kind: "runTimes"; readonly row: RunTimeRow }
   | {
     readonly kind: "start";
     readonly node: NodeId;
--- a/src/core/cell/drain_workers.ts
+++ b/src/core/cell/drain_workers.ts
@@ -1,3 +1,4 @@
+import type { RunTimes } from "../estimate/run_times.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { chooseOtherWorker } from "./choose_other_worker.ts";
@@ -20,7 +21,7 @@
       continue;
     }
     for (const task of [...worker.claims.values()]) {
-      if (mayFinish(task)) continue;
+      if (mayFinish(task, cell.runTimes)) continue;
       const target = chooseOtherWorker(cell, worker, task, nowMs, "relaxed");
       if (target === undefined) continue;
       yield* cell.stopRun(task, "drain", nowMs);
@@ -29,12 +30,11 @@
 }
 
 /** Whether a run may stay until its end. One that is not running yet may. */
-function mayFinish(task: Task): boolean {
-  const { isService, isGang, savesProgress, isFiller, expectedMs } =
-    task.group.definition;
+function mayFinish(task: Task, runTimes: RunTimes): boolean {
+  const { isService, isGang, savesProgress, isFiller } = task.group.definition;
   if (task.claim?.phase !== "running") return true;
   if (isGang) return false;
   if (isService || (isFiller && savesProgress)) return false;
   const progress = task.claim.progressPercent / 100;
-  return expectedMs * (1 - progress) <= drainTimeMs;
+  return runTimes.expectedMs(task.group) * (1 - progress) <= drainTimeMs;
 }
--- a/src/core/cell/stop_stuck_runs.ts
+++ b/src/core/cell/stop_stuck_runs.ts
@@ -23,10 +23,11 @@
  */
 function isStuck(cell: Cell, task: Task, nowMs: number): boolean {
   const { claim } = task;
-  const { isService, isFiller, isGang, expectedMs } = task.group.definition;
+  const { isService, isFiller, isGang } = task.group.definition;
   if (isService || isFiller || isGang) return false;
   if (claim?.phase !== "running") return false;
   const { stuckFactor, stuckMinMs } = cell.options;
+  const expectedMs = cell.runTimes.expectedMs(task.group);
   const limitMs = Math.max(stuckMinMs, expectedMs * stuckFactor);
   return nowMs - claim.progressAtMs >= limitMs;
 }
--- a/stand_ins/load/load_callers.ts
+++ b/stand_ins/load/load_callers.ts
@@ -1,10 +1,13 @@
 import type { JobDefinition } from "../../src/core/jobs/job_definition.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
+import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
 import type { StepDefinition } from "../../src/core/jobs/step_definition.ts";
+import type { TaskName } from "../../src/core/jobs/task_name.ts";
 import type { RandomSource } from "../../src/core/random/random_source.ts";
 import { plainStep } from "../plain_step.ts";
 import type { LoadOptions } from "./load_options.ts";
 import type { LoadResult } from "./load_result.ts";
+import { UnevenTruth } from "./uneven_truth.ts";
 import type { TaskTruth } from "./task_truth.ts";
 
 type Kind = "plan" | "check" | "service";
@@ -37,7 +40,11 @@
   #checkDebt = 0;
   #count = 0;
 
-  constructor(readonly options: LoadOptions, readonly random: RandomSource) {}
+  constructor(
+    readonly options: LoadOptions,
+    readonly random: RandomSource,
+    readonly uneven = new UnevenTruth(options.seed, options.uneven),
+  ) {}
 
   /** The jobs of services, submitted before the others. */
   *firstJobs(): Generator<JobDefinition> {
@@ -68,7 +75,8 @@
   /** What the callers of one kind got, of jobs submitted until `untilMs`. */
   result(kind: Kind, untilMs: number): LoadResult["plans"] {
     const jobs = [...this.jobs.values()].filter((job) =>
-      job.kind === kind && job.submittedAtMs < untilMs
+      job.kind === kind && job.submittedAtMs < untilMs &&
+      !this.uneven.isDoomed(job.definition.id)
     );
     const meanCoreMs = jobs.reduce((sum, job) => sum + job.coreMs, 0) /
       Math.max(1, jobs.length);
@@ -98,6 +106,13 @@
     };
   }
 
+  /** The truth of a task's run. */
+  truthOf(name: TaskName, run: number): TaskTruth {
+    const { job, step } = parseTaskName(name)!;
+    const truth = this.jobs.get(job)!.truths[step]!;
+    return this.uneven.runTruth(truth, job, name, run);
+  }
+
   /** Poisson arrivals are close enough to a Bernoulli draw per short step. */
   #arrivals(perS: number, stepMs: number): number {
     const expected = perS * stepMs / 1_000;
@@ -176,11 +191,16 @@
     nowMs: number,
   ): JobDefinition {
     this.#count += 1;
+    const id = `${kind}${this.#count}` as JobId;
     const definition: JobDefinition = {
-      id: `${kind}${this.#count}` as JobId,
+      id,
       queue: kind,
       payload: "",
-      steps,
+      steps: steps.map((step, index) => {
+        const program = step.image ?? kind;
+        const factor = this.uneven.declaredFactor(program, id, index);
+        return { ...step, expectedMs: Math.round(step.expectedMs * factor) };
+      }),
       schedule: undefined,
       receivedMs: nowMs,
     };
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -3,10 +3,10 @@
 import { decodeJob } from "../../src/core/cell/decode_job.ts";
 import { encodeJob } from "../../src/core/cell/encode_job.ts";
 import type { JobProgressRow } from "../../src/core/cell/job_progress_row.ts";
+import type { RunTimeRow } from "../../src/core/estimate/run_time_row.ts";
 import type { PressureRow } from "../../src/core/interfere/pressure_row.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
 import type { NodeId } from "../../src/core/jobs/node_id.ts";
-import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
 import { SeededRandom } from "../seeded_random.ts";
 import { InterferenceTruth } from "./interference_truth.ts";
 import { LoadCallers } from "./load_callers.ts";
@@ -39,6 +39,7 @@
   readonly #workers = new Map<NodeId, LoadWorker>();
   readonly #rows = new Map<JobId, JobProgressRow>();
   #learned: PressureRow | undefined;
+  #runTimes: RunTimeRow | undefined;
   #cell: Cell;
   #nowMs = -leadMs;
   #stops = 0;
@@ -56,9 +57,11 @@
       const cpuMilli = options.workerCpuMilli * factor;
       const firstReportAtMs = this.#nowMs + random.next() * reportSpreadMs;
       const worker = new LoadWorker(node, cpuMilli, truth, firstReportAtMs);
+      worker.slowdownAt = (nowMs) =>
+        this.#callers.uneven.slowdownAt(node, nowMs);
       this.#workers.set(node, worker);
     }
-    this.#cell = newCell();
+    this.#cell = newCell(options);
     if (options.knowsPressures) this.#cell.restoreLearned(truth.encode());
   }
 
@@ -71,10 +74,9 @@
     while (this.#nowMs < durationMs + finishMs) this.#step();
     const { owedMs, awayMs } = this.#service;
     const overMs = sum(this.#overMs);
-    let wastedCoreMs = 0;
-    for (const worker of this.#workers.values()) {
-      wastedCoreMs += worker.wastedCoreMs;
-    }
+    const workers = [...this.#workers.values()];
+    const wastedCoreMs = sum(workers.map((each) => each.wastedCoreMs));
+    const workedCoreMs = sum(workers.map((each) => each.workedCoreMs));
     const lostMs = awayMs + overMs * harmFactor;
     return {
       plans: this.#callers.result("plan", durationMs),
@@ -87,6 +89,7 @@
         worth: Math.max(0, 1 - lostMs / Math.max(1, owedMs)),
       },
       wastedCoreS: wastedCoreMs / 1_000,
+      workedCoreS: workedCoreMs / 1_000,
       stops: this.#stops,
     };
   }
@@ -147,7 +150,7 @@
   }
 
   #changeKeeper(): void {
-    this.#cell = newCell();
+    this.#cell = newCell(this.options);
     for (const [id, { definition }] of this.#callers.jobs) {
       const row = this.#rows.get(id);
       this.#cell.load(decodeJob(definition, row, this.#nowMs));
@@ -157,6 +160,9 @@
     if (keepsLearned && this.#learned !== undefined) {
       this.#cell.restoreLearned(this.#learned);
     }
+    if (keepsLearned && this.#runTimes !== undefined) {
+      this.#cell.estimator?.restore(this.#runTimes);
+    }
   }
 
   #apply(effects: Iterable<CellEffect>): void {
@@ -168,11 +174,13 @@
         case "learned":
           this.#learned = effect.row;
           break;
+        case "runTimes":
+          this.#runTimes = effect.row;
+          break;
         case "start": {
           const { command, node } = effect;
           if (!this.#cell.markOrdered(node, command)) break;
-          const { job, step } = parseTaskName(command.task)!;
-          const truth = this.#callers.jobs.get(job)!.truths[step]!;
+          const truth = this.#callers.truthOf(command.task, command.run);
           this.#workers.get(node)?.start(command, truth, this.#nowMs);
           break;
         }
@@ -221,8 +229,8 @@
   return values.reduce((total, value) => total + value, 0);
 }
 
-function newCell(): Cell {
-  const cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 1_800 });
+function newCell({ cell: change, uneven }: LoadOptions): Cell {
+  const cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 1_800, ...change });
   const kinds = [
     { name: "service", priority: 0, stretch: 2.2, targetMs: 2_500 },
     { name: "check", priority: 0, stretch: 1.5, targetMs: 250 },
@@ -232,7 +240,7 @@
     cell.queues.set(kind.name, {
       ...kind,
       pool: "pool",
-      maxAttempts,
+      maxAttempts: uneven?.maxAttempts ?? maxAttempts,
       advice: undefined,
     });
   }
--- a/stand_ins/load/load_options.ts
+++ b/stand_ins/load/load_options.ts
@@ -1,3 +1,6 @@
+import type { CellOptions } from "../../src/core/cell/cell_options.ts";
+import type { UnevenLoad } from "./uneven_load.ts";
+
 /** The load that a `LoadModel` plays, and what happens to the cell meanwhile. */
 export interface LoadOptions {
   readonly seed: number;
@@ -16,6 +19,10 @@
   readonly keepsLearned: boolean;
   /** Whether the first keeper knows all pressures, for an upper bound. */
   readonly knowsPressures: boolean;
+  /** What is uneven; nothing by default. */
+  readonly uneven?: Partial<UnevenLoad>;
+  /** Changes of the cell's options. */
+  readonly cell?: Partial<CellOptions>;
 }
 
 /** Jobs of services, all submitted at the start. */
--- a/stand_ins/load/load_worker.ts
+++ b/stand_ins/load/load_worker.ts
@@ -18,6 +18,8 @@
   readonly command: StartCommand;
   readonly truth: TaskTruth;
   readonly startedAtMs: number;
+  /** The work that the run began with. */
+  readonly firstDoneMs: number;
   doneMs: number;
   savedMs: number;
   pace: number;
@@ -45,6 +47,10 @@
   readonly runs = new Map<TaskName, LoadRun>();
   /** The work of runs that were thrown away, in milliseconds of one core. */
   wastedCoreMs = 0;
+  /** The work done by fillers and checks, in milliseconds of one core. */
+  workedCoreMs = 0;
+  /** How many times slower its runs are at a time. */
+  slowdownAt: (nowMs: number) => number = () => 1;
   isUp = true;
   #ends: RunEnd[] = [];
   #endNumber = 0;
@@ -66,11 +72,13 @@
   start(command: StartCommand, truth: TaskTruth, nowMs: number): void {
     if (!this.isUp || this.runs.has(command.task)) return;
     const savedMs = Number(command.checkpoint || 0);
+    const firstDoneMs = savedMs - (savedMs > 0 ? restoreMs : 0);
     this.runs.set(command.task, {
       command,
       truth,
       startedAtMs: nowMs,
-      doneMs: savedMs - (savedMs > 0 ? restoreMs : 0),
+      firstDoneMs,
+      doneMs: firstDoneMs,
       savedMs,
       pace: 100,
       isOver: false,
@@ -110,20 +118,24 @@
   /** Advances all runs by a step and sets the paces when due. */
   step(nowMs: number, stepMs: number): void {
     const uses = this.#fillerUses(nowMs);
+    const workMs = stepMs / this.slowdownAt(nowMs);
     for (const run of [...this.runs.values()]) {
       const { command, truth } = run;
       if (command.isService) this.#serve(run, uses, nowMs, stepMs);
       else if (command.isFiller) {
         const used = uses.get(run) ?? 0;
         record(run, used, stepMs);
-        run.doneMs += stepMs * used / command.resources.cpuMilli;
-      } else run.doneMs += stepMs;
+        this.#work(run, workMs * used / command.resources.cpuMilli);
+      } else this.#work(run, workMs);
       const saves = Math.floor(run.doneMs / checkpointIntervalMs);
       if (command.isFiller) {
         run.savedMs = Math.max(run.savedMs, saves * checkpointIntervalMs);
       }
+      const { failsAfterMs = Infinity } = truth;
       const isDone = !command.isService && run.doneMs >= truth.workMs;
-      if (isDone) this.#end(run, "done");
+      if (run.doneMs - run.firstDoneMs >= failsAfterMs) {
+        this.#end(run, "failed");
+      } else if (isDone) this.#end(run, "done");
     }
     if (nowMs - this.#pacedAtMs < paceIntervalMs) return;
     this.#pacedAtMs = nowMs;
@@ -191,6 +203,11 @@
     return uses;
   }
 
+  #work(run: LoadRun, workMs: number): void {
+    run.doneMs += workMs;
+    this.workedCoreMs += workMs * run.command.resources.cpuMilli / 1_000;
+  }
+
   #serve(
     run: LoadRun,
     uses: ReadonlyMap<LoadRun, number>,
