Avoid workers on which everything runs slowly for some seconds

A worker that is slow for 5 s was noticed only by the ends of its runs, which come after it has recovered, and was then avoided for long.

`WorkerSpeed` compares the progress of a worker's runs at each report with what the runs did before and with the tasks of their steps and kinds elsewhere, and all workers with the median. Fillers count by the CPU that they used, runs restored from checkpoints and gaps between reports not at all. A single long task is no evidence. A slow worker gets no task in strict placement, is probed with one task when it shows nothing, and at most a third is avoided at once. Enabled by `watchesSpeed` of the cell's options, off by default. Decisions are notes: one log line and the counter `decisions{event}`.

The cell fixture takes options of the cell; existing tests are unchanged.

--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -31,6 +31,7 @@
   stops: ["Runs that were told to stop", ["reason"]],
   ends: ["Runs that ended", ["outcome"]],
   workers_lost: ["Workers whose leases ran out unseen", []],
+  decisions: ["Decisions about uneven runs and workers", ["event"]],
   terms: ["Terms of office begun", []],
 } as const;
 
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -62,12 +62,12 @@
     const { clock, directory } = this.options;
     const nowMs = clock.nowMs();
     this.setQueues(queues);
-    const { definitions, rows, cancelled, learned, runTimes } = directory;
+    const { definitions, rows, cancelled, learned } = directory;
     for (const [id, definition] of definitions) {
       this.#load(definition, rows.get(id), nowMs);
     }
     if (learned !== undefined) this.cell.restoreLearned(learned);
-    if (runTimes !== undefined) this.cell.estimator?.restore(runTimes);
+    this.cell.statistics.restore(directory.runTimes);
     for (const id of cancelled) this.#applyAll(this.cell.cancel(id, nowMs));
     for (const worker of this.cell.workers.values()) {
       this.#leases.inherit(worker.node);
@@ -215,6 +215,7 @@
     if (effect.kind === "save") this.#unsaved.addJob(effect.job);
     else if (effect.kind === "learned") this.#unsaved.setLearned(effect.row);
     else if (effect.kind === "runTimes") this.#unsaved.setRunTimes(effect.row);
+    else if (effect.kind === "note") this.#termLog.recordNote(effect);
     else if (effect.kind === "stop") {
       const { node, task, run, life } = effect;
       this.#termLog.recordStop(effect);
--- a/src/cellhost/term_log.ts
+++ b/src/cellhost/term_log.ts
@@ -61,6 +61,13 @@
     this.log.info("stop", { node, task, run, reason });
   }
 
+  recordNote(
+    { event, fields }: Extract<CellEffect, { kind: "note" }>,
+  ): void {
+    this.metrics.count("decisions", { event });
+    this.log.info(event, { ...fields });
+  }
+
   recordLostWorker({ node, claims }: Worker): void {
     this.metrics.count("workers_lost");
     this.log.warn("worker_lost", { node, claims: claims.size });
--- a/src/core/cell/apply_run_end.ts
+++ b/src/core/cell/apply_run_end.ts
@@ -29,7 +29,7 @@
   const { job } = group;
   updateHealth(cell, worker, task, end, nowMs);
   if (end.outcome === "done") {
-    cell.estimator?.recordDone(task, nowMs, cell.beganAtMs);
+    cell.statistics.estimator?.recordDone(task, nowMs, cell.beganAtMs);
   }
   task.claim = undefined;
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
@@ -103,7 +103,7 @@
   if (end.outcome === "done") {
     worker.consecutiveFailures = 0;
     worker.consecutiveSuspensions = 0;
-    updateSlowness(worker, task, cell.runTimes, nowMs);
+    updateSlowness(worker, task, cell.statistics.runTimes, nowMs);
     return;
   }
   if (end.outcome !== "failed") return;
@@ -129,6 +129,9 @@
   const { claim } = task;
   if (isFiller || isService || isGang || claim === undefined) return;
   if (claim.startCheckpoint !== "" || expectedMs === 0) return;
+  // Its speed was seen to change, so the whole run tells nothing of it now.
+  const wasSlow = claim.phaseSinceMs < worker.recoveredAtMs;
+  if (worker.speed !== "normal" || wasSlow) return;
   const ratio = (nowMs - claim.phaseSinceMs) / expectedMs;
   worker.slowness += (ratio - worker.slowness) * slownessWeight;
 }
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -1,6 +1,4 @@
-import { DeclaredRunTimes } from "../estimate/declared_run_times.ts";
-import { RunTimeEstimator } from "../estimate/run_time_estimator.ts";
-import type { RunTimes } from "../estimate/run_times.ts";
+import { RunStatistics } from "../estimate/run_statistics.ts";
 import type { JobDefinition } from "../jobs/job_definition.ts";
 import type { JobId } from "../jobs/job_id.ts";
 import type { NodeId } from "../jobs/node_id.ts";
@@ -49,8 +47,7 @@
 
   readonly pressure = new PressureModel();
   readonly advice = new AdviceCache();
-  readonly estimator: RunTimeEstimator | undefined;
-  readonly runTimes: RunTimes;
+  readonly statistics: RunStatistics;
   /** When it first decided, by the keeper's monotonic clock. */
   beganAtMs = Infinity;
   /** Jobs with checkpoints that are not in the store yet. */
@@ -59,8 +56,7 @@
   readonly #learnedRows = new LearnedRows();
 
   constructor(readonly options: CellOptions) {
-    if (options.learnsRunTimes) this.estimator = new RunTimeEstimator();
-    this.runTimes = this.estimator ?? new DeclaredRunTimes();
+    this.statistics = new RunStatistics(options);
   }
 
   /** Adds a job, with its claims, as it was read from the store. */
@@ -101,7 +97,9 @@
 
   /** Handles the loss of the connection to a worker's sidecar. */
   handleDisconnect(node: NodeId): void {
-    this.worker(node).isReconciled = false;
+    const worker = this.worker(node);
+    worker.isReconciled = false;
+    this.statistics.forgetSpeed(worker);
   }
 
   /**
@@ -115,6 +113,7 @@
     if (isNewLife) {
       worker.lastEnd = 0;
       worker.statuses.clear();
+      this.statistics.forgetSpeed(worker);
     }
     worker.report = report;
     const runs = new Map(report.running.map((run) => [run.task, run]));
@@ -133,7 +132,7 @@
     }
     yield* this.#releaseClaimsOfOtherLives(worker, report, runs, nowMs);
     yield* reconcileRuns(this, worker, runs, nowMs);
-    this.estimator?.observe(worker, runs, nowMs);
+    yield* this.statistics.observe(this, worker, runs, nowMs);
     worker.isReconciled = true;
     if (!sampleWorker(worker, runs, this.pressure, nowMs)) return;
     yield* moveFillers(this, worker, nowMs);
--- a/src/core/cell/cell_effect.ts
+++ b/src/core/cell/cell_effect.ts
@@ -45,5 +45,11 @@
     readonly step: string;
     readonly lives: readonly RunnerLife[];
   }
+  /** Log and count what was decided, with what decided it. */
+  | {
+    readonly kind: "note";
+    readonly event: string;
+    readonly fields: Readonly<Record<string, string | number>>;
+  }
   /** Publish the job's state to the entries. */
   | { readonly kind: "show"; readonly job: JobId; readonly state: JobState };
--- a/src/core/cell/cell_options.ts
+++ b/src/core/cell/cell_options.ts
@@ -6,4 +6,6 @@
   readonly stuckMinMs: number;
   /** Learns run times instead of relying on the declared ones alone. */
   readonly learnsRunTimes?: boolean;
+  /** Avoids workers on which everything runs slowly for some seconds. */
+  readonly watchesSpeed?: boolean;
 }
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -1,3 +1,4 @@
+import { isAvoidedForSpeed } from "../estimate/is_avoided_for_speed.ts";
 import type { PressureModel } from "../interfere/pressure_model.ts";
 import { fits } from "../resources/fits.ts";
 import type { Queue } from "../jobs/queue.ts";
@@ -73,6 +74,7 @@
     return false;
   }
   if (mode === "strict" && nowMs < worker.suspendedUntilMs) return false;
+  if (mode === "strict" && isAvoidedForSpeed(task, worker)) return false;
   const { definition } = task.group;
   const { label, mostPerWorker } = definition;
   if (label !== undefined && !report.labels.includes(label)) return false;
--- a/src/core/cell/drain_workers.ts
+++ b/src/core/cell/drain_workers.ts
@@ -21,7 +21,7 @@
       continue;
     }
     for (const task of [...worker.claims.values()]) {
-      if (mayFinish(task, cell.runTimes)) continue;
+      if (mayFinish(task, cell.statistics.runTimes)) continue;
       const target = chooseOtherWorker(cell, worker, task, nowMs, "relaxed");
       if (target === undefined) continue;
       yield* cell.stopRun(task, "drain", nowMs);
--- a/src/core/cell/learned_rows.ts
+++ b/src/core/cell/learned_rows.ts
@@ -16,7 +16,7 @@
 
   /** The rows that are due to be saved. */
   *take(
-    { pressure, estimator }: Cell,
+    { pressure, statistics: { estimator } }: Cell,
     nowMs: number,
   ): Generator<CellEffect, void> {
     if (nowMs - this.#savedAtMs < saveIntervalMs) return;
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -38,7 +38,7 @@
     for (const group of job.readyGroups()) {
       if (!hasWaiting(group)) continue;
       if (isSettling && group.definition.isFiller) continue;
-      waiting.push(urgencyOf(group, queue, wallMs, cell.runTimes));
+      waiting.push(urgencyOf(group, queue, wallMs, cell.statistics.runTimes));
     }
   }
   waiting.sort(compareUrgency);
--- a/src/core/cell/stop_stuck_runs.ts
+++ b/src/core/cell/stop_stuck_runs.ts
@@ -27,7 +27,7 @@
   if (isService || isFiller || isGang) return false;
   if (claim?.phase !== "running") return false;
   const { stuckFactor, stuckMinMs } = cell.options;
-  const expectedMs = cell.runTimes.expectedMs(task.group);
+  const expectedMs = cell.statistics.runTimes.expectedMs(task.group);
   const limitMs = Math.max(stuckMinMs, expectedMs * stuckFactor);
   return nowMs - claim.progressAtMs >= limitMs;
 }
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -2,6 +2,7 @@
 import { noResources } from "../resources/no_resources.ts";
 import { subtractResources } from "../resources/subtract_resources.ts";
 import type { Resources } from "../../schema/resources.ts";
+import type { SpeedState } from "../estimate/speed_state.ts";
 import type { NodeId } from "../jobs/node_id.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
@@ -36,6 +37,10 @@
   consecutiveSuspensions = 0;
   /** The ratio of its runs' actual to expected time, as a moving average. */
   slowness = 1;
+  /** Whether it is avoided for its speed. */
+  speed: SpeedState = "normal";
+  /** When it was last found to be no longer slow. */
+  recoveredAtMs = -Infinity;
   /** How much filler images in general slow down its services, from 0 to 1. */
   fillerSensitivity = 0;
   /** When the latency and CPU use of its runs were last sampled. */
--- /dev/null
+++ b/src/core/estimate/run_statistics.ts
@@ -0,0 +1,46 @@
+import type { Cell } from "../cell/cell.ts";
+import type { CellEffect } from "../cell/cell_effect.ts";
+import type { CellOptions } from "../cell/cell_options.ts";
+import type { Worker } from "../cell/worker.ts";
+import type { RunStatus } from "../jobs/run_status.ts";
+import type { TaskName } from "../jobs/task_name.ts";
+import { DeclaredRunTimes } from "./declared_run_times.ts";
+import { RunTimeEstimator } from "./run_time_estimator.ts";
+import type { RunTimeRow } from "./run_time_row.ts";
+import type { RunTimes } from "./run_times.ts";
+import { WorkerSpeed } from "./worker_speed.ts";
+
+/** What a cell learns from the runs of its workers, as its options ask. */
+export class RunStatistics {
+  readonly estimator: RunTimeEstimator | undefined;
+  readonly runTimes: RunTimes;
+  readonly speed: WorkerSpeed | undefined;
+
+  constructor({ learnsRunTimes, watchesSpeed }: CellOptions) {
+    const estimator = new RunTimeEstimator();
+    if (learnsRunTimes || watchesSpeed) this.estimator = estimator;
+    if (watchesSpeed) this.speed = new WorkerSpeed(estimator);
+    this.runTimes = learnsRunTimes ? estimator : new DeclaredRunTimes();
+  }
+
+  /** Learns from a report on a worker's runs. */
+  *observe(
+    cell: Cell,
+    worker: Worker,
+    runs: ReadonlyMap<TaskName, RunStatus>,
+    nowMs: number,
+  ): Generator<CellEffect, void> {
+    this.estimator?.observe(worker, runs, nowMs);
+    if (this.speed) yield* this.speed.observe(cell, worker, nowMs);
+  }
+
+  /** Adds what an earlier keeper learned of run times, if it was stored. */
+  restore(row: RunTimeRow | undefined): void {
+    if (row !== undefined) this.estimator?.restore(row);
+  }
+
+  /** Forgets the speed of a worker whose sidecar or runner begins anew. */
+  forgetSpeed(worker: Worker): void {
+    this.speed?.forget(worker);
+  }
+}
--- a/src/core/estimate/run_time_estimator.ts
+++ b/src/core/estimate/run_time_estimator.ts
@@ -16,6 +16,8 @@
 const maxKinds = 128;
 /** A kind with samples of fewer steps than this counts as never seen. */
 const minKindWeight = 1;
+/** A kind with samples of so many steps serves to compare speeds. */
+const wellKnownWeight = 3;
 /** How often new samples take effect, which bounds the cost of urgencies. */
 const revisionIntervalMs = 200;
 
@@ -90,6 +92,15 @@
     return paths;
   }
 
+  /** The time that tasks of the group take, if any have shown it. */
+  knownMs(group: TaskGroup): number | undefined {
+    const own = this.#groups.get(group)?.typicalMs(group.definition.count);
+    if (own !== undefined) return own;
+    const kind = this.#kinds.get(kindOf(group));
+    if (kind === undefined || kind.weight < wellKnownWeight) return undefined;
+    return kind.quantileMs(group.definition.expectedMs, 0.5);
+  }
+
   /** The time within which the share of tasks of the group's kind end. */
   quantileMs(group: TaskGroup, share: number): number {
     const { expectedMs } = group.definition;
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -35,6 +35,8 @@
  * network and the gate are left out, so figures serve to compare decisions.
  */
 export class LoadModel {
+  /** What the cell has noted, by worker. */
+  readonly notes: { event: string; node: string; atMs: number }[] = [];
   readonly #callers: LoadCallers;
   readonly #workers = new Map<NodeId, LoadWorker>();
   readonly #rows = new Map<JobId, JobProgressRow>();
@@ -160,9 +162,7 @@
     if (keepsLearned && this.#learned !== undefined) {
       this.#cell.restoreLearned(this.#learned);
     }
-    if (keepsLearned && this.#runTimes !== undefined) {
-      this.#cell.estimator?.restore(this.#runTimes);
-    }
+    if (keepsLearned) this.#cell.statistics.restore(this.#runTimes);
   }
 
   #apply(effects: Iterable<CellEffect>): void {
@@ -177,6 +177,12 @@
         case "runTimes":
           this.#runTimes = effect.row;
           break;
+        case "note": {
+          const { event, fields } = effect;
+          const node = `${fields.node ?? ""}`;
+          this.notes.push({ event, node, atMs: this.#nowMs });
+          break;
+        }
         case "start": {
           const { command, node } = effect;
           if (!this.#cell.markOrdered(node, command)) break;
--- a/tests/cell_fixture.ts
+++ b/tests/cell_fixture.ts
@@ -1,5 +1,6 @@
 import { applyRefusal } from "../src/core/cell/apply_refusal.ts";
 import { Cell } from "../src/core/cell/cell.ts";
+import type { CellOptions } from "../src/core/cell/cell_options.ts";
 import type { CellEffect } from "../src/core/cell/cell_effect.ts";
 import type { StartCommand } from "../src/core/cell/start_command.ts";
 import type { StartRefusal } from "../src/core/cell/start_refusal.ts";
@@ -13,6 +14,7 @@
 import type { RunStatus } from "../src/core/jobs/run_status.ts";
 import { plainStep } from "../stand_ins/plain_step.ts";
 import type { StepDefinition } from "../src/core/jobs/step_definition.ts";
+import type { Task } from "../src/core/cell/task.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
 
 const bytesPerMb = 1_048_576;
@@ -22,10 +24,7 @@
  * play the workers by reporting what they run and what has ended.
  */
 export class CellFixture {
-  readonly cell = new Cell({
-    stuckFactor: 0.5,
-    stuckMinMs: 2_000,
-  });
+  readonly cell: Cell;
   nowMs = 1_000;
   wallMs = 1_000_000;
   effects: CellEffect[] = [];
@@ -33,7 +32,11 @@
   isStoreSlow = false;
   #endNumber = 0;
 
-  constructor(readonly queue = { maxAttempts: 3 }) {
+  constructor(
+    readonly queue = { maxAttempts: 3 },
+    options: Partial<CellOptions> = {},
+  ) {
+    this.cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 2_000, ...options });
     this.cell.queues.set("q", {
       name: "q",
       pool: "pool",
@@ -124,6 +127,11 @@
       }));
   }
 
+  /** The tasks claimed on a worker. */
+  runsOn(node: string): Task[] {
+    return [...this.cell.worker(node as NodeId).claims.values()];
+  }
+
   /** Advances both clocks and lets the cell decide. */
   advance(ms = 0): void {
     this.nowMs += ms;
