Limit the attempts of jobs that cannot succeed

A job of which every run fails by its own fault runs all its tasks again at once until one has used up its attempts, on capacity that others wait for.

`AttemptWidth` blames a failure on the step if its worker has lately done the work of another job, and takes that back if the worker then fails others' work. After own faults on two workers, two tasks of the step run at once until one is done; a job with a third of its attempts lost so goes last. Enabled by `limitsAttempts` of the cell's options, off by default.

--- a/bench/uneven_bench.ts
+++ b/bench/uneven_bench.ts
@@ -33,6 +33,7 @@
     slowPeriodMs: 10_000,
   },
   "doomed": { doomedShare: 0.03 },
+  "failing": { failingShare: 0.03, slowForMs: 5_000, slowPeriodMs: 10_000 },
   "all": {
     tailShare: 0.03,
     tailFactor: 7,
@@ -43,6 +44,7 @@
     slowForMs: 5_000,
     slowPeriodMs: 10_000,
     doomedShare: 0.03,
+    failingShare: 0.02,
   },
 };
 
--- a/src/core/cell/apply_run_end.ts
+++ b/src/core/cell/apply_run_end.ts
@@ -31,6 +31,8 @@
   if (end.outcome === "done") {
     cell.statistics.estimator?.recordDone(task, nowMs, cell.beganAtMs);
   }
+  const { attempts } = cell.statistics;
+  if (attempts) yield* attempts.recordEnd(worker, task, end.outcome, nowMs);
   task.claim = undefined;
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
   if (job.outcome !== undefined) {
--- a/src/core/cell/cell_options.ts
+++ b/src/core/cell/cell_options.ts
@@ -8,4 +8,6 @@
   readonly learnsRunTimes?: boolean;
   /** Avoids workers on which everything runs slowly for some seconds. */
   readonly watchesSpeed?: boolean;
+  /** Runs few tasks at once of a step that fails by its own fault. */
+  readonly limitsAttempts?: boolean;
 }
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -32,13 +32,15 @@
 ): Effects {
   const waiting: Urgency[] = [];
   const isSettling = isCellSettling(cell, nowMs);
+  const { attempts, runTimes } = cell.statistics;
   for (const job of cell.liveJobs) {
     const queue = cell.queues.get(job.definition.queue);
     if (queue === undefined) continue;
     for (const group of job.readyGroups()) {
       if (!hasWaiting(group)) continue;
       if (isSettling && group.definition.isFiller) continue;
-      waiting.push(urgencyOf(group, queue, wallMs, cell.statistics.runTimes));
+      const urgency = urgencyOf(group, queue, wallMs, runTimes);
+      waiting.push(attempts?.demoted(urgency) ?? urgency);
     }
   }
   waiting.sort(compareUrgency);
@@ -78,6 +80,7 @@
   const { job } = group;
   for (const task of group.tasks) {
     if (!isWaiting(task)) continue;
+    if (cell.statistics.attempts?.mayStart(group) === false) return;
     const mayRelax = isRelaxed(job, nowMs) && !job.hasClaims;
     const worker = chooseForTask(cell, task, queue, nowMs, tickets, mayRelax);
     if (worker === undefined) {
--- a/src/core/estimate/run_statistics.ts
+++ b/src/core/estimate/run_statistics.ts
@@ -4,6 +4,7 @@
 import type { Worker } from "../cell/worker.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
+import { AttemptWidth } from "./attempt_width.ts";
 import { DeclaredRunTimes } from "./declared_run_times.ts";
 import { RunTimeEstimator } from "./run_time_estimator.ts";
 import type { RunTimeRow } from "./run_time_row.ts";
@@ -16,7 +17,10 @@
   readonly runTimes: RunTimes;
   readonly speed: WorkerSpeed | undefined;
 
-  constructor({ learnsRunTimes, watchesSpeed }: CellOptions) {
+  readonly attempts: AttemptWidth | undefined;
+
+  constructor({ learnsRunTimes, watchesSpeed, limitsAttempts }: CellOptions) {
+    if (limitsAttempts) this.attempts = new AttemptWidth();
     const estimator = new RunTimeEstimator();
     if (learnsRunTimes || watchesSpeed) this.estimator = estimator;
     if (watchesSpeed) this.speed = new WorkerSpeed(estimator);
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -187,7 +187,10 @@
           const { command, node } = effect;
           if (!this.#cell.markOrdered(node, command)) break;
           const truth = this.#callers.truthOf(command.task, command.run);
-          this.#workers.get(node)?.start(command, truth, this.#nowMs);
+          const isFailing = truth.workMs < Infinity &&
+            this.#callers.uneven.isFailing(node, this.#nowMs);
+          const runTruth = isFailing ? { ...truth, failsAfterMs: 0 } : truth;
+          this.#workers.get(node)?.start(command, runTruth, this.#nowMs);
           break;
         }
         case "stop":
--- a/stand_ins/load/uneven_load.ts
+++ b/stand_ins/load/uneven_load.ts
@@ -14,6 +14,8 @@
   readonly slowFactor: number;
   readonly slowForMs: number;
   readonly slowPeriodMs: number;
+  /** The share of workers that fail what they start, at the same times. */
+  readonly failingShare: number;
   /** The share of jobs of which every run fails; they earn nothing. */
   readonly doomedShare: number;
   readonly maxAttempts: number;
--- a/stand_ins/load/uneven_truth.ts
+++ b/stand_ins/load/uneven_truth.ts
@@ -45,6 +45,14 @@
     return isSlow ? slowFactor : 1;
   }
 
+  /** Whether a worker fails all that it starts at a time. */
+  isFailing(node: string, nowMs: number): boolean {
+    const { failingShare = 0, slowForMs = 0, slowPeriodMs = 1 } = this.load;
+    const period = Math.floor(nowMs / slowPeriodMs);
+    return nowMs - period * slowPeriodMs < slowForMs &&
+      this.#draw(`failing ${node} ${period}`) < failingShare;
+  }
+
   #draw(text: string): number {
     return hashText(`${this.seed} ${text}`) / hashCount;
   }
