--- a/bench/uneven_bench.ts
+++ b/bench/uneven_bench.ts
@@ -55,6 +55,7 @@
   "services": ({ services }) => services.worth,
   "over s": ({ services }) => services.overTargetS,
   "worked": ({ workedCoreS }) => workedCoreS,
+  "extra": ({ extraCoreS }) => extraCoreS,
   "stops": ({ stops }) => stops,
 };
 
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -27,6 +27,8 @@
 /** Harm by fillers costs this many times what it lasts. */
 const harmFactor = 4;
 const maxAttempts = 4;
+/** The work to load a checkpoint. */
+const restoreMs = 250;
 const worstWindowMs = 5_000;
 
 /**
@@ -45,6 +47,7 @@
   #cell: Cell;
   #nowMs = -leadMs;
   #stops = 0;
+  #extraCoreMs = 0;
   readonly #service = { owedMs: 0, awayMs: 0 };
   /** The time of services over target, for each step. */
   readonly #overMs: number[] = [];
@@ -90,6 +93,7 @@
         worstOverTargetS: worstWindow(this.#overMs) / 1_000,
         worth: Math.max(0, 1 - lostMs / Math.max(1, owedMs)),
       },
+      extraCoreS: this.#extraCoreMs / 1_000,
       wastedCoreS: wastedCoreMs / 1_000,
       workedCoreS: workedCoreMs / 1_000,
       stops: this.#stops,
@@ -187,6 +191,9 @@
           const { command, node } = effect;
           if (!this.#cell.markOrdered(node, command)) break;
           const truth = this.#callers.truthOf(command.task, command.run);
+          if (command.checkpoint !== "") {
+            this.#extraCoreMs += restoreMs * command.resources.cpuMilli / 1_000;
+          }
           const isFailing = truth.workMs < Infinity &&
             this.#callers.uneven.isFailing(node, this.#nowMs);
           const runTruth = isFailing ? { ...truth, failsAfterMs: 0 } : truth;
--- a/stand_ins/load/load_result.ts
+++ b/stand_ins/load/load_result.ts
@@ -5,6 +5,8 @@
   readonly services: ServiceResult;
   /** Work of fillers and checks that was lost, in core-seconds. */
   readonly wastedCoreS: number;
+  /** Work to load checkpoints, in core-seconds. */
+  readonly extraCoreS: number;
   /** Work of all tasks but services, in core-seconds; at full speed. */
   readonly workedCoreS: number;
   /** Runs stopped to be placed elsewhere. */
--- a/stand_ins/load/load_worker.ts
+++ b/stand_ins/load/load_worker.ts
@@ -204,7 +204,7 @@
   }
 
   #work(run: LoadRun, workMs: number): void {
-    run.doneMs += workMs;
+    run.doneMs += workMs / (run.truth.timeFactor ?? 1);
     this.workedCoreMs += workMs * run.command.resources.cpuMilli / 1_000;
   }
 
--- a/stand_ins/load/uneven_truth.ts
+++ b/stand_ins/load/uneven_truth.ts
@@ -30,9 +30,9 @@
     if (step.workMs === Infinity) return step;
     const { tailShare = 0, tailFactor = 1, isTailOfRun } = this.load;
     const drawn = this.#draw(`tail ${task} ${isTailOfRun ? run : ""}`);
-    const workMs = step.workMs * (drawn < tailShare ? tailFactor : 1);
-    if (!this.isDoomed(job)) return { ...step, workMs };
-    return { ...step, workMs, failsAfterMs: workMs * failureShare };
+    const timeFactor = drawn < tailShare ? tailFactor : 1;
+    if (!this.isDoomed(job)) return { ...step, timeFactor };
+    return { ...step, timeFactor, failsAfterMs: step.workMs * failureShare };
   }
 
   /** How many times slower a worker is at a time. */
