Metrics of learned run times, slow workers and stragglers

Gauges show by which factor declared and learned run times are off, how many workers are suspected of being slow, what share of the restarts of long runs helped, and the work that restarts may have cost. They are set only where the cell learns. `TermLog` sets `jobs_live` with them.

--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -41,6 +41,11 @@
   in_office: "1 while this process keeps the cell",
   configuration_version: "Version of the configuration in force",
   jobs_live: "Jobs without outcome that the keeper knows",
+  workers_suspected: "Workers that are suspected of being slow",
+  straggler_help_share: "Share of restarts of long runs that helped",
+  extra_core_seconds: "Work that restarts of stragglers may have cost",
+  declared_error: "Mean factor by which declared run times are off",
+  learned_error: "Mean factor by which learned run times are off",
   workers: "Workers that the keeper has adopted",
 } as const;
 
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -271,11 +271,11 @@
   #flush(): void {
     this.#isFlushing = false;
     if (this.#isClosed) return;
-    const { clock, metrics, writer } = this.options;
+    const { clock, writer } = this.options;
     const nowMs = clock.nowMs();
     this.#releaseLostWorkers(nowMs);
     this.#reportUnsure(nowMs);
-    metrics.setGauge("jobs_live", this.cell.liveJobs.size);
+    this.#termLog.recordState(this.cell);
     const effects = this.cell.tick(nowMs, clock.wallMs());
     for (const effect of effects) this.#apply(effect);
     const rows = this.#unsaved.take();
--- a/src/cellhost/term_log.ts
+++ b/src/cellhost/term_log.ts
@@ -68,6 +68,22 @@
     this.log.info(event, { ...fields });
   }
 
+  /** Sets the gauges of the cell's jobs and of what it learns, where it does. */
+  recordState({ liveJobs, statistics }: Cell): void {
+    const { metrics } = this;
+    const { estimator, speed, stragglers } = statistics;
+    metrics.setGauge("jobs_live", liveJobs.size);
+    if (estimator !== undefined) {
+      metrics.setGauge("declared_error", estimator.errors.declared);
+      metrics.setGauge("learned_error", estimator.errors.learned);
+    }
+    if (speed === undefined || stragglers === undefined) return;
+    const { extraCoreMs } = stragglers.budget;
+    metrics.setGauge("workers_suspected", speed.suspectCount);
+    metrics.setGauge("straggler_help_share", stragglers.helpShare);
+    metrics.setGauge("extra_core_seconds", extraCoreMs / 1_000);
+  }
+
   recordLostWorker({ node, claims }: Worker): void {
     this.metrics.count("workers_lost");
     this.log.warn("worker_lost", { node, claims: claims.size });
--- a/src/core/estimate/run_time_estimator.ts
+++ b/src/core/estimate/run_time_estimator.ts
@@ -18,6 +18,8 @@
 const minKindWeight = 1;
 /** A kind with samples of so many steps serves to compare speeds. */
 const wellKnownWeight = 3;
+/** Weight of a step's tasks in the moving averages of errors. */
+const errorWeight = 0.1;
 /** How often new samples take effect, which bounds the cost of urgencies. */
 const revisionIntervalMs = 200;
 
@@ -28,6 +30,8 @@
 export class RunTimeEstimator implements RunTimes {
   /** How many samples it has learned from. */
   sampleCount = 0;
+  /** Mean errors of declared and of learned times, as factors. */
+  readonly errors = { declared: 1, learned: 1 };
   readonly meter = new RunMeter();
   readonly #kinds = new Map<string, KindTimes>();
   readonly #groups = new WeakMap<TaskGroup, GroupTimes>();
@@ -63,6 +67,7 @@
     const actualMs = this.meter.doneMs(task, nowMs, afterMs);
     if (actualMs === undefined || actualMs <= 0) return;
     this.sampleCount += 1;
+    this.#updateErrors(group, actualMs);
     this.#timesOf(group).record(index, actualMs);
     // The tasks of a step share its declared time, so together they count once.
     const { expectedMs, count } = group.definition;
@@ -130,6 +135,16 @@
     }
   }
 
+  #updateErrors(group: TaskGroup, actualMs: number): void {
+    const { errors } = this;
+    const { expectedMs, count } = group.definition;
+    const learnedMs = this.quantileMs(group, 0.5);
+    const errorOf = (ms: number) => Math.exp(Math.abs(Math.log(ms / actualMs)));
+    const weight = errorWeight / count;
+    errors.declared += (errorOf(expectedMs) - errors.declared) * weight;
+    errors.learned += (errorOf(learnedMs) - errors.learned) * weight;
+  }
+
   #timesOf(group: TaskGroup): GroupTimes {
     const known = this.#groups.get(group);
     if (known !== undefined) return known;
