--- a/src/core/cell/apply_run_end.ts
+++ b/src/core/cell/apply_run_end.ts
@@ -29,7 +29,7 @@
   const { job } = group;
   updateHealth(cell, worker, task, end, nowMs);
   if (end.outcome === "done") {
-    cell.statistics.recordDone(task, nowMs, cell.beganAtMs);
+    yield* cell.statistics.recordDone(task, nowMs, cell.beganAtMs);
   }
   const { attempts } = cell.statistics;
   if (attempts) yield* attempts.recordEnd(worker, task, end.outcome, nowMs);
--- a/src/core/estimate/run_statistics.ts
+++ b/src/core/estimate/run_statistics.ts
@@ -46,9 +46,13 @@
   }
 
   /** Learns from a task whose run is done; `afterMs`: see `RunMeter`. */
-  recordDone(task: Task, nowMs: number, afterMs: number): void {
+  *recordDone(
+    task: Task,
+    nowMs: number,
+    afterMs: number,
+  ): Generator<CellEffect, void> {
     this.estimator?.recordDone(task, nowMs, afterMs);
-    this.stragglers?.recordDone(task, nowMs);
+    if (this.stragglers) yield* this.stragglers.recordDone(task, nowMs);
   }
 
   /** Adds what an earlier keeper learned of run times, if it was stored. */
--- a/src/core/estimate/straggler_policy.ts
+++ b/src/core/estimate/straggler_policy.ts
@@ -94,13 +94,23 @@
   }
 
   /** Records that a task is done: whether its restart has helped. */
-  recordDone(task: Task, nowMs: number): void {
+  *recordDone(task: Task, nowMs: number): Effects {
     const restart = this.#restarted.get(task);
     if (restart === undefined || !restart.isLong) return;
     const keep = 2 ** (-1 / triedHalfLife);
     const hasHelped = nowMs - restart.atMs < restart.stayMs / 2;
     this.#tried = this.#tried * keep + 1;
     this.#helped = this.#helped * keep + (hasHelped ? 1 : 0);
+    yield {
+      kind: "note",
+      event: hasHelped ? "straggler_won" : "straggler_lost",
+      fields: {
+        task: task.name,
+        run: task.run,
+        took_ms: Math.round(nowMs - restart.atMs),
+        stay_ms: Math.round(restart.stayMs),
+      },
+    };
   }
 
   /** The time that a restart of the task elsewhere is expected to save. */
