--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -38,6 +38,7 @@
   stops: ["Runs that were told to stop", ["reason"]],
   ends: ["Runs that ended", ["outcome"]],
   workers_lost: ["Workers whose leases ran out unseen", []],
+  decisions: ["Decisions about uneven runs and workers", ["event"]],
   terms: ["Terms of office begun", []],
 } as const;
 
@@ -48,6 +49,11 @@
   configuration_version: "Version of the configuration in force",
   jobs_live: "Jobs without outcome that the keeper knows",
   outage_forecast_ms: "Expected rest of the store's outage; 0 if there is none",
+  workers_suspected: "Workers that are suspected of being slow",
+  straggler_help_share: "Share of restarts of long runs that helped",
+  extra_core_seconds: "Work that restarts of stragglers may have cost",
+  declared_error: "Mean factor by which declared run times are off",
+  learned_error: "Mean factor by which learned run times are off",
   workers: "Workers that the keeper has adopted",
   operator_rows_age_ms: "How old the keeper's read of the operator's rows is",
   evacuated_tasks: "Tasks that run in evacuated data centres",
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -31,7 +31,7 @@
 
 /** A keeper's epoch: from taking over the cell's stream until it is closed. */
 export class KeeperSession {
-  readonly cell = new Cell({ stuckFactor, stuckMinMs });
+  readonly cell: Cell;
   readonly #leases: LeaseTracker;
   readonly #termLog: TermLog;
   /** Undefined if the deployment evacuates no data centres. */
@@ -46,6 +46,7 @@
 
   constructor(readonly options: KeeperSessionOptions) {
     const { epoch, bounds, clock, links, log, metrics, writer } = options;
+    this.cell = new Cell({ stuckFactor, stuckMinMs, ...options.unevenLoad });
     this.#openedAtMs = clock.nowMs();
     this.#leases = new LeaseTracker(writer, bounds.maxHoldMs, clock);
     this.#termLog = new TermLog(epoch, log, metrics, clock);
@@ -74,6 +75,7 @@
       loadJob(this.cell, definition, rows.get(id), nowMs, log);
     }
     if (learned !== undefined) this.cell.restoreLearned(learned);
+    this.cell.statistics.restore(directory.runTimes);
     for (const id of cancelled) this.#applyAll(this.cell.cancel(id, nowMs));
     for (const worker of this.cell.workers.values()) {
       this.#leases.inherit(worker.node);
@@ -222,6 +224,8 @@
   #apply(effect: CellEffect): void {
     if (effect.kind === "save") this.#unsaved.addJob(effect.job);
     else if (effect.kind === "learned") this.#unsaved.setLearned(effect.row);
+    else if (effect.kind === "runTimes") this.#unsaved.setRunTimes(effect.row);
+    else if (effect.kind === "note") this.#termLog.recordNote(effect);
     else if (effect.kind === "stop") {
       const { node, task, run, life } = effect;
       this.#termLog.recordStop(effect);
@@ -270,11 +274,11 @@
   #flush(): void {
     this.#isFlushing = false;
     if (this.#isClosed) return;
-    const { clock, metrics, writer } = this.options;
+    const { clock, writer } = this.options;
     const nowMs = clock.nowMs();
     this.#releaseLostWorkers(nowMs);
     this.#unsureNotice.sendIfDue(nowMs);
-    metrics.setGauge("jobs_live", this.cell.liveJobs.size);
+    this.#termLog.recordState(this.cell);
     const effects = this.cell.tick(nowMs, clock.wallMs());
     for (const effect of effects) this.#apply(effect);
     this.#evacuation?.update();
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -1,3 +1,4 @@
+import { RunStatistics } from "../estimate/run_statistics.ts";
 import type { JobDefinition } from "../jobs/job_definition.ts";
 import type { JobId } from "../jobs/job_id.ts";
 import type { NodeId } from "../jobs/node_id.ts";
@@ -14,6 +15,7 @@
 import type { EvacuationPlanner } from "../evacuate/evacuation_planner.ts";
 import { stopUnseenStart } from "../evacuate/stop_unseen_start.ts";
 import { DemandIndex } from "./demand_index.ts";
+import { LearnedRows } from "./learned_rows.ts";
 import { drainWorkers } from "./drain_workers.ts";
 import { openDueOccurrences } from "./open_due_occurrences.ts";
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
@@ -34,8 +36,6 @@
 
 /** How often new checkpoints are saved. */
 const checkpointSaveIntervalMs = 1_000;
-/** How often what was learned of interference is saved. */
-const learnedSaveIntervalMs = 2_000;
 
 /**
  * The jobs and workers of one cell. Every decision about a task's runs is made
@@ -55,16 +55,17 @@
   readonly pressure = new PressureModel();
   readonly advice = new AdviceCache();
   readonly demand = new DemandIndex();
+  readonly statistics: RunStatistics;
   /** When it first decided, by the keeper's monotonic clock. */
   beganAtMs = Infinity;
   /** Jobs with checkpoints that are not in the store yet. */
   readonly #unsavedJobs = new Set<Job>();
   #checkpointsSavedAtMs = -Infinity;
-  /** The sample count of what was last saved of what was learned. */
-  #savedSampleCount = 0;
-  #learnedSavedAtMs = -Infinity;
+  readonly #learnedRows = new LearnedRows();
 
-  constructor(readonly options: CellOptions) {}
+  constructor(readonly options: CellOptions) {
+    this.statistics = new RunStatistics(options);
+  }
 
   /** Adds a job, with its claims, as it was read from the store. */
   load(job: Job): void {
@@ -104,7 +105,9 @@
 
   /** Handles the loss of the connection to a worker's sidecar. */
   handleDisconnect(node: NodeId): void {
-    this.worker(node).isReconciled = false;
+    const worker = this.worker(node);
+    worker.isReconciled = false;
+    this.statistics.forgetSpeed(worker);
   }
 
   /**
@@ -118,6 +121,7 @@
     if (isNewLife) {
       worker.lastEnd = 0;
       worker.statuses.clear();
+      this.statistics.forgetSpeed(worker);
     }
     worker.report = report;
     worker.isEvacuated = this.evacuatedZones.has(report.zone);
@@ -137,6 +141,7 @@
     }
     yield* releaseClaimsOfOtherLives(this, worker, report, runs, nowMs);
     yield* reconcileRuns(this, worker, runs, nowMs);
+    yield* this.statistics.observe(this, worker, runs, nowMs);
     worker.isReconciled = true;
     if (!sampleWorker(worker, runs, this.pressure, nowMs)) return;
     yield* moveFillers(this, worker, nowMs);
@@ -191,7 +196,7 @@
     this.beganAtMs = Math.min(this.beganAtMs, nowMs);
     yield* openDueOccurrences(this.liveJobs, wallMs);
     yield* this.#saveCheckpoints(nowMs);
-    yield* this.#saveLearned(nowMs);
+    yield* this.#learnedRows.take(this, nowMs);
     yield* stopStuckRuns(this, nowMs);
     yield* drainWorkers(this, nowMs);
     if (this.evacuationPlanner !== undefined) {
@@ -279,16 +284,6 @@
     this.#unsavedJobs.clear();
   }
 
-  /** A keeper that begins without it would place fillers beside any service. */
-  *#saveLearned(nowMs: number): Effects {
-    const isDue = nowMs - this.#learnedSavedAtMs >= learnedSaveIntervalMs;
-    const { sampleCount } = this.pressure;
-    if (sampleCount === this.#savedSampleCount || !isDue) return;
-    this.#savedSampleCount = sampleCount;
-    this.#learnedSavedAtMs = nowMs;
-    yield { kind: "learned", row: this.pressure.encode() };
-  }
-
   /** Saves and publishes a job's outcome and stops its remaining runs. */
   *finishJob(job: Job, nowMs: number): Effects {
     this.liveJobs.delete(job);
--- a/src/core/cell/cell_options.ts
+++ b/src/core/cell/cell_options.ts
@@ -1,7 +1,8 @@
 import type { placeWaitingTasks } from "./place_waiting_tasks.ts";
+import type { UnevenLoad } from "./uneven_load.ts";
 
-/** When a cell counts a run as stuck, and how it places tasks. */
-export interface CellOptions {
+/** How a cell decides about runs that take long, and places tasks. */
+export interface CellOptions extends Partial<UnevenLoad> {
   /** A run without progress for this many times its expected time is stuck. */
   readonly stuckFactor: number;
   /** The shortest time without progress before a run counts as stuck. */
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -1,3 +1,4 @@
+import { isAvoidedForSpeed } from "../estimate/is_avoided_for_speed.ts";
 import { fits } from "../resources/fits.ts";
 import { subtractResources } from "../resources/subtract_resources.ts";
 import type { Queue } from "../jobs/queue.ts";
@@ -96,6 +97,7 @@
     return false;
   }
   if (mode === "strict" && nowMs < worker.suspendedUntilMs) return false;
+  if (mode === "strict" && isAvoidedForSpeed(task, worker)) return false;
   const { definition } = task.group;
   const { label, mostPerWorker } = definition;
   if (label !== undefined && !report.labels.includes(label)) return false;
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -34,13 +34,15 @@
   const waiting: Urgency[] = [];
   const isSettling = isCellSettling(cell, nowMs);
   cell.demand.update(cell, nowMs);
+  const { attempts, runTimes } = cell.statistics;
   for (const job of cell.liveJobs) {
     const queue = cell.queues.get(job.definition.queue);
     if (queue === undefined) continue;
     for (const group of job.waitingGroups) {
       if (isSettling && group.definition.isFiller) continue;
       if (isPlaceable(cell, group, queue, nowMs)) {
-        waiting.push(urgencyOf(group, queue, wallMs));
+        const urgency = urgencyOf(group, queue, wallMs, runTimes);
+        waiting.push(attempts?.demoted(urgency) ?? urgency);
       } else noteIdle(job, nowMs);
     }
   }
@@ -102,6 +104,7 @@
   const { job } = group;
   for (const task of group.tasks) {
     if (!isWaiting(task)) continue;
+    if (cell.statistics.attempts?.mayStart(group) === false) return;
     const mayRelax = isRelaxed(job, nowMs) && !job.hasClaims;
     const worker = chooseForTask(cell, task, queue, tickets, mayRelax);
     if (worker === undefined) {
--- a/src/core/cell/stop_stuck_runs.ts
+++ b/src/core/cell/stop_stuck_runs.ts
@@ -36,10 +36,11 @@
  */
 function stuckAtMs(cell: Cell, task: Task): number {
   const { claim } = task;
-  const { isService, isFiller, isGang, expectedMs } = task.group.definition;
+  const { isService, isFiller, isGang } = task.group.definition;
   if (isService || isFiller || isGang) return Infinity;
   if (claim?.phase !== "running") return Infinity;
   const { stuckFactor, stuckMinMs } = cell.options;
+  const expectedMs = cell.statistics.runTimes.expectedMs(task.group);
   const limitMs = Math.max(stuckMinMs, expectedMs * stuckFactor);
   return claim.progressAtMs + limitMs;
 }
--- a/src/core/cell/worker_state.ts
+++ b/src/core/cell/worker_state.ts
@@ -15,6 +15,7 @@
   #isReconciled = false;
   #isSuspended = false;
   #isEvacuated = false;
+  #speed: Worker["speed"] = "normal";
   #reserved: Resources | undefined;
   #removalCount = -1;
   #claimVersion = -1;
@@ -29,13 +30,14 @@
   update(nowMs: number, pressureVersion: number): Gain {
     const { worker } = this;
     const { report, isReconciled, removalCount, claimVersion } = worker;
-    const { isEvacuated, reserved } = worker;
+    const { isEvacuated, reserved, speed } = worker;
     const isSuspended = nowMs < worker.suspendedUntilMs;
     const isReported = report !== this.#report;
     const hasRemovals = removalCount !== this.#removalCount;
     const isChanged = isReconciled !== this.#isReconciled ||
       isSuspended !== this.#isSuspended ||
-      isEvacuated !== this.#isEvacuated || hasRemovals ||
+      isEvacuated !== this.#isEvacuated || speed !== this.#speed ||
+      hasRemovals ||
       (isReported && this.#isDifferent(report));
     const hasFillerChange = reserved !== this.#reserved ||
       worker.fillerCount > 0 &&
@@ -52,6 +54,7 @@
     this.#isReconciled = isReconciled;
     this.#isSuspended = isSuspended;
     this.#isEvacuated = isEvacuated;
+    this.#speed = speed;
     this.#reserved = reserved;
     this.#removalCount = removalCount;
     this.#claimVersion = claimVersion;
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -280,6 +280,7 @@
       bounds,
       links: new PeerLinks(hello, this.log),
       operatorRead: () => this.evacuations?.read,
+      unevenLoad: this.options.hardLoad,
       advisor: this.advisor,
       clock: systemClock,
       metrics: this.metrics,
--- a/src/nodes/hard_load.ts
+++ b/src/nodes/hard_load.ts
@@ -1,5 +1,7 @@
+import type { UnevenLoad } from "../core/cell/uneven_load.ts";
+
 /** What an entry does under high load; all off unless the settings ask. */
-export interface HardLoad {
+export interface HardLoad extends UnevenLoad {
   /** Holds submissions through the end of a store outage. */
   readonly holdsSubmissions: boolean;
 }
--- a/src/nodes/parse_hard_load.ts
+++ b/src/nodes/parse_hard_load.ts
@@ -8,5 +8,10 @@
     if (value === "true" || value === "false") return value === "true";
     throw new Error(`${key} is neither true nor false`);
   };
-  return { holdsSubmissions: isOn("holdsSubmissions") };
+  return {
+    holdsSubmissions: isOn("holdsSubmissions"),
+    learnsRunTimes: isOn("learnsRunTimes"),
+    watchesSpeed: isOn("watchesSpeed"),
+    limitsAttempts: isOn("limitsAttempts"),
+  };
 }
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -3,10 +3,10 @@
 import { decodeJob } from "../../src/core/cell/decode_job.ts";
 import { encodeJob } from "../../src/core/cell/encode_job.ts";
 import type { JobProgressRow } from "../../src/core/cell/job_progress_row.ts";
+import type { RunTimeRow } from "../../src/core/estimate/run_time_row.ts";
 import type { PressureRow } from "../../src/core/interfere/pressure_row.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
 import type { NodeId } from "../../src/core/jobs/node_id.ts";
-import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
 import { EvacuationPlanner } from "../../src/core/evacuate/evacuation_planner.ts";
 import { SeededRandom } from "../seeded_random.ts";
 import { InterferenceTruth } from "./interference_truth.ts";
@@ -28,6 +28,8 @@
 /** Harm by fillers costs this many times what it lasts. */
 const harmFactor = 4;
 const maxAttempts = 4;
+/** The work to load a checkpoint. */
+const restoreMs = 250;
 const worstWindowMs = 5_000;
 const evacuateMs = 5_000;
 const evacuated = "z0";
@@ -39,15 +41,19 @@
  * network and the gate are left out, so figures serve to compare decisions.
  */
 export class LoadModel {
+  /** What the cell has noted, by worker. */
+  readonly notes: { event: string; node: string; atMs: number }[] = [];
   readonly #callers: LoadCallers;
   readonly #workers = new Map<NodeId, LoadWorker>();
   readonly #rows = new Map<JobId, JobProgressRow>();
   #learned: PressureRow | undefined;
+  #runTimes: RunTimeRow | undefined;
   #cell: Cell;
   #nowMs = -leadMs;
   #stops = 0;
   #clearedAfterMs = 0;
   #leftInEvacuated = 0;
+  #extraCoreMs = 0;
   readonly #service = { owedMs: 0, awayMs: 0 };
   /** The time of services over target, for each step. */
   readonly #overMs: number[] = [];
@@ -69,9 +75,11 @@
         firstReportAtMs,
         zone,
       );
+      worker.slowdownAt = (nowMs) =>
+        this.#callers.uneven.slowdownAt(node, nowMs);
       this.#workers.set(node, worker);
     }
-    this.#cell = newCell();
+    this.#cell = newCell(options);
     if (options.knowsPressures) this.#cell.restoreLearned(truth.encode());
   }
 
@@ -84,10 +92,9 @@
     while (this.#nowMs < durationMs + finishMs) this.#step();
     const { owedMs, awayMs } = this.#service;
     const overMs = sum(this.#overMs);
-    let wastedCoreMs = 0;
-    for (const worker of this.#workers.values()) {
-      wastedCoreMs += worker.wastedCoreMs;
-    }
+    const workers = [...this.#workers.values()];
+    const wastedCoreMs = sum(workers.map((each) => each.wastedCoreMs));
+    const workedCoreMs = sum(workers.map((each) => each.workedCoreMs));
     const lostMs = awayMs + overMs * harmFactor;
     return {
       plans: this.#callers.result("plan", durationMs),
@@ -99,7 +106,9 @@
         worstOverTargetS: worstWindow(this.#overMs) / 1_000,
         worth: Math.max(0, 1 - lostMs / Math.max(1, owedMs)),
       },
+      extraCoreS: this.#extraCoreMs / 1_000,
       wastedCoreS: wastedCoreMs / 1_000,
+      workedCoreS: workedCoreMs / 1_000,
       stops: this.#stops,
       evacuation: {
         clearedAfterMs: this.#clearedAfterMs,
@@ -185,7 +194,7 @@
   }
 
   #changeKeeper(): void {
-    this.#cell = newCell();
+    this.#cell = newCell(this.options);
     for (const [id, { definition }] of this.#callers.jobs) {
       const row = this.#rows.get(id);
       this.#cell.load(decodeJob(definition, row, this.#nowMs));
@@ -195,6 +204,7 @@
     if (keepsLearned && this.#learned !== undefined) {
       this.#cell.restoreLearned(this.#learned);
     }
+    if (keepsLearned) this.#cell.statistics.restore(this.#runTimes);
   }
 
   #apply(effects: Iterable<CellEffect>): void {
@@ -206,12 +216,26 @@
         case "learned":
           this.#learned = effect.row;
           break;
+        case "runTimes":
+          this.#runTimes = effect.row;
+          break;
+        case "note": {
+          const { event, fields } = effect;
+          const node = `${fields.node ?? ""}`;
+          this.notes.push({ event, node, atMs: this.#nowMs });
+          break;
+        }
         case "start": {
           const { command, node } = effect;
           if (!this.#cell.markOrdered(node, command)) break;
-          const { job, step } = parseTaskName(command.task)!;
-          const truth = this.#callers.jobs.get(job)!.truths[step]!;
-          this.#workers.get(node)?.start(command, truth, this.#nowMs);
+          const truth = this.#callers.truthOf(command.task, command.run);
+          if (command.checkpoint !== "") {
+            this.#extraCoreMs += restoreMs * command.resources.cpuMilli / 1_000;
+          }
+          const isFailing = truth.workMs < Infinity &&
+            this.#callers.uneven.isFailing(node, this.#nowMs);
+          const runTruth = isFailing ? { ...truth, failsAfterMs: 0 } : truth;
+          this.#workers.get(node)?.start(command, runTruth, this.#nowMs);
           break;
         }
         case "stop":
@@ -259,8 +283,8 @@
   return values.reduce((total, value) => total + value, 0);
 }
 
-function newCell(): Cell {
-  const cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 1_800 });
+function newCell({ cell: change, uneven }: LoadOptions): Cell {
+  const cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 1_800, ...change });
   const kinds = [
     { name: "service", priority: 0, stretch: 2.2, targetMs: 2_500 },
     { name: "check", priority: 0, stretch: 1.5, targetMs: 250 },
@@ -270,7 +294,7 @@
     cell.queues.set(kind.name, {
       ...kind,
       pool: "pool",
-      maxAttempts,
+      maxAttempts: uneven?.maxAttempts ?? maxAttempts,
       advice: undefined,
     });
   }
--- a/tests/cell_fixture.ts
+++ b/tests/cell_fixture.ts
@@ -1,7 +1,7 @@
 import { applyRefusal } from "../src/core/cell/apply_refusal.ts";
 import { Cell } from "../src/core/cell/cell.ts";
+import type { CellOptions } from "../src/core/cell/cell_options.ts";
 import type { CellEffect } from "../src/core/cell/cell_effect.ts";
-import type { placeWaitingTasks } from "../src/core/cell/place_waiting_tasks.ts";
 import type { StartCommand } from "../src/core/cell/start_command.ts";
 import type { StartRefusal } from "../src/core/cell/start_refusal.ts";
 import type { SidecarReport } from "../src/core/cell/sidecar_report.ts";
@@ -14,6 +14,7 @@
 import type { RunStatus } from "../src/core/jobs/run_status.ts";
 import { plainStep } from "../stand_ins/plain_step.ts";
 import type { StepDefinition } from "../src/core/jobs/step_definition.ts";
+import type { Task } from "../src/core/cell/task.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
 
 const bytesPerMb = 1_048_576;
@@ -33,9 +34,9 @@
 
   constructor(
     readonly queue = { maxAttempts: 3 },
-    place?: typeof placeWaitingTasks,
+    options: Partial<CellOptions> = {},
   ) {
-    this.cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 2_000, place });
+    this.cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 2_000, ...options });
     this.cell.queues.set("q", {
       name: "q",
       pool: "pool",
@@ -126,6 +127,11 @@
       }));
   }
 
+  /** The tasks claimed on a worker. */
+  runsOn(node: string): Task[] {
+    return [...this.cell.worker(node as NodeId).claims.values()];
+  }
+
   /** Advances both clocks and lets the cell decide. */
   advance(ms = 0): void {
     this.nowMs += ms;
--- a/tests/placement_test.ts
+++ b/tests/placement_test.ts
@@ -31,7 +31,7 @@
     const counts = { starts: 0, waits: 0, gangs: 0, relaxed: 0 };
     for (let seed = 1; seed <= seeds; seed++) {
       const indexed = new CellFixture();
-      const scanned = new CellFixture(undefined, placeByFullScan);
+      const scanned = new CellFixture(undefined, { place: placeByFullScan });
       indexed.cell.demand.recheckMs = Infinity;
       const load = new RandomCellLoad(seed, [indexed, scanned]);
       for (let step = 0; step < steps; step++) {
