Queue forecast: when a job submitted now would start and end

Change: QueueForecast predicts start and end from what runs, what waits in the order of urgency and the CPU that each class of work may use, in O(log n). CellForecast rebuilds it at most every 200 ms and compares each prediction with the end; the summary forecast_error_ms holds the quantiles. Only built where hardLoad.admits or hardLoad.sharesFairly is set.

--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -4,9 +4,11 @@
   Gauge,
   Histogram,
   Registry,
+  Summary,
 } from "prom-client";
 
 const prefix = "gypsumpond_";
+const forecastWindowMs = 60_000;
 const msPerSecond = 1_000;
 const latencyBucketsS = [
   0.002,
@@ -49,6 +51,7 @@
   readonly #counters = new Map<string, Counter>();
   readonly #gauges = new Map<string, Gauge>();
   readonly #storeSeconds: Histogram;
+  readonly #forecastErrorMs: Summary;
 
   constructor() {
     const registers = [this.#registry];
@@ -68,6 +71,15 @@
       buckets: latencyBucketsS,
       registers,
     });
+    this.#forecastErrorMs = new Summary({
+      name: `${prefix}forecast_error_ms`,
+      help: "How far jobs ended from their predicted end, either way",
+      labelNames: ["queue"],
+      percentiles: [0.5, 0.95],
+      maxAgeSeconds: forecastWindowMs / msPerSecond,
+      ageBuckets: 6,
+      registers,
+    });
     collectDefaultMetrics({ register: this.#registry, prefix });
   }
 
@@ -90,6 +102,11 @@
     this.#storeSeconds.observe({ call }, tookMs / msPerSecond);
   }
 
+  /** Records how far a job ended from the end predicted at its submission. */
+  recordForecastError(queue: string, errorMs: number): void {
+    this.#forecastErrorMs.observe({ queue }, errorMs);
+  }
+
   /** Returns all metrics in the text format. */
   async text(): Promise<string> {
     return await this.#registry.metrics();
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -84,9 +84,10 @@
   }
 
   submit(job: JobDefinition): void {
-    const { clock, directory } = this.options;
+    const { clock, directory, load } = this.options;
     const row = directory.rows.get(job.id);
     if (row === undefined) {
+      load?.noteSubmitted(this.cell, job);
       this.#applyAll(this.cell.submit(job, clock.wallMs()));
     } else if (!this.cell.jobs.has(job.id)) {
       this.#load(job, row, clock.nowMs());
@@ -273,6 +274,7 @@
     this.#releaseLostWorkers(nowMs);
     this.#reportUnsure(nowMs);
     metrics.setGauge("jobs_live", this.cell.liveJobs.size);
+    this.options.load?.update(this.cell);
     const effects = this.cell.tick(nowMs, clock.wallMs());
     for (const effect of effects) this.#apply(effect);
     const rows = this.#unsaved.take();
--- a/src/cellhost/keeper_session_options.ts
+++ b/src/cellhost/keeper_session_options.ts
@@ -5,6 +5,7 @@
 import type { JobDirectory } from "./job_directory.ts";
 import type { KeeperBounds } from "./keeper_bounds.ts";
 import type { KeeperLinks } from "./keeper_links.ts";
+import type { LoadReporter } from "./load_reporter.ts";
 import type { RowWriter } from "./row_writer.ts";
 
 /** What a keeper's session works with. */
@@ -19,4 +20,6 @@
   readonly clock: Clock;
   readonly metrics: PrometheusMetrics;
   readonly log: Logger;
+  /** Set where contended capacity is decided on forecasts. */
+  readonly load?: LoadReporter | undefined;
 }
--- a/src/cellhost/run_effects.ts
+++ b/src/cellhost/run_effects.ts
@@ -13,7 +13,7 @@
 export function runEffects(
   effects: readonly DeferredEffect[],
   cell: Cell,
-  { directory, links, log, metrics }: KeeperSessionOptions,
+  { directory, links, load, log, metrics }: KeeperSessionOptions,
 ): void {
   const batch = new StartBatch();
   const jobs: (readonly [JobId, JobState])[] = [];
@@ -31,6 +31,7 @@
       }
       case "show":
         directory.advance(effect.job, effect.state);
+        load?.noteState(effect.job, effect.state);
         jobs.push([effect.job, effect.state]);
         break;
     }
--- a/src/core/cell/urgency_of.ts
+++ b/src/core/cell/urgency_of.ts
@@ -1,16 +1,10 @@
 import type { Queue } from "../jobs/queue.ts";
+import { rankOfWork } from "./rank_of_work.ts";
 import type { TaskGroup } from "./task_group.ts";
 import type { Urgency } from "./urgency.ts";
 
-/**
- * How much a job's rank rises for each core-second that it still needs: under
- * overload, many small jobs in time are worth more than one large one.
- */
-const rankPerCoreSecondMs = 40;
 /** Subtracted from the rank of a started job, so that it ends in time. */
 const startedBonusMs = 6_000;
-const milliPerCore = 1_000;
-const msPerSecond = 1_000;
 
 /** After this many times its objective a job is of no use to its caller. */
 const usefulFactor = 3;
@@ -32,19 +26,19 @@
     return { group, band: 0, priority, rankMs: latestStartMs };
   }
   const rankMs = latestStartMs +
-    remainingCoreSeconds(group) * rankPerCoreSecondMs -
+    rankOfWork(remainingMilliMs(group)) -
     (job.hasStarted ? startedBonusMs : 0);
   const uselessAtMs = dueAtMs + usefulFactor * objectiveMs;
   const band = wallMs <= latestStartMs ? 1 : wallMs <= uselessAtMs ? 2 : 3;
   return { group, band, priority, rankMs };
 }
 
-/** The core-seconds that a group's occurrence still needs. */
-function remainingCoreSeconds({ job, occurrence }: TaskGroup): number {
+/** The CPU time that a group's occurrence still needs. */
+function remainingMilliMs({ job, occurrence }: TaskGroup): number {
   let milliMs = 0;
   for (const group of job.openOccurrences.get(occurrence)?.groups ?? []) {
     const { resources, expectedMs } = group.definition;
     milliMs += group.unfinishedCount * resources.cpuMilli * expectedMs;
   }
-  return milliMs / milliPerCore / msPerSecond;
+  return milliMs;
 }
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -6,6 +6,7 @@
 import { Election } from "../cellhost/election.ts";
 import { JobDirectory } from "../cellhost/job_directory.ts";
 import { KeeperSession } from "../cellhost/keeper_session.ts";
+import { LoadReporter } from "../cellhost/load_reporter.ts";
 import { PeerLinks } from "../cellhost/peer_links.ts";
 import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
 import { parseJsonRow } from "../cellhost/parse_json_row.ts";
@@ -20,13 +21,12 @@
 import type { Store } from "../core/store/store.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import { announcePeer } from "./announce_peer.ts";
+import { createCellTail } from "./create_cell_tail.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { NodeOptions } from "./node_options.ts";
 
 /** How long a tail's read of the store waits for a new row. */
 const tailWaitMs = 2_000;
-/** A standby's pause between reads of the keeper's stream; bounds its lag. */
-const standbyPauseMs = 200;
 const watchIntervalMs = 50;
 /** How long a keeper's message that it cannot reach the store stays valid. */
 const unsureValidMs = 1_000;
@@ -78,7 +78,7 @@
       (rows) => this.directory.applyJobRows(rows),
       log,
     );
-    this.#cellTail = this.#newCellTail();
+    this.#cellTail = createCellTail(store, this.directory, log);
     this.#election = new Election(store, { node, incarnation }, log);
     this.#election.onWinner = () => this.#handleWinner();
     this.#server = new PeerServer((channel, { epoch, keeper }) => {
@@ -152,16 +152,6 @@
     ) tail.stop();
   }
 
-  #newCellTail(): StreamTail {
-    return new StreamTail(
-      this.store,
-      streams.cell,
-      { waitMs: 0, pauseMs: standbyPauseMs },
-      (rows) => this.directory.applyProgressRows(rows),
-      this.log,
-    );
-  }
-
   #handleKeeperMessage(message: KeeperMessage, epoch: number): void {
     if (message.kind === "states") {
       for (const [id, state] of message.jobs) this.directory.advance(id, state);
@@ -264,7 +254,8 @@
   }
 
   #beginSession(epoch: number, writer: RowWriter): void {
-    const { bounds, node } = this.options;
+    const { bounds, node, hardLoad } = this.options;
+    const isContended = hardLoad?.admits || hardLoad?.sharesFairly;
     this.#cellTail.stop();
     const hello = { kind: "hello", epoch, keeper: node } as const;
     const session = new KeeperSession({
@@ -277,6 +268,9 @@
       clock: systemClock,
       metrics: this.metrics,
       log: this.log,
+      load: isContended
+        ? new LoadReporter(this.metrics, systemClock)
+        : undefined,
     });
     session.load(this.#queues);
     this.#session = session;
@@ -311,7 +305,7 @@
     this.#peersTail?.stop();
     session.close();
     this.directory.rows.clear();
-    this.#cellTail = this.#newCellTail();
+    this.#cellTail = createCellTail(this.store, this.directory, this.log);
     if (!this.#isClosed) void this.#cellTail.run();
   }
 }
--- a/src/nodes/node_options.ts
+++ b/src/nodes/node_options.ts
@@ -1,4 +1,5 @@
 import type { KeeperBounds } from "../cellhost/keeper_bounds.ts";
+import type { ContentionOptions } from "../core/queueing/contention_options.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 
 /** The options that entries and sidecars start with. */
@@ -12,4 +13,6 @@
   readonly bounds: KeeperBounds;
   /** The share of a keeper's resource needs that its machine meets, 0 to 1. */
   readonly strength: number;
+  /** Decisions under high load; none is enabled without it. */
+  readonly hardLoad?: ContentionOptions | undefined;
 }
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -4,9 +4,12 @@
 import { encodeJob } from "../../src/core/cell/encode_job.ts";
 import type { JobProgressRow } from "../../src/core/cell/job_progress_row.ts";
 import type { PressureRow } from "../../src/core/interfere/pressure_row.ts";
+import type { JobDefinition } from "../../src/core/jobs/job_definition.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
+import type { JobState } from "../../src/core/jobs/job_state.ts";
 import type { NodeId } from "../../src/core/jobs/node_id.ts";
 import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
+import { CellForecast } from "../../src/core/queueing/cell_forecast.ts";
 import { SeededRandom } from "../seeded_random.ts";
 import { InterferenceTruth } from "./interference_truth.ts";
 import { LoadCallers } from "./load_callers.ts";
@@ -42,6 +45,8 @@
   #cell: Cell;
   #nowMs = -leadMs;
   #stops = 0;
+  #forecast = new CellForecast();
+  readonly #forecastErrorsMs: number[] = [];
   readonly #service = { owedMs: 0, awayMs: 0 };
   /** The time of services over target, for each step. */
   readonly #overMs: number[] = [];
@@ -88,6 +93,7 @@
       },
       wastedCoreS: wastedCoreMs / 1_000,
       stops: this.#stops,
+      forecastErrorsMs: this.#forecastErrorsMs,
     };
   }
 
@@ -107,7 +113,7 @@
     if (nowMs >= 0 && nowMs < durationMs) {
       for (const job of this.#callers.submissions(nowMs, stepMs)) {
         if (isDark) this.#rows.delete(job.id);
-        else this.#apply(this.#cell.submit(job, nowMs));
+        else this.#submit(job);
       }
     }
     for (const worker of this.#workers.values()) worker.step(nowMs, stepMs);
@@ -116,6 +122,14 @@
     this.#nowMs += stepMs;
   }
 
+  #submit(job: JobDefinition): void {
+    const nowMs = this.#nowMs;
+    if (this.options.checksForecast) {
+      this.#forecast.noteSubmitted(this.#cell, job, nowMs);
+    }
+    this.#apply(this.#cell.submit(job, nowMs));
+  }
+
   #isAt(atMs: number): boolean {
     return this.#nowMs >= atMs && this.#nowMs < atMs + stepMs;
   }
@@ -128,6 +142,9 @@
       this.#apply(this.#cell.handleReport(worker.node, report, nowMs));
       worker.renew(this.#cell);
     }
+    if (this.options.checksForecast) {
+      this.#forecast.update(this.#cell, nowMs, nowMs);
+    }
     this.#apply(this.#cell.tick(nowMs, nowMs));
   }
 
@@ -181,6 +198,7 @@
           this.#workers.get(effect.node)?.stop(effect.task, effect.run);
           break;
         case "show":
+          this.#checkForecast(effect.job, effect.state);
           if (effect.state === "completed") {
             this.#callers.complete(effect.job, this.#nowMs);
           }
@@ -189,6 +207,11 @@
     }
   }
 
+  #checkForecast(id: JobId, state: JobState): void {
+    const error = this.#forecast.noteState(id, state, this.#nowMs);
+    if (error?.queue === "plan") this.#forecastErrorsMs.push(error.lateMs);
+  }
+
   #countServices(): void {
     const { jobs, width } = this.options.services;
     const owed = jobs * width;
--- a/stand_ins/load/load_options.ts
+++ b/stand_ins/load/load_options.ts
@@ -16,6 +16,8 @@
   readonly keepsLearned: boolean;
   /** Whether the first keeper knows all pressures, for an upper bound. */
   readonly knowsPressures: boolean;
+  /** Whether the end of each job is predicted, and compared with its end. */
+  readonly checksForecast: boolean;
 }
 
 /** Jobs of services, all submitted at the start. */
--- a/stand_ins/load/load_result.ts
+++ b/stand_ins/load/load_result.ts
@@ -7,6 +7,8 @@
   readonly wastedCoreS: number;
   /** Runs stopped to be placed elsewhere. */
   readonly stops: number;
+  /** By how much each completed plan ended later than predicted, in ms. */
+  readonly forecastErrorsMs: readonly number[];
 }
 
 /** How the jobs of a kind ended, relative to their objective. */
--- a/stand_ins/load/site_load.ts
+++ b/stand_ins/load/site_load.ts
@@ -49,6 +49,7 @@
     powerLossesAtMs: [],
     keepsLearned: true,
     knowsPressures: false,
+    checksForecast: false,
     ...change,
   };
 }
