Admission: entries refuse what cannot end in time even on the whole CPU

Cause: under overload everything is accepted and queues, so a caller whose job cannot be served is not told (docs/design/hard_load.md, part 3.2). JobService asks it in one place, after which JobAdmission reads the jobs' stream up to its end (100 ms at most), so that no stored job is refused. Jobs that other entries stored since the summary are taken from that stream. Callers return one after the other, and new jobs wait behind them. Ruled out on the load model: refusing by the expected end.

--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -33,16 +33,20 @@
   stops: ["Runs that were told to stop", ["reason"]],
   ends: ["Runs that ended", ["outcome"]],
   workers_lost: ["Workers whose leases ran out unseen", []],
+  jobs_admitted: ["Jobs admitted at the first request", ["queue", "party"]],
+  jobs_returned: ["Jobs admitted after a refusal", ["queue", "party"]],
+  jobs_refused: ["Jobs refused for load", ["queue", "party"]],
   terms: ["Terms of office begun", []],
 } as const;
 
-/** Help text of each gauge, by name without the prefix. */
+/** Help text and label names of each gauge, by name without the prefix. */
 const gauges = {
-  epoch: "Epoch of the newest keeper that was heard",
-  in_office: "1 while this process keeps the cell",
-  configuration_version: "Version of the configuration in force",
-  jobs_live: "Jobs without outcome that the keeper knows",
-  workers: "Workers that the keeper has adopted",
+  epoch: ["Epoch of the newest keeper that was heard", []],
+  in_office: ["1 while this process keeps the cell", []],
+  configuration_version: ["Version of the configuration in force", []],
+  jobs_live: ["Jobs without outcome that the keeper knows", []],
+  workers: ["Workers that the keeper has adopted", []],
+  waiting_core_seconds: ["Work that waits for capacity", ["queue"]],
 } as const;
 
 /** The metrics of a process, exported in the Prometheus text format. */
@@ -60,8 +64,9 @@
       const counter = new Counter({ ...options, labelNames: [...labelNames] });
       this.#counters.set(name, counter);
     }
-    for (const [name, help] of Object.entries(gauges)) {
-      const gauge = new Gauge({ name: `${prefix}${name}`, help, registers });
+    for (const [name, [help, labelNames]] of Object.entries(gauges)) {
+      const options = { name: `${prefix}${name}`, help, registers };
+      const gauge = new Gauge({ ...options, labelNames: [...labelNames] });
       this.#gauges.set(name, gauge);
     }
     this.#storeSeconds = new Histogram({
@@ -92,8 +97,12 @@
   }
 
   /** Sets a gauge. */
-  setGauge(name: keyof typeof gauges, value: number): void {
-    this.#gauges.get(name)?.set(value);
+  setGauge(
+    name: keyof typeof gauges,
+    value: number,
+    labels: Readonly<Record<string, string>> = {},
+  ): void {
+    this.#gauges.get(name)?.set(labels, value);
   }
 
   /** Records the outcome and duration of a call to the store. */
--- a/src/cellhost/load_reporter.ts
+++ b/src/cellhost/load_reporter.ts
@@ -5,16 +5,43 @@
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
 import { CellForecast } from "../core/queueing/cell_forecast.ts";
+import type { LoadSummary } from "../core/queueing/load_summary.ts";
+import { summarizeLoads } from "../core/queueing/summarize_loads.ts";
 
-/** Predicts a cell's load during a keeper's term and checks the predictions. */
+/** An unchanged summary is sent again after this long, so that it stays valid. */
+const resendIntervalMs = 1_000;
+/** Until then a new keeper may not know all workers. */
+const settlingMs = 1_500;
+
+/** Predicts a cell's load during a keeper's term, and publishes it. */
 export class LoadReporter {
   readonly #forecast = new CellForecast();
+  readonly #beganAtMs: number;
+  #publishedAtMs = -Infinity;
+  #published = "";
 
-  constructor(readonly metrics: PrometheusMetrics, readonly clock: Clock) {}
+  constructor(
+    readonly metrics: PrometheusMetrics,
+    readonly clock: Clock,
+    readonly publish: (summary: LoadSummary) => void,
+  ) {
+    this.#beganAtMs = clock.nowMs();
+  }
 
   /** Rebuilds the forecasts when that is due; to be called before each tick. */
   update(cell: Cell): void {
-    this.#forecast.update(cell, this.clock.nowMs(), this.clock.wallMs());
+    const nowMs = this.clock.nowMs();
+    const wallMs = this.clock.wallMs();
+    if (!this.#forecast.update(cell, nowMs, wallMs)) return;
+    this.#countWaiting(cell);
+    if (nowMs - this.#beganAtMs < settlingMs) return;
+    const summary = summarizeLoads(this.#forecast.loads, wallMs);
+    const text = JSON.stringify(summary.pools);
+    const isDue = nowMs - this.#publishedAtMs >= resendIntervalMs;
+    if (text === this.#published && !isDue) return;
+    this.#published = text;
+    this.#publishedAtMs = nowMs;
+    this.publish(summary);
   }
 
   noteSubmitted(cell: Cell, job: JobDefinition): void {
@@ -27,4 +54,16 @@
     if (error === undefined) return;
     this.metrics.recordForecastError(error.queue, Math.abs(error.lateMs));
   }
+
+  #countWaiting(cell: Cell): void {
+    const coreS = new Map([...cell.queues.keys()].map((name) => [name, 0]));
+    for (const { filler } of this.#forecast.loads.values()) {
+      for (const { queue, milliMs } of filler.waiting) {
+        coreS.set(queue, (coreS.get(queue) ?? 0) + milliMs / 1_000_000);
+      }
+    }
+    for (const [queue, value] of coreS) {
+      this.metrics.setGauge("waiting_core_seconds", value, { queue });
+    }
+  }
 }
--- a/src/core/jobs/job_definition.ts
+++ b/src/core/jobs/job_definition.ts
@@ -13,4 +13,9 @@
   readonly schedule: Schedule | undefined;
   /** When it was submitted, by the entry's wall clock. */
   readonly receivedMs: number;
+  /**
+   * The party that it counts for: the data centre of the entry that accepted
+   * it. Rows of earlier versions have none, and count as one party.
+   */
+  readonly origin?: string | undefined;
 }
--- a/src/core/queueing/queue_forecast.ts
+++ b/src/core/queueing/queue_forecast.ts
@@ -2,7 +2,6 @@
 import { CapacityCurve } from "./capacity_curve.ts";
 import type { ClassLoad } from "./class_load.ts";
 import type { JobDemand } from "./job_demand.ts";
-import type { PoolLoad } from "./pool_load.ts";
 import type { PredictedTimes } from "./predicted_times.ts";
 import type { WaitingWork } from "./waiting_work.ts";
 
@@ -16,7 +15,7 @@
 export class QueueForecast {
   readonly #classes: Readonly<Record<CpuClass, ClassForecast>>;
 
-  constructor({ reserved, filler }: PoolLoad) {
+  constructor({ reserved, filler }: Record<CpuClass, ClassLoad>) {
     this.#classes = {
       reserved: new ClassForecast(reserved),
       filler: new ClassForecast(filler),
--- a/src/core/queueing/read_pool_loads.ts
+++ b/src/core/queueing/read_pool_loads.ts
@@ -4,6 +4,7 @@
 import type { TaskGroup } from "../cell/task_group.ts";
 import { urgencyOf } from "../cell/urgency_of.ts";
 import type { Worker } from "../cell/worker.ts";
+import type { CpuClass } from "./cpu_class.ts";
 import type { PoolLoad } from "./pool_load.ts";
 import type { RunningWork } from "./running_work.ts";
 import type { WaitingWork } from "./waiting_work.ts";
@@ -18,7 +19,9 @@
   readonly waiting: WaitingWork[];
 }
 
-type PoolSums = Record<keyof PoolLoad, ClassSums>;
+interface PoolSums extends Record<CpuClass, ClassSums> {
+  capacityMilli: number;
+}
 
 /** Reads the load on each pool from the cell's state. */
 export function readPoolLoads(
@@ -29,7 +32,8 @@
   const pools = new Map<string, PoolSums>();
   for (const { pool } of cell.queues.values()) {
     if (!pools.has(pool)) {
-      pools.set(pool, { reserved: newClass(), filler: newClass() });
+      const classes = { reserved: newClass(), filler: newClass() };
+      pools.set(pool, { capacityMilli: 0, ...classes });
     }
   }
   for (const worker of cell.workers.values()) {
@@ -47,11 +51,12 @@
 }
 
 function addWorker(
-  { reserved, filler }: PoolSums,
+  sums: PoolSums,
   worker: Worker,
   cell: Cell,
   nowMs: number,
 ): void {
+  const { reserved, filler } = sums;
   let reservedMilli = worker.report!.capacity.cpuMilli;
   let unusedMilli = reservedMilli;
   let heldMilli = 0;
@@ -75,6 +80,7 @@
       heldMilli += cpuMilli;
     }
   }
+  sums.capacityMilli += worker.capacityMilli;
   reserved.capacityMilli += Math.max(0, reservedMilli);
   reserved.freeMilli += Math.max(0, reservedMilli - heldMilli);
   filler.capacityMilli += Math.max(0, unusedMilli);
--- a/src/link/is_keeper_message.ts
+++ b/src/link/is_keeper_message.ts
@@ -1,6 +1,7 @@
 import { isListOf } from "../core/check/is_list_of.ts";
 import { isRecord } from "../core/check/is_record.ts";
 import { isRunId } from "../core/check/is_run_id.ts";
+import { isLoadSummary } from "./is_load_summary.ts";
 import type { KeeperMessage } from "./keeper_message.ts";
 
 /**
@@ -26,6 +27,8 @@
       return typeof value.life === "string" && Number.isSafeInteger(value.end);
     case "states":
       return isListOf(value.jobs, isState);
+    case "load":
+      return isLoadSummary(value);
     default:
       return typeof value.kind === "string";
   }
--- a/src/link/keeper_message.ts
+++ b/src/link/keeper_message.ts
@@ -3,6 +3,7 @@
 import type { JobState } from "../core/jobs/job_state.ts";
 import type { RunId } from "../core/jobs/run_id.ts";
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
+import type { LoadSummary } from "../core/queueing/load_summary.ts";
 import type { ServicePressure } from "./service_pressure.ts";
 import type { StopCommand } from "./stop_command.ts";
 
@@ -35,6 +36,8 @@
     readonly kind: "states";
     readonly jobs: readonly (readonly [JobId, JobState])[];
   }
+  /** The load on the cell's pools, by which entries admit jobs. */
+  | ({ readonly kind: "load" } & LoadSummary)
   /** The keeper cannot reach the store: an entry that can may campaign. */
   | { readonly kind: "unsure" }
   /** The keeper resigns: entries may campaign without waiting. */
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -6,7 +6,6 @@
 import { Election } from "../cellhost/election.ts";
 import { JobDirectory } from "../cellhost/job_directory.ts";
 import { KeeperSession } from "../cellhost/keeper_session.ts";
-import { LoadReporter } from "../cellhost/load_reporter.ts";
 import { PeerLinks } from "../cellhost/peer_links.ts";
 import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
 import { parseJsonRow } from "../cellhost/parse_json_row.ts";
@@ -22,6 +21,7 @@
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import { announcePeer } from "./announce_peer.ts";
 import { createCellTail } from "./create_cell_tail.ts";
+import { EntryLoad } from "./entry_load.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { NodeOptions } from "./node_options.ts";
 
@@ -43,6 +43,7 @@
 export class EntryNode {
   readonly directory: JobDirectory;
   readonly jobsTail: StreamTail;
+  readonly load: EntryLoad;
   readonly #election: Election;
   #cellTail: StreamTail;
   #peersTail: StreamTail | undefined;
@@ -69,7 +70,11 @@
   ) {
     const { node, incarnation } = options;
     this.directory = new JobDirectory(log);
-    this.directory.onSubmitted = (job) => this.#session?.submit(job);
+    this.load = new EntryLoad(options.hardLoad, metrics);
+    this.directory.onSubmitted = (job) => {
+      this.load.admission?.noteStored(job);
+      this.#session?.submit(job);
+    };
     this.directory.onCancelled = (id) => this.#session?.cancel(id);
     this.jobsTail = new StreamTail(
       store,
@@ -122,6 +127,7 @@
   /** Applies the queues of the current configuration. */
   setQueues(queues: readonly Queue[]): void {
     this.#queues = queues;
+    this.load.admission?.setQueues(queues);
     this.#session?.setQueues(queues);
   }
 
@@ -155,6 +161,8 @@
   #handleKeeperMessage(message: KeeperMessage, epoch: number): void {
     if (message.kind === "states") {
       for (const [id, state] of message.jobs) this.directory.advance(id, state);
+    } else if (message.kind === "load") {
+      this.load.receive(message);
     } else if (message.kind === "unsure") {
       this.#unsureAtMs = performance.now();
     } else if (message.kind === "resigned") {
@@ -254,23 +262,21 @@
   }
 
   #beginSession(epoch: number, writer: RowWriter): void {
-    const { bounds, node, hardLoad } = this.options;
-    const isContended = hardLoad?.admits || hardLoad?.sharesFairly;
+    const { bounds, node } = this.options;
     this.#cellTail.stop();
     const hello = { kind: "hello", epoch, keeper: node } as const;
+    const links = new PeerLinks(hello, this.log);
     const session = new KeeperSession({
       epoch,
       writer,
       directory: this.directory,
       bounds,
-      links: new PeerLinks(hello, this.log),
+      links,
       advisor: this.advisor,
       clock: systemClock,
       metrics: this.metrics,
       log: this.log,
-      load: isContended
-        ? new LoadReporter(this.metrics, systemClock)
-        : undefined,
+      load: this.load.newReporter(links),
     });
     session.load(this.#queues);
     this.#session = session;
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -7,6 +7,7 @@
 import type { JobState } from "../core/jobs/job_state.ts";
 import { describeSteps } from "../core/jobs/describe_steps.ts";
 import type { Row } from "../core/store/row.ts";
+import { JobAdmission } from "./job_admission.ts";
 import type { EntryNode } from "./entry_node.ts";
 import type { StoreHealth } from "./store_health.ts";
 import type { SubmissionWriter } from "./submission_writer.ts";
@@ -32,19 +33,40 @@
 
 /** Serves callers' requests to submit, query and cancel jobs. */
 export class JobService {
+  readonly #admission: JobAdmission | undefined;
+
   constructor(
     readonly entry: EntryNode,
     readonly writer: SubmissionWriter,
     readonly health: StoreHealth,
     readonly metrics: PrometheusMetrics,
     readonly log: Logger,
-  ) {}
+  ) {
+    const { admission } = entry.load;
+    if (admission === undefined) return;
+    const isKnown = (id: JobId) => entry.directory.definitions.has(id);
+    this.#admission = new JobAdmission(
+      admission,
+      entry.jobsTail,
+      isKnown,
+      metrics,
+      log,
+    );
+  }
 
   /** Stores a new job. Submitting a known id again changes nothing. */
-  async submit(definition: JobDefinition, withinMs: number): Promise<Stored> {
-    const { id, queue } = definition;
+  async submit(job: JobDefinition, withinMs: number): Promise<Stored> {
+    const { id, queue } = job;
+    const { zone, hardLoad } = this.entry.options;
+    const origin = hardLoad?.sharesFairly ? zone : undefined;
+    const definition = origin === undefined ? job : { ...job, origin };
     const { directory } = this.entry;
     if (directory.definitions.has(id)) return "stored";
+    const mayBeStored = this.writer.mayHaveStored(id);
+    const refusal = await this.#admission?.check(definition, mayBeStored);
+    // The refresh of a refusal may have found that the job is stored.
+    if (directory.definitions.has(id)) return "stored";
+    if (refusal !== undefined) return "refused";
     const row = { key: id, value: JSON.stringify(definition) };
     const outcome = await this.#store(row, withinMs);
     if (outcome === "stored") directory.submit(definition);
--- a/src/nodes/node_options.ts
+++ b/src/nodes/node_options.ts
@@ -8,6 +8,8 @@
   /** Distinguishes this process from its earlier incarnations. */
   readonly incarnation: string;
   readonly host: string;
+  /** The data centre of the machine, if its settings name one. */
+  readonly zone?: string | undefined;
   /** The port for its keeper's connection. */
   readonly peerPort: number;
   readonly bounds: KeeperBounds;
--- a/stand_ins/load/load_callers.ts
+++ b/stand_ins/load/load_callers.ts
@@ -2,6 +2,7 @@
 import type { JobId } from "../../src/core/jobs/job_id.ts";
 import type { StepDefinition } from "../../src/core/jobs/step_definition.ts";
 import type { RandomSource } from "../../src/core/random/random_source.ts";
+import { SeededRandom } from "../seeded_random.ts";
 import { plainStep } from "../plain_step.ts";
 import type { LoadOptions } from "./load_options.ts";
 import type { LoadResult } from "./load_result.ts";
@@ -37,7 +38,12 @@
   #checkDebt = 0;
   #count = 0;
 
-  constructor(readonly options: LoadOptions, readonly random: RandomSource) {}
+  /** Draws of its own leave the load as it is without parties. */
+  readonly #partyRandom: RandomSource;
+
+  constructor(readonly options: LoadOptions, readonly random: RandomSource) {
+    this.#partyRandom = new SeededRandom(options.seed);
+  }
 
   /** The jobs of services, submitted before the others. */
   *firstJobs(): Generator<JobDefinition> {
@@ -65,18 +71,28 @@
     if (job !== undefined) job.completedAtMs ??= nowMs;
   }
 
-  /** What the callers of one kind got, of jobs submitted until `untilMs`. */
-  result(kind: Kind, untilMs: number): LoadResult["plans"] {
+  /**
+   * What the callers of one kind got, or one party of them, of jobs submitted
+   * until `untilMs`.
+   */
+  result(
+    kind: Kind,
+    untilMs: number,
+    isAdmitted: (id: JobId) => boolean,
+    origin?: string,
+  ): LoadResult["plans"] {
     const jobs = [...this.jobs.values()].filter((job) =>
-      job.kind === kind && job.submittedAtMs < untilMs
+      job.kind === kind && job.submittedAtMs < untilMs &&
+      (origin === undefined || job.definition.origin === origin)
     );
     const meanCoreMs = jobs.reduce((sum, job) => sum + job.coreMs, 0) /
       Math.max(1, jobs.length);
     const times: number[] = [];
-    const counts = { inAim: 0, late: 0, failed: 0 };
+    const counts = { inAim: 0, late: 0, failed: 0, refused: 0 };
     let owed = 0;
     let earned = 0;
-    for (const { submittedAtMs, completedAtMs, objectiveMs, coreMs } of jobs) {
+    for (const job of jobs) {
+      const { submittedAtMs, completedAtMs, objectiveMs, coreMs } = job;
       const worth = fixedWorth + (1 - fixedWorth) * coreMs / meanCoreMs;
       owed += worth;
       const tookMs = (completedAtMs ?? Infinity) - submittedAtMs;
@@ -87,7 +103,8 @@
       } else if (tookMs <= objectiveMs * lateFactor) {
         counts.late += 1;
         earned += worth * lateShare;
-      } else counts.failed += 1;
+      } else if (isAdmitted(job.definition.id)) counts.failed += 1;
+      else counts.refused += 1;
     }
     times.sort((a, b) => a - b);
     return {
@@ -160,6 +177,17 @@
     return this.#add("check", [step], truths, nowMs);
   }
 
+  #drawOrigin(): string | undefined {
+    const { parties } = this.options;
+    if (parties.length === 0) return undefined;
+    let left = this.#partyRandom.next();
+    for (const { origin, share } of parties) {
+      left -= share;
+      if (left < 0) return origin;
+    }
+    return parties[0]!.origin;
+  }
+
   #around(mean: number): number {
     return mean * (0.4 + 1.2 * this.random.next());
   }
@@ -183,6 +211,7 @@
       steps,
       schedule: undefined,
       receivedMs: nowMs,
+      origin: kind === "service" ? undefined : this.#drawOrigin(),
     };
     const { stretch, targetMs } = kind === "plan" ? plan : check;
     let chainMs = 0;
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -12,7 +12,9 @@
 import { CellForecast } from "../../src/core/queueing/cell_forecast.ts";
 import { SeededRandom } from "../seeded_random.ts";
 import { InterferenceTruth } from "./interference_truth.ts";
+import { summarizeLoads } from "../../src/core/queueing/summarize_loads.ts";
 import { LoadCallers } from "./load_callers.ts";
+import { LoadEntries } from "./load_entries.ts";
 import type { LoadOptions } from "./load_options.ts";
 import type { LoadResult } from "./load_result.ts";
 import { LoadWorker } from "./load_worker.ts";
@@ -44,7 +46,9 @@
   #learned: PressureRow | undefined;
   #cell: Cell;
   #nowMs = -leadMs;
+  readonly #entries: LoadEntries;
   #stops = 0;
+  #refusedRuns = 0;
   #forecast = new CellForecast();
   readonly #forecastErrorsMs: number[] = [];
   readonly #service = { owedMs: 0, awayMs: 0 };
@@ -64,6 +68,9 @@
       this.#workers.set(node, worker);
     }
     this.#cell = newCell();
+    const origins = options.parties.map(({ origin }) => origin);
+    const entryNames = origins.length === 0 ? [""] : origins;
+    this.#entries = new LoadEntries(entryNames, this.#cell.queues.values());
     if (options.knowsPressures) this.#cell.restoreLearned(truth.encode());
   }
 
@@ -81,9 +88,13 @@
       wastedCoreMs += worker.wastedCoreMs;
     }
     const lostMs = awayMs + overMs * harmFactor;
+    const { admitted, refusedWithFree } = this.#entries;
+    const isAdmitted = (id: JobId) => admitted.has(id);
+    const resultOf = (kind: "plan" | "check", origin?: string) =>
+      this.#callers.result(kind, durationMs, isAdmitted, origin);
     return {
-      plans: this.#callers.result("plan", durationMs),
-      checks: this.#callers.result("check", durationMs),
+      plans: resultOf("plan"),
+      checks: resultOf("check"),
       services: {
         owedS: owedMs / 1_000,
         awayS: awayMs / 1_000,
@@ -94,6 +105,13 @@
       wastedCoreS: wastedCoreMs / 1_000,
       stops: this.#stops,
       forecastErrorsMs: this.#forecastErrorsMs,
+      plansByParty: Object.fromEntries(
+        this.options.parties.map(({ origin }) =>
+          [origin, resultOf("plan", origin)] as const
+        ),
+      ),
+      refusedWithFree,
+      refusedRuns: this.#refusedRuns,
     };
   }
 
@@ -110,11 +128,13 @@
     const isDark = powerLossesAtMs.some((atMs) =>
       nowMs >= atMs && nowMs < atMs + darkMs + restartMs
     );
-    if (nowMs >= 0 && nowMs < durationMs) {
-      for (const job of this.#callers.submissions(nowMs, stepMs)) {
-        if (isDark) this.#rows.delete(job.id);
-        else this.#submit(job);
-      }
+    if (nowMs >= 0) {
+      const isOpen = nowMs < durationMs;
+      const jobs = isOpen ? this.#callers.submissions(nowMs, stepMs) : [];
+      if (isDark) { for (const job of jobs) this.#entries.store(job); }
+      else {for (const job of this.#entries.offer(jobs, nowMs)) {
+          this.#submit(job);
+        }}
     }
     for (const worker of this.#workers.values()) worker.step(nowMs, stepMs);
     if (!isDark) this.#decide();
@@ -142,12 +162,19 @@
       this.#apply(this.#cell.handleReport(worker.node, report, nowMs));
       worker.renew(this.#cell);
     }
-    if (this.options.checksForecast) {
-      this.#forecast.update(this.#cell, nowMs, nowMs);
-    }
+    this.#updateForecast();
     this.#apply(this.#cell.tick(nowMs, nowMs));
   }
 
+  #updateForecast(): void {
+    const { checksForecast, admits } = this.options;
+    const nowMs = this.#nowMs;
+    if (!checksForecast && !admits) return;
+    const isNew = this.#forecast.update(this.#cell, nowMs, nowMs);
+    if (!isNew || !admits) return;
+    this.#entries.receive(summarizeLoads(this.#forecast.loads, nowMs), nowMs);
+  }
+
   /** All runs and the keeper are lost; the store keeps its rows. */
   #losePower(): void {
     for (const worker of this.#workers.values()) worker.losePower();
@@ -165,9 +192,12 @@
 
   #changeKeeper(): void {
     this.#cell = newCell();
-    for (const [id, { definition }] of this.#callers.jobs) {
+    for (const [id, { definition, kind }] of this.#callers.jobs) {
+      const stored = this.#entries.admitted.get(id);
+      if (stored === undefined && kind !== "service") continue;
       const row = this.#rows.get(id);
-      this.#cell.load(decodeJob(definition, row, this.#nowMs));
+      const job = decodeJob(stored ?? definition, row, this.#nowMs);
+      this.#cell.load(job);
     }
     for (const job of this.#cell.liveJobs) job.openDueOccurrences(this.#nowMs);
     const { keepsLearned } = this.options;
@@ -189,7 +219,10 @@
           const { command, node } = effect;
           if (!this.#cell.markOrdered(node, command)) break;
           const { job, step } = parseTaskName(command.task)!;
-          const truth = this.#callers.jobs.get(job)!.truths[step]!;
+          const { truths, kind } = this.#callers.jobs.get(job)!;
+          const isAdmitted = this.#entries.admitted.has(job);
+          if (kind !== "service" && !isAdmitted) this.#refusedRuns += 1;
+          const truth = truths[step]!;
           this.#workers.get(node)?.start(command, truth, this.#nowMs);
           break;
         }
--- a/stand_ins/load/load_options.ts
+++ b/stand_ins/load/load_options.ts
@@ -18,6 +18,16 @@
   readonly knowsPressures: boolean;
   /** Whether the end of each job is predicted, and compared with its end. */
   readonly checksForecast: boolean;
+  /** Who submits plans and checks, each at its own entry; none for one party. */
+  readonly parties: readonly Party[];
+  /** Whether the entries refuse what cannot end in time. */
+  readonly admits: boolean;
+}
+
+interface Party {
+  readonly origin: string;
+  /** Its share of all plans and checks. */
+  readonly share: number;
 }
 
 /** Jobs of services, all submitted at the start. */
--- a/stand_ins/load/load_result.ts
+++ b/stand_ins/load/load_result.ts
@@ -9,6 +9,12 @@
   readonly stops: number;
   /** By how much each completed plan ended later than predicted, in ms. */
   readonly forecastErrorsMs: readonly number[];
+  /** What the callers of each party got of their plans. */
+  readonly plansByParty: Readonly<Record<string, KindResult>>;
+  /** Refusals while a tenth of the CPU was free. */
+  readonly refusedWithFree: number;
+  /** Runs of jobs that were refused. */
+  readonly refusedRuns: number;
 }
 
 /** How the jobs of a kind ended, relative to their objective. */
@@ -16,6 +22,8 @@
   readonly submitted: number;
   readonly inAim: number;
   readonly late: number;
+  /** Never admitted. */
+  readonly refused: number;
   /** Later than three times the objective, or not at all. */
   readonly failed: number;
   /** The share of the kind's worth, by work and lateness, that was earned. */
--- a/stand_ins/load/site_load.ts
+++ b/stand_ins/load/site_load.ts
@@ -50,6 +50,8 @@
     keepsLearned: true,
     knowsPressures: false,
     checksForecast: false,
+    parties: [],
+    admits: false,
     ...change,
   };
 }
