Fair shares: new jobs of a party over its share wait behind the others'

Change: jobs carry their `origin`; with hardLoad.sharesFairly PartyShares keeps a mean of dominant shares, decayed over 10 s, and compares it with weighted max-min fairness over what parties hold and ask for. ContentionOrder places new jobs of parties over it by a tenth last within band and priority, unless they waited twice the mean of their queue. Started jobs are not held back. The order is an interface of the cell; without the flag it is the one of before.

--- a/bench/contention_bench.ts
+++ b/bench/contention_bench.ts
@@ -20,22 +20,35 @@
 }));
 const modes: readonly [name: string, change: Partial<LoadOptions>][] = [
   ["off", {}],
-  ["admits", { admits: true }],
+  ["shares", { sharesFairly: true }],
 ];
 const columns: Readonly<Record<string, (result: LoadResult) => number>> = {
   "plans": ({ plans }) => plans.worth,
-  "in time": ({ plans }) => plans.inAim,
+  "all in t.": ({ plans }) => plans.inAim,
   "late": ({ plans }) => plans.late,
   "failed": ({ plans }) => plans.failed,
   "refused": ({ plans }) => plans.refused,
   "checks": ({ checks }) => checks.worth,
   "ch. ref.": ({ checks }) => checks.refused,
   "services": ({ services }) => services.worth,
-  "heavy": ({ plansByParty }) => plansByParty["z0"]!.worth,
-  "light": ({ plansByParty }) => plansByParty["z1"]!.worth,
+  "heavy sum": ({ plansByParty }) => plansByParty["z0"]!.submitted,
+  "in time": ({ plansByParty }) => plansByParty["z0"]!.inAim,
+  "light sum": (result) => lightSum(result, ({ submitted }) => submitted),
+  "in time ": (result) => lightSum(result, ({ inAim }) => inAim),
   "free ref.": ({ refusedWithFree }) => refusedWithFree,
 };
 
+type KindResult = LoadResult["plans"];
+
+/** A sum over all parties but the first. */
+function lightSum(
+  { plansByParty }: LoadResult,
+  read: (result: KindResult) => number,
+): number {
+  return Object.entries(plansByParty)
+    .reduce((sum, [name, each]) => name === "z0" ? sum : sum + read(each), 0);
+}
+
 const width = 10;
 const nameWidth = 16;
 console.log(`${workers} workers, ${partyCount} parties, ${seeds} seeds`);
@@ -43,7 +56,16 @@
   "".padEnd(nameWidth) +
     Object.keys(columns).map((name) => name.padStart(width)).join(""),
 );
-for (const factor of [4, 16, 32]) {
+/** The mean of paired differences, with its standard error. */
+function describe(values: readonly number[]): string {
+  const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+  const squares = values.reduce((sum, value) => sum + (value - mean) ** 2, 0);
+  const error = Math.sqrt(squares / (values.length - 1) / values.length);
+  return `${mean.toFixed(4)}, standard error ${error.toFixed(4)}`;
+}
+
+let base: readonly number[] = [];
+for (const factor of [2.5, 4]) {
   for (const [name, change] of modes) {
     const results: LoadResult[] = [];
     for (let seed = 1; seed <= seeds; seed++) {
@@ -61,5 +83,10 @@
       return mean.toFixed(3).padStart(width);
     });
     console.log(`x${factor} ${name}`.padEnd(nameWidth) + cells.join(""));
+    const gains = results.map(({ plans }, index) =>
+      plans.worth - (base[index] ?? plans.worth)
+    );
+    if (name === "off") base = results.map(({ plans }) => plans.worth);
+    else console.log(`  plans gain ${describe(gains)}`);
   }
 }
--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -46,7 +46,7 @@
   configuration_version: ["Version of the configuration in force", []],
   jobs_live: ["Jobs without outcome that the keeper knows", []],
   workers: ["Workers that the keeper has adopted", []],
-  waiting_core_seconds: ["Work that waits for capacity", ["queue"]],
+  waiting_core_seconds: ["Work that waits for capacity", ["queue", "party"]],
 } as const;
 
 /** The metrics of a process, exported in the Prometheus text format. */
@@ -105,6 +105,19 @@
     this.#gauges.get(name)?.set(labels, value);
   }
 
+  addToGauge(
+    name: keyof typeof gauges,
+    value: number,
+    labels: Readonly<Record<string, string>>,
+  ): void {
+    this.#gauges.get(name)?.inc(labels, value);
+  }
+
+  /** Removes a gauge's values for all labels. */
+  resetGauge(name: keyof typeof gauges): void {
+    this.#gauges.get(name)?.reset();
+  }
+
   /** Records the outcome and duration of a call to the store. */
   recordStoreCall(call: string, outcome: string, tookMs: number): void {
     this.count("store_calls", { call, outcome });
--- a/src/cellhost/load_reporter.ts
+++ b/src/cellhost/load_reporter.ts
@@ -12,6 +12,7 @@
 const resendIntervalMs = 1_000;
 /** Until then a new keeper may not know all workers. */
 const settlingMs = 1_500;
+const milliMsPerCoreS = 1_000_000;
 
 /** Predicts a cell's load during a keeper's term, and publishes it. */
 export class LoadReporter {
@@ -56,14 +57,18 @@
   }
 
   #countWaiting(cell: Cell): void {
-    const coreS = new Map([...cell.queues.keys()].map((name) => [name, 0]));
+    this.metrics.resetGauge("waiting_core_seconds");
+    for (const queue of cell.queues.keys()) {
+      this.metrics.setGauge("waiting_core_seconds", 0, { queue, party: "" });
+    }
     for (const { filler } of this.#forecast.loads.values()) {
-      for (const { queue, milliMs } of filler.waiting) {
-        coreS.set(queue, (coreS.get(queue) ?? 0) + milliMs / 1_000_000);
+      for (const { queue, party, milliMs } of filler.waiting) {
+        this.metrics.addToGauge(
+          "waiting_core_seconds",
+          milliMs / milliMsPerCoreS,
+          { queue, party },
+        );
       }
     }
-    for (const [queue, value] of coreS) {
-      this.metrics.setGauge("waiting_core_seconds", value, { queue });
-    }
   }
 }
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -9,6 +9,7 @@
 import type { TaskName } from "../jobs/task_name.ts";
 import { AdviceCache } from "./advice_cache.ts";
 import type { CellEffect } from "./cell_effect.ts";
+import { findReleasedTask } from "./find_released_task.ts";
 import { reconcileRuns } from "./reconcile_runs.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
@@ -16,6 +17,8 @@
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
 import { applyRefusal } from "./apply_refusal.ts";
 import { applyRunEnd } from "./apply_run_end.ts";
+import type { GroupOrder } from "./group_order.ts";
+import { UrgencyOrder } from "./urgency_order.ts";
 import type { StartCommand } from "./start_command.ts";
 import { stopEffectFor } from "./stop_effect_for.ts";
 import { stopStuckRuns } from "./stop_stuck_runs.ts";
@@ -47,6 +50,8 @@
 
   readonly pressure = new PressureModel();
   readonly advice = new AdviceCache();
+  /** Which waiting groups are placed first. */
+  order: GroupOrder = new UrgencyOrder();
   /** When it first decided, by the keeper's monotonic clock. */
   beganAtMs = Infinity;
   /** Jobs with checkpoints that are not in the store yet. */
@@ -233,22 +238,12 @@
 
   *#applyEnd(worker: Worker, end: RunEnd, nowMs: number): Effects {
     const task = worker.claimedTask(end.task, end.run) ??
-      this.#releasedTask(end);
+      findReleasedTask(this, end);
     if (task === undefined) return;
     worker.removeClaim(task);
     yield* applyRunEnd(this, worker, task, end, nowMs);
   }
 
-  /**
-   * The task of a run that was done after its claim had been released, unless a
-   * later run is claimed already: its work need not be done again.
-   */
-  #releasedTask({ task: name, run, outcome }: RunEnd): Task | undefined {
-    const task = outcome === "done" ? this.task(name) : undefined;
-    const isWaiting = task?.run === run && task.claim === undefined;
-    return isWaiting && !task.isDone ? task : undefined;
-  }
-
   /** Releases a claim of a run that certainly is not active any more. */
   *releaseClaim(
     worker: Worker,
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -3,7 +3,6 @@
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { chooseWorker } from "./choose_worker.ts";
-import { compareUrgency } from "./compare_urgency.ts";
 import type { Job } from "./job.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import type { TaskGroup } from "./task_group.ts";
@@ -41,8 +40,7 @@
       waiting.push(urgencyOf(group, queue, wallMs));
     }
   }
-  waiting.sort(compareUrgency);
-  for (const { group } of waiting) {
+  for (const { group } of cell.order.sort(waiting, cell, nowMs, wallMs)) {
     const queue = cell.queues.get(group.job.definition.queue);
     if (queue === undefined) continue;
     if (group.definition.isGang) yield* placeGang(cell, group, queue, nowMs);
--- /dev/null
+++ b/src/core/cell/urgency_order.ts
@@ -0,0 +1,10 @@
+import { compareUrgency } from "./compare_urgency.ts";
+import type { GroupOrder } from "./group_order.ts";
+import type { Urgency } from "./urgency.ts";
+
+/** Places the most urgent group first, whoever submitted it. */
+export class UrgencyOrder implements GroupOrder {
+  sort(waiting: Urgency[]): readonly Urgency[] {
+    return waiting.sort(compareUrgency);
+  }
+}
--- a/src/core/queueing/demand_of.ts
+++ b/src/core/queueing/demand_of.ts
@@ -10,7 +10,7 @@
  * job that has not started.
  */
 export function demandOf(
-  { steps, schedule, receivedMs, queue: queueName }: JobDefinition,
+  { steps, schedule, receivedMs, queue: queueName, origin }: JobDefinition,
   queue: Queue,
 ): JobDemand | undefined {
   const [first] = steps;
@@ -24,6 +24,7 @@
   }
   return {
     queue: queueName,
+    party: origin ?? "",
     cpuClass: first.isFiller ? "filler" : "reserved",
     band: 1,
     priority: queue.priority,
--- a/src/core/queueing/read_pool_loads.ts
+++ b/src/core/queueing/read_pool_loads.ts
@@ -134,7 +134,8 @@
     }
     if (milliMs.reserved + milliMs.filler === 0) continue;
     const { band, priority, rankMs } = urgencyOf(first, queue, wallMs);
-    const place = { band, priority, rankMs, queue: queue.name };
+    const party = job.definition.origin ?? "";
+    const place = { band, priority, rankMs, queue: queue.name, party };
     const all = milliMs.reserved + milliMs.filler;
     sums.filler.waiting.push({ ...place, milliMs: all });
     if (milliMs.reserved === 0) continue;
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -278,6 +278,7 @@
       log: this.log,
       load: this.load.newReporter(links),
     });
+    this.load.prepare(session.cell);
     session.load(this.#queues);
     this.#session = session;
     writer.write([], () => {});
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -12,6 +12,7 @@
 import { CellForecast } from "../../src/core/queueing/cell_forecast.ts";
 import { SeededRandom } from "../seeded_random.ts";
 import { InterferenceTruth } from "./interference_truth.ts";
+import { ContentionOrder } from "../../src/core/queueing/contention_order.ts";
 import { summarizeLoads } from "../../src/core/queueing/summarize_loads.ts";
 import { LoadCallers } from "./load_callers.ts";
 import { LoadEntries } from "./load_entries.ts";
@@ -67,7 +68,7 @@
       const worker = new LoadWorker(node, cpuMilli, truth, firstReportAtMs);
       this.#workers.set(node, worker);
     }
-    this.#cell = newCell();
+    this.#cell = newCell(options);
     const origins = options.parties.map(({ origin }) => origin);
     const entryNames = origins.length === 0 ? [""] : origins;
     this.#entries = new LoadEntries(entryNames, this.#cell.queues.values());
@@ -191,7 +192,7 @@
   }
 
   #changeKeeper(): void {
-    this.#cell = newCell();
+    this.#cell = newCell(this.options);
     for (const [id, { definition, kind }] of this.#callers.jobs) {
       const stored = this.#entries.admitted.get(id);
       if (stored === undefined && kind !== "service") continue;
@@ -277,8 +278,9 @@
   return values.reduce((total, value) => total + value, 0);
 }
 
-function newCell(): Cell {
+function newCell({ sharesFairly }: LoadOptions): Cell {
   const cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 1_800 });
+  if (sharesFairly) cell.order = new ContentionOrder();
   const kinds = [
     { name: "service", priority: 0, stretch: 2.2, targetMs: 2_500 },
     { name: "check", priority: 0, stretch: 1.5, targetMs: 250 },
--- a/stand_ins/load/load_options.ts
+++ b/stand_ins/load/load_options.ts
@@ -22,6 +22,8 @@
   readonly parties: readonly Party[];
   /** Whether the entries refuse what cannot end in time. */
   readonly admits: boolean;
+  /** Whether `ContentionOrder` orders waiting groups. */
+  readonly sharesFairly: boolean;
 }
 
 interface Party {
--- a/stand_ins/load/site_load.ts
+++ b/stand_ins/load/site_load.ts
@@ -52,6 +52,7 @@
     checksForecast: false,
     parties: [],
     admits: false,
+    sharesFairly: false,
     ...change,
   };
 }
--- a/tests/queue_forecast_test.ts
+++ b/tests/queue_forecast_test.ts
@@ -21,7 +21,7 @@
 
 function waiting(change: Partial<WaitingWork>): WaitingWork {
   const place = { band: 1, priority: 0, rankMs: 5_000 } as const;
-  return { queue: "q", ...place, milliMs: 4_000_000, ...change };
+  return { queue: "q", party: "", ...place, milliMs: 4_000_000, ...change };
 }
 
 describe("a forecast of a job of two tasks of 1 s on 2 cores", () => {
