Order under contention: late work by its worth per core-second; design note

Cause: late work went by age and size, so jobs that could not end in use any more went before others, and a nearly done job behind an older large one (docs/design/hard_load.md, part 3.4). Change: in ContentionOrder (hardLoad.sharesFairly) late groups go by the work that is left per worth of the job, and those that cannot end within three times the objective go last. Work that can end in time keeps the order of urgencyOf, which already puts started and small jobs first. Services are never held back.

--- a/bench/contention_bench.ts
+++ b/bench/contention_bench.ts
@@ -20,6 +20,7 @@
 }));
 const modes: readonly [name: string, change: Partial<LoadOptions>][] = [
   ["off", {}],
+  ["admits", { admits: true }],
   ["shares", { sharesFairly: true }],
 ];
 const columns: Readonly<Record<string, (result: LoadResult) => number>> = {
@@ -65,7 +66,7 @@
 }
 
 let base: readonly number[] = [];
-for (const factor of [2.5, 4]) {
+for (const factor of [1.5, 2.5, 4]) {
   for (const [name, change] of modes) {
     const results: LoadResult[] = [];
     for (let seed = 1; seed <= seeds; seed++) {
--- a/src/core/cell/urgency_of.ts
+++ b/src/core/cell/urgency_of.ts
@@ -2,13 +2,11 @@
 import { rankOfWork } from "./rank_of_work.ts";
 import type { TaskGroup } from "./task_group.ts";
 import type { Urgency } from "./urgency.ts";
+import { usefulFactor } from "./useful_factor.ts";
 
 /** Subtracted from the rank of a started job, so that it ends in time. */
 const startedBonusMs = 6_000;
 
-/** After this many times its objective a job is of no use to its caller. */
-const usefulFactor = 3;
-
 /** Computes a group's urgency at a moment of the wall clock. */
 export function urgencyOf(
   group: TaskGroup,
--- a/src/core/queueing/contention_order.ts
+++ b/src/core/queueing/contention_order.ts
@@ -1,7 +1,10 @@
 import type { Cell } from "../cell/cell.ts";
 import type { GroupOrder } from "../cell/group_order.ts";
-import type { Job } from "../cell/job.ts";
+import type { TaskGroup } from "../cell/task_group.ts";
 import type { Urgency } from "../cell/urgency.ts";
+import { usefulFactor } from "../cell/useful_factor.ts";
+import type { Queue } from "../jobs/queue.ts";
+import { CallerWorth } from "./caller_worth.ts";
 import { PartyShares } from "./party_shares.ts";
 
 /** A job that waited this many times the mean of its queue is not held back. */
@@ -17,9 +20,12 @@
  * Orders waiting groups when demand exceeds capacity: of equal band and
  * priority, new jobs of parties over their share go last. Started jobs are not
  * held back, since what they hold and have done would earn nothing meanwhile.
+ * Late work that can still end in use goes by what it earns per core-second,
+ * so that started and small jobs end first, and other late work goes last.
  */
 export class ContentionOrder implements GroupOrder {
   readonly #shares = new PartyShares();
+  readonly #worth = new CallerWorth();
 
   sort(
     waiting: Urgency[],
@@ -29,20 +35,47 @@
   ): readonly Urgency[] {
     this.#shares.update(cell, nowMs);
     const meanWaitsMs = meanWaits(waiting, wallMs);
-    const isHeldBack = (job: Job) => {
-      if (job.hasStarted) return false;
+    const isHeldBack = ({ band, group: { job } }: Urgency) => {
+      if (band === 0 || job.hasStarted) return false;
       const { queue, origin } = job.definition;
       const pool = cell.queues.get(queue)?.pool ?? "";
       if (!this.#shares.isOver(pool, origin)) return false;
       const waitMs = wallMs - job.definition.receivedMs;
       return waitMs <= maxWaitFactor * (meanWaitsMs.get(queue) ?? 0);
     };
-    const turns = waiting.map((urgency): Turn => ({
-      urgency,
-      turn: isHeldBack(urgency.group.job) ? 1 : 0,
-    }));
+    for (const { group } of waiting) this.#worth.note(group.job);
+    const turns = waiting.map((urgency): Turn => {
+      const { definition } = urgency.group.job;
+      const queue = cell.queues.get(definition.queue);
+      return {
+        urgency: this.#rankLate(urgency, queue, wallMs),
+        turn: isHeldBack(urgency) ? 1 : 0,
+      };
+    });
     return turns.sort(compareTurns).map(({ urgency }) => urgency);
   }
+
+  #rankLate(
+    urgency: Urgency,
+    queue: Queue | undefined,
+    wallMs: number,
+  ): Urgency {
+    const { group, band } = urgency;
+    if (band !== 2 || queue === undefined) return urgency;
+    if (!canEndInUse(group, queue, wallMs)) return { ...urgency, band: 3 };
+    return { ...urgency, rankMs: this.#worth.workPerWorth(group) };
+  }
+}
+
+function canEndInUse(
+  { job, occurrence, step }: TaskGroup,
+  queue: Queue,
+  wallMs: number,
+): boolean {
+  const chainMs = Math.max(...job.criticalPathsMs);
+  const objectiveMs = queue.stretch * chainMs + queue.targetMs;
+  const usefulUntilMs = job.dueAtMs(occurrence) + usefulFactor * objectiveMs;
+  return wallMs + (job.criticalPathsMs[step] ?? 0) <= usefulUntilMs;
 }
 
 function compareTurns(a: Turn, b: Turn): number {
--- a/src/core/queueing/load_admission.ts
+++ b/src/core/queueing/load_admission.ts
@@ -1,3 +1,4 @@
+import { usefulFactor } from "../cell/useful_factor.ts";
 import type { JobDefinition } from "../jobs/job_definition.ts";
 import type { JobId } from "../jobs/job_id.ts";
 import type { Queue } from "../jobs/queue.ts";
@@ -9,8 +10,6 @@
 
 type PoolSummary = LoadSummary["pools"][number];
 
-/** The same multiple as in `urgencyOf`: later, a job is of no use. */
-const usefulFactor = 3;
 /** An older summary says nothing: its keeper may be gone. */
 const maxSummaryAgeMs = 1_500;
 /** Nothing is refused while this share of a pool's CPU is free. */
