--- a/src/core/queueing/queue_forecast.ts
+++ b/src/core/queueing/queue_forecast.ts
@@ -26,11 +26,6 @@
   predict(demand: JobDemand): PredictedTimes {
     return this.#classes[demand.cpuClass].predict(demand);
   }
-
-  /** The CPU time, in millicores times ms, of the work before a place. */
-  workAhead(cpuClass: CpuClass, place: Place): number {
-    return this.#classes[cpuClass].workAhead(place);
-  }
 }
 
 class ClassForecast {
@@ -53,7 +48,7 @@
 
   predict(demand: JobDemand): PredictedTimes {
     const { milliMs, taskCpuMilli, chainMs } = demand;
-    const aheadMilliMs = this.workAhead(demand);
+    const aheadMilliMs = this.#workAhead(demand);
     const curve = this.#curve;
     const startInMs = Math.max(
       curve.timeOfWork(aheadMilliMs),
@@ -66,7 +61,7 @@
     return { startInMs, endInMs };
   }
 
-  workAhead(place: Place): number {
+  #workAhead(place: Place): number {
     let from = 0;
     let to = this.#places.length;
     while (from < to) {
