--- a/scenarios/cell_histories/history_step.ts
+++ b/scenarios/cell_histories/history_step.ts
@@ -26,4 +26,7 @@
   "lose_appends",
   "drain",
   "fail_task",
+  "evacuate",
+  "suspend_keeper",
+  "submit_long",
 ] as const;
--- a/scenarios/cell_histories/random_history.ts
+++ b/scenarios/cell_histories/random_history.ts
@@ -30,8 +30,24 @@
   ["fail_task", 2],
 ];
 
-/** Draws the steps of a history. */
-export function randomHistory(random: SeededRandom): HistoryStep[] {
+/** How many steps are inserted at most. */
+const maxInserted = 8;
+/** What is inserted; long tasks with checkpoints are moved by evacuations. */
+const insertedKinds = [
+  "evacuate",
+  "evacuate",
+  "suspend_keeper",
+  "submit_long",
+] as const;
+
+/**
+ * Draws the steps of a history. Evacuations come from a second source, so that
+ * the other steps are those of the same seed without any.
+ */
+export function randomHistory(
+  random: SeededRandom,
+  evacuations?: SeededRandom,
+): HistoryStep[] {
   const total = weights.reduce((sum, [, weight]) => sum + weight, 0);
   const drawKind = (): HistoryStep["kind"] => {
     let left = random.next() * total;
@@ -42,10 +58,27 @@
     return "submit";
   };
   const draw = (below: number) => Math.floor(random.next() * below);
-  return Array.from({ length: stepCount }, (): HistoryStep => ({
+  const steps = Array.from({ length: stepCount }, (): HistoryStep => ({
     afterMs: draw(random.next() < burstShare ? maxBurstPauseMs : maxPauseMs),
     kind: drawKind(),
     a: draw(choices),
     b: draw(choices),
   }));
+  if (evacuations !== undefined) insertEvacuations(steps, evacuations);
+  return steps;
+}
+
+function insertEvacuations(steps: HistoryStep[], random: SeededRandom): void {
+  const draw = (below: number) => Math.floor(random.next() * below);
+  const count = 1 + draw(maxInserted);
+  for (let number = 0; number < count; number++) {
+    const kind = insertedKinds[draw(insertedKinds.length)]!;
+    const step = {
+      afterMs: 0,
+      kind,
+      a: draw(choices),
+      b: draw(choices),
+    } as const;
+    steps.splice(draw(steps.length), 0, step);
+  }
 }
--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -26,9 +26,16 @@
 /** Help text and label names of each counter, by name without the prefix. */
 const counters = {
   requests: ["Callers' requests", ["call", "outcome"]],
+  submission_failovers: ["Rows stored in a spare stream", []],
+  submissions_held: ["Submissions held in an outage", ["outcome"]],
+  refusals: ["Submissions refused, by reason", ["reason"]],
   store_calls: ["Calls to the store", ["call", "outcome"]],
   starts: ["Runs that were ordered", []],
   starts_dropped: ["Starts given up before they left the keeper", []],
+  starts_held: [
+    "Starts held until the operator's stream was read again",
+    [],
+  ],
   start_refusals: ["Runs that were surely not started", ["reason"]],
   stops: ["Runs that were told to stop", ["reason"]],
   ends: ["Runs that ended", ["outcome"]],
@@ -36,6 +43,7 @@
   jobs_admitted: ["Jobs admitted at the first request", ["queue", "party"]],
   jobs_returned: ["Jobs admitted after a refusal", ["queue", "party"]],
   jobs_refused: ["Jobs refused for load", ["queue", "party"]],
+  decisions: ["Decisions about uneven runs and workers", ["event"]],
   terms: ["Terms of office begun", []],
 } as const;
 
@@ -45,7 +53,21 @@
   in_office: ["1 while this process keeps the cell", []],
   configuration_version: ["Version of the configuration in force", []],
   jobs_live: ["Jobs without outcome that the keeper knows", []],
+  outage_forecast_ms: [
+    "Expected rest of the store's outage; 0 if there is none",
+    [],
+  ],
+  workers_suspected: ["Workers that are suspected of being slow", []],
+  straggler_help_share: ["Share of restarts of long runs that helped", []],
+  extra_core_seconds: ["Work that restarts of stragglers may have cost", []],
+  declared_error: ["Mean factor by which declared run times are off", []],
+  learned_error: ["Mean factor by which learned run times are off", []],
   workers: ["Workers that the keeper has adopted", []],
+  operator_rows_age_ms: [
+    "How old the keeper's read of the operator's rows is",
+    [],
+  ],
+  evacuated_tasks: ["Tasks that run in evacuated data centres", []],
   waiting_core_seconds: ["Work that waits for capacity", ["queue", "party"]],
 } as const;
 
@@ -56,6 +78,7 @@
   readonly #gauges = new Map<string, Gauge>();
   readonly #storeSeconds: Histogram;
   readonly #forecastErrorMs: Summary;
+  readonly #holdSeconds: Histogram;
 
   constructor() {
     const registers = [this.#registry];
@@ -85,6 +108,12 @@
       ageBuckets: 6,
       registers,
     });
+    this.#holdSeconds = new Histogram({
+      name: `${prefix}submission_hold_seconds`,
+      help: "How long submissions were held in outages",
+      buckets: latencyBucketsS,
+      registers,
+    });
     collectDefaultMetrics({ register: this.#registry, prefix });
   }
 
@@ -129,6 +158,11 @@
     this.#forecastErrorMs.observe({ queue }, errorMs);
   }
 
+  /** Records how long a submission was held in an outage. */
+  recordHold(heldMs: number): void {
+    this.#holdSeconds.observe(heldMs / msPerSecond);
+  }
+
   /** Returns all metrics in the text format. */
   async text(): Promise<string> {
     return await this.#registry.metrics();
--- a/src/core/cell/apply_run_end.ts
+++ b/src/core/cell/apply_run_end.ts
@@ -1,3 +1,4 @@
+import type { RunTimes } from "../estimate/run_times.ts";
 import type { RunEnd } from "../jobs/run_end.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
@@ -27,6 +28,11 @@
   const { group } = task;
   const { job } = group;
   updateHealth(cell, worker, task, end, nowMs);
+  if (end.outcome === "done") {
+    yield* cell.statistics.recordDone(task, nowMs, cell.beganAtMs);
+  }
+  const { attempts } = cell.statistics;
+  if (attempts) yield* attempts.recordEnd(worker, task, end.outcome, nowMs);
   task.claim = undefined;
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
   if (job.outcome !== undefined) {
@@ -99,7 +105,7 @@
   if (end.outcome === "done") {
     worker.consecutiveFailures = 0;
     worker.consecutiveSuspensions = 0;
-    updateSlowness(worker, task, nowMs);
+    updateSlowness(worker, task, cell.statistics.runTimes, nowMs);
     return;
   }
   if (end.outcome !== "failed") return;
@@ -114,11 +120,20 @@
   worker.suspendedUntilMs = nowMs + Math.min(maxSuspensionMs, pauseMs);
 }
 
-function updateSlowness(worker: Worker, task: Task, nowMs: number): void {
-  const { isFiller, isService, isGang, expectedMs } = task.group.definition;
+function updateSlowness(
+  worker: Worker,
+  task: Task,
+  runTimes: RunTimes,
+  nowMs: number,
+): void {
+  const { isFiller, isService, isGang } = task.group.definition;
+  const expectedMs = runTimes.expectedMs(task.group);
   const { claim } = task;
   if (isFiller || isService || isGang || claim === undefined) return;
   if (claim.startCheckpoint !== "" || expectedMs === 0) return;
+  // Its speed was seen to change, so the whole run tells nothing of it now.
+  const wasSlow = claim.phaseSinceMs < worker.recoveredAtMs;
+  if (worker.speed !== "normal" || wasSlow) return;
   const ratio = (nowMs - claim.phaseSinceMs) / expectedMs;
   worker.slowness += (ratio - worker.slowness) * slownessWeight;
 }
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -1,11 +1,10 @@
+import { RunStatistics } from "../estimate/run_statistics.ts";
 import type { JobDefinition } from "../jobs/job_definition.ts";
 import type { JobId } from "../jobs/job_id.ts";
 import type { NodeId } from "../jobs/node_id.ts";
-import { runKey } from "../jobs/run_key.ts";
 import { parseTaskName } from "../jobs/parse_task_name.ts";
 import type { Queue } from "../jobs/queue.ts";
 import type { RunEnd } from "../jobs/run_end.ts";
-import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
 import { AdviceCache } from "./advice_cache.ts";
 import type { CellEffect } from "./cell_effect.ts";
@@ -13,7 +12,13 @@
 import { reconcileRuns } from "./reconcile_runs.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
+import { releaseClaimsOfOtherLives } from "./release_claims_of_other_lives.ts";
+import type { EvacuationPlanner } from "../evacuate/evacuation_planner.ts";
+import { stopUnseenStart } from "../evacuate/stop_unseen_start.ts";
+import { DemandIndex } from "./demand_index.ts";
+import { LearnedRows } from "./learned_rows.ts";
 import { drainWorkers } from "./drain_workers.ts";
+import { openDueOccurrences } from "./open_due_occurrences.ts";
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
 import { applyRefusal } from "./apply_refusal.ts";
 import { applyRunEnd } from "./apply_run_end.ts";
@@ -34,8 +39,6 @@
 
 /** How often new checkpoints are saved. */
 const checkpointSaveIntervalMs = 1_000;
-/** How often what was learned of interference is saved. */
-const learnedSaveIntervalMs = 2_000;
 
 /**
  * The jobs and workers of one cell. Every decision about a task's runs is made
@@ -48,20 +51,26 @@
   readonly liveJobs = new Set<Job>();
   readonly workers = new Map<NodeId, Worker>();
 
+  /** The data centres in which nothing may be started. */
+  evacuatedZones: ReadonlySet<string> = new Set();
+  /** Undefined if the deployment evacuates no data centres. */
+  evacuationPlanner: EvacuationPlanner | undefined;
   readonly pressure = new PressureModel();
   readonly advice = new AdviceCache();
   /** Which waiting groups are placed first. */
   order: GroupOrder = new UrgencyOrder();
+  readonly demand = new DemandIndex();
+  readonly statistics: RunStatistics;
   /** When it first decided, by the keeper's monotonic clock. */
   beganAtMs = Infinity;
   /** Jobs with checkpoints that are not in the store yet. */
   readonly #unsavedJobs = new Set<Job>();
   #checkpointsSavedAtMs = -Infinity;
-  /** The sample count of what was last saved of what was learned. */
-  #savedSampleCount = 0;
-  #learnedSavedAtMs = -Infinity;
+  readonly #learnedRows = new LearnedRows();
 
-  constructor(readonly options: CellOptions) {}
+  constructor(readonly options: CellOptions) {
+    this.statistics = new RunStatistics(options);
+  }
 
   /** Adds a job, with its claims, as it was read from the store. */
   load(job: Job): void {
@@ -101,7 +110,9 @@
 
   /** Handles the loss of the connection to a worker's sidecar. */
   handleDisconnect(node: NodeId): void {
-    this.worker(node).isReconciled = false;
+    const worker = this.worker(node);
+    worker.isReconciled = false;
+    this.statistics.forgetSpeed(worker);
   }
 
   /**
@@ -115,8 +126,10 @@
     if (isNewLife) {
       worker.lastEnd = 0;
       worker.statuses.clear();
+      this.statistics.forgetSpeed(worker);
     }
     worker.report = report;
+    worker.isEvacuated = this.evacuatedZones.has(report.zone);
     const runs = new Map(report.running.map((run) => [run.task, run]));
     for (const refusal of report.refusals ?? []) {
       yield* applyRefusal(this, worker, refusal, nowMs);
@@ -131,8 +144,9 @@
       worker.isReconciled = false;
       return;
     }
-    yield* this.#releaseClaimsOfOtherLives(worker, report, runs, nowMs);
+    yield* releaseClaimsOfOtherLives(this, worker, report, runs, nowMs);
     yield* reconcileRuns(this, worker, runs, nowMs);
+    yield* this.statistics.observe(this, worker, runs, nowMs);
     worker.isReconciled = true;
     if (!sampleWorker(worker, runs, this.pressure, nowMs)) return;
     yield* moveFillers(this, worker, nowMs);
@@ -147,6 +161,18 @@
     }
   }
 
+  /** Sets the data centres to evacuate, and withdraws the starts there. */
+  *setEvacuations(zones: ReadonlySet<string>, nowMs: number): Effects {
+    this.evacuatedZones = zones;
+    for (const worker of this.workers.values()) {
+      worker.isEvacuated = zones.has(worker.report?.zone ?? "");
+      if (!worker.isEvacuated) continue;
+      for (const task of [...worker.claims.values()]) {
+        yield* stopUnseenStart(this, task, nowMs);
+      }
+    }
+  }
+
   /** Marks a claimed run as running. */
   markStarted(node: NodeId, name: TaskName, run: number, nowMs: number): void {
     const claim = this.workers.get(node)?.claimedTask(name, run)?.claim;
@@ -173,15 +199,15 @@
    */
   *tick(nowMs: number, wallMs: number): Effects {
     this.beganAtMs = Math.min(this.beganAtMs, nowMs);
-    for (const job of this.liveJobs) {
-      if (job.definition.schedule === undefined) continue;
-      if (job.openDueOccurrences(wallMs)) yield { kind: "save", job };
-    }
+    yield* openDueOccurrences(this.liveJobs, wallMs);
     yield* this.#saveCheckpoints(nowMs);
-    yield* this.#saveLearned(nowMs);
+    yield* this.#learnedRows.take(this, nowMs);
     yield* stopStuckRuns(this, nowMs);
     yield* drainWorkers(this, nowMs);
-    yield* placeWaitingTasks(this, nowMs, wallMs);
+    if (this.evacuationPlanner !== undefined) {
+      yield* this.evacuationPlanner.plan(this, nowMs);
+    }
+    yield* (this.options.place ?? placeWaitingTasks)(this, nowMs, wallMs);
   }
 
   /** Returns the worker of that name, and adds it if it is unknown. */
@@ -201,29 +227,6 @@
     return this.jobs.get(job)?.taskAt(occurrence, step, index);
   }
 
-  /**
-   * Releases claims made for other lives of the runner, except those whose run
-   * is active or unsettled in the current life: a start command does not tell
-   * lives of one runner id apart, so it can reach a later life.
-   */
-  *#releaseClaimsOfOtherLives(
-    worker: Worker,
-    { life, unsettled }: SidecarReport,
-    runs: ReadonlyMap<TaskName, RunStatus>,
-    nowMs: number,
-  ): Effects {
-    for (const task of [...worker.claims.values()]) {
-      const { claim } = task;
-      if (claim === undefined || claim.life === life) continue;
-      const mayRunHere = runs.get(task.name)?.run === task.run ||
-        unsettled.includes(runKey({ task: task.name, run: task.run }));
-      if (mayRunHere) {
-        task.claim = { ...claim, life };
-        yield { kind: "save", job: task.group.job };
-      } else yield* this.releaseClaim(worker, task, nowMs);
-    }
-  }
-
   *#applyEnds(worker: Worker, report: SidecarReport, nowMs: number): Effects {
     for (const end of report.ends) {
       if (end.number <= worker.lastEnd) continue;
@@ -276,16 +279,6 @@
     this.#unsavedJobs.clear();
   }
 
-  /** A keeper that begins without it would place fillers beside any service. */
-  *#saveLearned(nowMs: number): Effects {
-    const isDue = nowMs - this.#learnedSavedAtMs >= learnedSaveIntervalMs;
-    const { sampleCount } = this.pressure;
-    if (sampleCount === this.#savedSampleCount || !isDue) return;
-    this.#savedSampleCount = sampleCount;
-    this.#learnedSavedAtMs = nowMs;
-    yield { kind: "learned", row: this.pressure.encode() };
-  }
-
   /** Saves and publishes a job's outcome and stops its remaining runs. */
   *finishJob(job: Job, nowMs: number): Effects {
     this.liveJobs.delete(job);
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -2,6 +2,7 @@
 import { noResources } from "../resources/no_resources.ts";
 import { subtractResources } from "../resources/subtract_resources.ts";
 import type { Resources } from "../../schema/resources.ts";
+import type { SpeedState } from "../estimate/speed_state.ts";
 import type { NodeId } from "../jobs/node_id.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
@@ -9,8 +10,12 @@
 import type { Task } from "./task.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
 
+let workerCount = 0;
+
 /** A worker, as its keeper knows it. */
 export class Worker {
+  /** Of workers of equal cost, the one created first is chosen. */
+  readonly order = workerCount++;
   /** The newest report of its sidecar. */
   report: SidecarReport | undefined;
   /**
@@ -18,6 +23,10 @@
    * the runs of its current life.
    */
   isReconciled = false;
+  /** Whether its data centre is evacuated, so that nothing may start on it. */
+  isEvacuated = false;
+  /** What new fillers must leave free for services that have to move. */
+  reserved: Resources = noResources;
   /** The tasks whose current run is claimed here. */
   readonly claims = new Map<TaskName, Task>();
   /** The resources of unclaimed runs, by run key. */
@@ -36,12 +45,25 @@
   consecutiveSuspensions = 0;
   /** The ratio of its runs' actual to expected time, as a moving average. */
   slowness = 1;
+  /** Whether it is avoided for its speed. */
+  speed: SpeedState = "normal";
+  /** When it was last found to be no longer slow. */
+  recoveredAtMs = -Infinity;
   /** How much filler images in general slow down its services, from 0 to 1. */
   fillerSensitivity = 0;
   /** When the latency and CPU use of its runs were last sampled. */
   sampledAtMs = -Infinity;
   /** When a filler here was last stopped to move to another worker. */
   fillersMovedAtMs = -Infinity;
+  /** How often the claims have changed. */
+  claimVersion = 0;
+  /** When one of its runs can be stuck at the earliest. */
+  stuckCheckAtMs = -Infinity;
+  /** How many claims were removed, except those undone. */
+  removalCount = 0;
+  /** How many claims are of fillers, and of services with a target. */
+  fillerCount = 0;
+  targetCount = 0;
   #claimedResources: Resources = noResources;
 
   constructor(readonly node: NodeId) {}
@@ -73,6 +95,7 @@
   addClaim(task: Task): void {
     if (this.claims.has(task.name)) return;
     this.claims.set(task.name, task);
+    this.#count(task, 1);
     this.#claimedResources = addResources(
       this.#claimedResources,
       reservedResources(task.group.definition),
@@ -81,11 +104,32 @@
 
   /** Removes a task's claim and frees its resources. */
   removeClaim(task: Task): void {
+    task.group.job.changeCount += 1;
     if (!this.claims.delete(task.name)) return;
+    this.removalCount += 1;
+    this.#count(task, -1);
     this.statuses.delete(task.name);
     this.#claimedResources = subtractResources(
       this.#claimedResources,
       reservedResources(task.group.definition),
     );
   }
+
+  /**
+   * Removes a claim that was added on trial. The worker is as it was before, so
+   * this does not count as a removal.
+   */
+  undoClaim(task: Task): void {
+    this.removeClaim(task);
+    this.removalCount -= 1;
+  }
+
+  #count({ group }: Task, change: number): void {
+    this.claimVersion += 1;
+    group.job.changeCount += 1;
+    group.claimCount += change;
+    const { isFiller, isService, targetLatencyMs } = group.definition;
+    if (isFiller) this.fillerCount += change;
+    if (isService && targetLatencyMs > 0) this.targetCount += change;
+  }
 }
--- a/src/core/queueing/contention_order.ts
+++ b/src/core/queueing/contention_order.ts
@@ -24,6 +24,7 @@
  * so that started and small jobs end first, and other late work goes last.
  */
 export class ContentionOrder implements GroupOrder {
+  readonly comparesAll = true;
   readonly #shares = new PartyShares();
   readonly #worth = new CallerWorth();
 
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -3,27 +3,27 @@
 import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import type { Advisor } from "../cellhost/advisor.ts";
+import { EvacuationRequests } from "../cellhost/evacuation_requests.ts";
 import { Election } from "../cellhost/election.ts";
 import { JobDirectory } from "../cellhost/job_directory.ts";
 import { KeeperSession } from "../cellhost/keeper_session.ts";
 import { PeerLinks } from "../cellhost/peer_links.ts";
-import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
-import { parseJsonRow } from "../cellhost/parse_json_row.ts";
 import { RowWriter } from "../cellhost/row_writer.ts";
 import { StreamTail } from "../cellhost/stream_tail.ts";
 import { streams } from "../cellhost/streams.ts";
-import type { NodeId } from "../core/jobs/node_id.ts";
+import { submissionStreams } from "../cellhost/submission_streams.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { KeeperView } from "../cellhost/keeper_view.ts";
 import { campaignReason } from "../cellhost/campaign_reason.ts";
-import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Store } from "../core/store/store.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import { announcePeer } from "./announce_peer.ts";
 import { createCellTail } from "./create_cell_tail.ts";
 import { EntryLoad } from "./entry_load.ts";
+import { createPeersTail } from "./create_peers_tail.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { NodeOptions } from "./node_options.ts";
+import { SubmissionTails } from "./submission_tails.ts";
 
 /** How long a tail's read of the store waits for a new row. */
 const tailWaitMs = 2_000;
@@ -42,8 +42,10 @@
 /** An entry: knows the jobs and their states, and may be elected keeper. */
 export class EntryNode {
   readonly directory: JobDirectory;
-  readonly jobsTail: StreamTail;
+  readonly jobTails: SubmissionTails;
   readonly load: EntryLoad;
+  /** Undefined if the deployment evacuates no data centres. */
+  readonly evacuations: EvacuationRequests | undefined;
   readonly #election: Election;
   #cellTail: StreamTail;
   #peersTail: StreamTail | undefined;
@@ -68,7 +70,12 @@
     readonly metrics: PrometheusMetrics,
     readonly log: Logger,
   ) {
-    const { node, incarnation } = options;
+    const { node, incarnation, bounds: { evacuateMs } } = options;
+    if (evacuateMs !== undefined) {
+      const requests = new EvacuationRequests(evacuateMs, log);
+      requests.onChange = () => this.#session?.setEvacuations(requests.zones);
+      this.evacuations = requests;
+    }
     this.directory = new JobDirectory(log);
     this.load = new EntryLoad(options.hardLoad, metrics);
     this.directory.onSubmitted = (job) => {
@@ -76,10 +83,9 @@
       this.#session?.submit(job);
     };
     this.directory.onCancelled = (id) => this.#session?.cancel(id);
-    this.jobsTail = new StreamTail(
+    this.jobTails = new SubmissionTails(
       store,
-      streams.jobs,
-      { waitMs: tailWaitMs, pauseMs: 0 },
+      submissionStreams(options.submissionStreams),
       (rows) => this.directory.applyJobRows(rows),
       log,
     );
@@ -110,15 +116,9 @@
   async start(): Promise<void> {
     const { node, host, peerPort: port, incarnation, strength } = this.options;
     await this.#server.listen(host, port);
-    const row = {
-      role: "entry",
-      host,
-      port,
-      incarnation,
-      strength,
-    } as const;
+    const row = { role: "entry", host, port, incarnation, strength } as const;
     void announcePeer(this.store, node, row, this.log);
-    void this.jobsTail.run();
+    this.jobTails.run();
     void this.#cellTail.run();
     void this.#election.tail.run();
     void this.#watch();
@@ -136,8 +136,14 @@
    * A read may wait `tailWaitMs` for a row, so this time is added to the limit.
    */
   isFresh(withinMs: number): boolean {
-    return this.jobsTail.isCaughtUp &&
-      performance.now() - this.jobsTail.readAtMs < withinMs + tailWaitMs;
+    return this.jobTails.isCaughtUp &&
+      performance.now() - this.jobTails.readAtMs < withinMs + tailWaitMs;
+  }
+
+  /** Whether the keeper, perhaps this entry, cannot reach the store either. */
+  hearsOutage(nowMs: number): boolean {
+    return nowMs - this.#unsureAtMs <= unsureValidMs ||
+      this.#session?.options.writer.isUnsure(nowMs) === true;
   }
 
   /**
@@ -153,9 +159,8 @@
     this.#isClosed = true;
     this.#endSession();
     this.#server.close();
-    for (
-      const tail of [this.jobsTail, this.#cellTail, this.#election.tail]
-    ) tail.stop();
+    this.jobTails.stop();
+    for (const tail of [this.#cellTail, this.#election.tail]) tail.stop();
   }
 
   #handleKeeperMessage(message: KeeperMessage, epoch: number): void {
@@ -205,7 +210,7 @@
       isIneligible: this.#session !== undefined || this.#isTakingOver ||
         this.#hasResigned,
       isCaughtUp: tail.isCaughtUp && this.#cellTail.isCaughtUp &&
-        this.jobsTail.isCaughtUp,
+        this.jobTails.isCaughtUp,
       isStrong: this.options.strength >= minStrong,
       winner: this.#election.winnerKind,
       hasResigned: this.#resignedEpoch >= this.#election.epoch &&
@@ -248,9 +253,10 @@
       !this.#isClosed && this.#election.epoch === epoch && !writer.isDeposed;
     while (end !== undefined && isCurrent()) {
       // A job is stored before its progress row, so the jobs are read last: no
-      // job is then missing of which a progress row was read.
+      // job is then missing of which a progress row was read. Where a stream of
+      // jobs cannot be read, it suffices that the jobs of all rows are known.
       const isRead = await this.#cellTail.readUntil(end) &&
-        await this.jobsTail.refresh();
+        (await this.jobTails.refresh() || this.directory.isComplete);
       if (isRead && isCurrent()) {
         this.#beginSession(epoch, writer);
         break;
@@ -272,6 +278,8 @@
       directory: this.directory,
       bounds,
       links,
+      operatorRead: () => this.evacuations?.read,
+      unevenLoad: this.options.hardLoad,
       advisor: this.advisor,
       clock: systemClock,
       metrics: this.metrics,
@@ -280,27 +288,14 @@
     });
     this.load.prepare(session.cell);
     session.load(this.#queues);
+    if (this.evacuations) session.setEvacuations(this.evacuations.zones);
     this.#session = session;
     writer.write([], () => {});
-    this.#peersTail = new StreamTail(
-      this.store,
-      streams.members,
-      { waitMs: tailWaitMs, pauseMs: 0 },
-      (rows) => this.#applyPeerRows(session, rows),
-      this.log,
-    );
+    this.#peersTail = createPeersTail(session, node, this.store, this.log);
     void this.#peersTail.run();
     if (this.#hasResigned) session.resign();
   }
 
-  #applyPeerRows(session: KeeperSession, rows: readonly StoredRow[]): void {
-    for (const { key, value } of rows) {
-      if (value === undefined || key === this.options.node) continue;
-      const row = parseJsonRow<PeerAddressRow>(value, key, this.log);
-      if (row !== undefined) session.setPeer(key as NodeId, row);
-    }
-  }
-
   #handleDeposed(epoch: number): void {
     if (this.#session?.epoch === epoch) this.#endSession();
   }
--- a/src/nodes/job_admission.ts
+++ b/src/nodes/job_admission.ts
@@ -16,7 +16,7 @@
 export class JobAdmission {
   constructor(
     readonly admission: LoadAdmission,
-    readonly jobsTail: Pick<StreamTail, "refresh">,
+    readonly jobTails: Pick<StreamTail, "refresh">,
     readonly isKnown: (id: JobId) => boolean,
     readonly metrics: PrometheusMetrics,
     readonly log: Logger,
@@ -40,7 +40,7 @@
       return undefined;
     }
     const isRead = await Promise.race([
-      this.jobsTail.refresh(),
+      this.jobTails.refresh(),
       sleep(maxCheckMs, false),
     ]);
     if (!isRead || this.isKnown(id)) return undefined;
--- a/stand_ins/load/load_callers.ts
+++ b/stand_ins/load/load_callers.ts
@@ -1,11 +1,14 @@
 import type { JobDefinition } from "../../src/core/jobs/job_definition.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
+import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
 import type { StepDefinition } from "../../src/core/jobs/step_definition.ts";
+import type { TaskName } from "../../src/core/jobs/task_name.ts";
 import type { RandomSource } from "../../src/core/random/random_source.ts";
 import { SeededRandom } from "../seeded_random.ts";
 import { plainStep } from "../plain_step.ts";
 import type { LoadOptions } from "./load_options.ts";
 import type { LoadResult } from "./load_result.ts";
+import { UnevenTruth } from "./uneven_truth.ts";
 import type { TaskTruth } from "./task_truth.ts";
 
 type Kind = "plan" | "check" | "service";
@@ -41,7 +44,11 @@
   /** Draws of its own leave the load as it is without parties. */
   readonly #partyRandom: RandomSource;
 
-  constructor(readonly options: LoadOptions, readonly random: RandomSource) {
+  constructor(
+    readonly options: LoadOptions,
+    readonly random: RandomSource,
+    readonly uneven = new UnevenTruth(options.seed, options.uneven),
+  ) {
     this.#partyRandom = new SeededRandom(options.seed);
   }
 
@@ -83,7 +90,8 @@
   ): LoadResult["plans"] {
     const jobs = [...this.jobs.values()].filter((job) =>
       job.kind === kind && job.submittedAtMs < untilMs &&
-      (origin === undefined || job.definition.origin === origin)
+      (origin === undefined || job.definition.origin === origin) &&
+      !this.uneven.isDoomed(job.definition.id)
     );
     const meanCoreMs = jobs.reduce((sum, job) => sum + job.coreMs, 0) /
       Math.max(1, jobs.length);
@@ -115,6 +123,13 @@
     };
   }
 
+  /** The truth of a task's run. */
+  truthOf(name: TaskName, run: number): TaskTruth {
+    const { job, step } = parseTaskName(name)!;
+    const truth = this.jobs.get(job)!.truths[step]!;
+    return this.uneven.runTruth(truth, job, name, run);
+  }
+
   /** Poisson arrivals are close enough to a Bernoulli draw per short step. */
   #arrivals(perS: number, stepMs: number): number {
     const expected = perS * stepMs / 1_000;
@@ -204,11 +219,16 @@
     nowMs: number,
   ): JobDefinition {
     this.#count += 1;
+    const id = `${kind}${this.#count}` as JobId;
     const definition: JobDefinition = {
-      id: `${kind}${this.#count}` as JobId,
+      id,
       queue: kind,
       payload: "",
-      steps,
+      steps: steps.map((step, index) => {
+        const program = step.image ?? kind;
+        const factor = this.uneven.declaredFactor(program, id, index);
+        return { ...step, expectedMs: Math.round(step.expectedMs * factor) };
+      }),
       schedule: undefined,
       receivedMs: nowMs,
       origin: kind === "service" ? undefined : this.#drawOrigin(),
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -3,6 +3,7 @@
 import { decodeJob } from "../../src/core/cell/decode_job.ts";
 import { encodeJob } from "../../src/core/cell/encode_job.ts";
 import type { JobProgressRow } from "../../src/core/cell/job_progress_row.ts";
+import type { RunTimeRow } from "../../src/core/estimate/run_time_row.ts";
 import type { PressureRow } from "../../src/core/interfere/pressure_row.ts";
 import type { JobDefinition } from "../../src/core/jobs/job_definition.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
@@ -10,15 +11,20 @@
 import type { NodeId } from "../../src/core/jobs/node_id.ts";
 import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
 import { CellForecast } from "../../src/core/queueing/cell_forecast.ts";
+import { EvacuationPlanner } from "../../src/core/evacuate/evacuation_planner.ts";
 import { SeededRandom } from "../seeded_random.ts";
 import { InterferenceTruth } from "./interference_truth.ts";
-import { ContentionOrder } from "../../src/core/queueing/contention_order.ts";
 import { summarizeLoads } from "../../src/core/queueing/summarize_loads.ts";
 import { LoadCallers } from "./load_callers.ts";
 import { LoadEntries } from "./load_entries.ts";
 import type { LoadOptions } from "./load_options.ts";
 import type { LoadResult } from "./load_result.ts";
 import { LoadWorker } from "./load_worker.ts";
+import { countRunsIn } from "./count_runs_in.ts";
+import { countServices } from "./count_services.ts";
+import { newCell } from "./new_cell.ts";
+import { sum } from "./sum.ts";
+import { worstWindow } from "./worst_window.ts";
 
 const stepMs = 50;
 /** The services start before the other callers come. */
@@ -32,8 +38,12 @@
 const reportSpreadMs = 450;
 /** Harm by fillers costs this many times what it lasts. */
 const harmFactor = 4;
-const maxAttempts = 4;
+/** The work to load a checkpoint. */
+const restoreMs = 250;
 const worstWindowMs = 5_000;
+const evacuateMs = 5_000;
+const evacuated = "z0";
+const measuredMs = 5_000;
 
 /**
  * Plays a load on virtual time: the deployed cell and pace decisions, on
@@ -41,10 +51,13 @@
  * network and the gate are left out, so figures serve to compare decisions.
  */
 export class LoadModel {
+  /** What the cell has noted, by worker. */
+  readonly notes: { event: string; node: string; atMs: number }[] = [];
   readonly #callers: LoadCallers;
   readonly #workers = new Map<NodeId, LoadWorker>();
   readonly #rows = new Map<JobId, JobProgressRow>();
   #learned: PressureRow | undefined;
+  #runTimes: RunTimeRow | undefined;
   #cell: Cell;
   #nowMs = -leadMs;
   readonly #entries: LoadEntries;
@@ -52,6 +65,9 @@
   #refusedRuns = 0;
   #forecast = new CellForecast();
   readonly #forecastErrorsMs: number[] = [];
+  #clearedAfterMs = 0;
+  #leftInEvacuated = 0;
+  #extraCoreMs = 0;
   readonly #service = { owedMs: 0, awayMs: 0 };
   /** The time of services over target, for each step. */
   readonly #overMs: number[] = [];
@@ -65,7 +81,16 @@
       const factor = index % 3 === 2 ? 1.5 : 1;
       const cpuMilli = options.workerCpuMilli * factor;
       const firstReportAtMs = this.#nowMs + random.next() * reportSpreadMs;
-      const worker = new LoadWorker(node, cpuMilli, truth, firstReportAtMs);
+      const zone = `z${index % (options.evacuation?.zoneCount ?? 1)}`;
+      const worker = new LoadWorker(
+        node,
+        cpuMilli,
+        truth,
+        firstReportAtMs,
+        zone,
+      );
+      worker.slowdownAt = (nowMs) =>
+        this.#callers.uneven.slowdownAt(node, nowMs);
       this.#workers.set(node, worker);
     }
     this.#cell = newCell(options);
@@ -84,10 +109,9 @@
     while (this.#nowMs < durationMs + finishMs) this.#step();
     const { owedMs, awayMs } = this.#service;
     const overMs = sum(this.#overMs);
-    let wastedCoreMs = 0;
-    for (const worker of this.#workers.values()) {
-      wastedCoreMs += worker.wastedCoreMs;
-    }
+    const workers = [...this.#workers.values()];
+    const wastedCoreMs = sum(workers.map((each) => each.wastedCoreMs));
+    const workedCoreMs = sum(workers.map((each) => each.workedCoreMs));
     const lostMs = awayMs + overMs * harmFactor;
     const { admitted, refusedWithFree } = this.#entries;
     const isAdmitted = (id: JobId) => admitted.has(id);
@@ -100,10 +124,13 @@
         owedS: owedMs / 1_000,
         awayS: awayMs / 1_000,
         overTargetS: overMs / 1_000,
-        worstOverTargetS: worstWindow(this.#overMs) / 1_000,
+        worstOverTargetS: worstWindow(this.#overMs, worstWindowMs / stepMs) /
+          1_000,
         worth: Math.max(0, 1 - lostMs / Math.max(1, owedMs)),
       },
+      extraCoreS: this.#extraCoreMs / 1_000,
       wastedCoreS: wastedCoreMs / 1_000,
+      workedCoreS: workedCoreMs / 1_000,
       stops: this.#stops,
       forecastErrorsMs: this.#forecastErrorsMs,
       plansByParty: Object.fromEntries(
@@ -113,6 +140,10 @@
       ),
       refusedWithFree,
       refusedRuns: this.#refusedRuns,
+      evacuation: {
+        clearedAfterMs: this.#clearedAfterMs,
+        leftAfter5s: this.#leftInEvacuated,
+      },
     };
   }
 
@@ -138,6 +169,10 @@
         }}
     }
     for (const worker of this.#workers.values()) worker.step(nowMs, stepMs);
+    const { evacuation } = this.options;
+    if (evacuation !== undefined && nowMs >= evacuation.atMs) {
+      this.#evacuate(nowMs - evacuation.atMs);
+    }
     if (!isDark) this.#decide();
     if (nowMs >= 0 && nowMs < durationMs) this.#countServices();
     this.#nowMs += stepMs;
@@ -151,6 +186,16 @@
     this.#apply(this.#cell.submit(job, nowMs));
   }
 
+  #evacuate(sinceMs: number): void {
+    if (this.#cell.evacuatedZones.size === 0) {
+      this.#cell.evacuationPlanner = new EvacuationPlanner(evacuateMs);
+      this.#apply(this.#cell.setEvacuations(new Set([evacuated]), this.#nowMs));
+    }
+    const left = countRunsIn(evacuated, this.#workers.values());
+    if (left > 0) this.#clearedAfterMs = sinceMs + stepMs;
+    if (sinceMs <= measuredMs) this.#leftInEvacuated = left;
+  }
+
   #isAt(atMs: number): boolean {
     return this.#nowMs >= atMs && this.#nowMs < atMs + stepMs;
   }
@@ -205,6 +250,7 @@
     if (keepsLearned && this.#learned !== undefined) {
       this.#cell.restoreLearned(this.#learned);
     }
+    if (keepsLearned) this.#cell.statistics.restore(this.#runTimes);
   }
 
   #apply(effects: Iterable<CellEffect>): void {
@@ -216,15 +262,30 @@
         case "learned":
           this.#learned = effect.row;
           break;
+        case "runTimes":
+          this.#runTimes = effect.row;
+          break;
+        case "note": {
+          const { event, fields } = effect;
+          const node = `${fields.node ?? ""}`;
+          this.notes.push({ event, node, atMs: this.#nowMs });
+          break;
+        }
         case "start": {
           const { command, node } = effect;
           if (!this.#cell.markOrdered(node, command)) break;
-          const { job, step } = parseTaskName(command.task)!;
-          const { truths, kind } = this.#callers.jobs.get(job)!;
+          const { job } = parseTaskName(command.task)!;
+          const { kind } = this.#callers.jobs.get(job)!;
           const isAdmitted = this.#entries.admitted.has(job);
           if (kind !== "service" && !isAdmitted) this.#refusedRuns += 1;
-          const truth = truths[step]!;
-          this.#workers.get(node)?.start(command, truth, this.#nowMs);
+          const truth = this.#callers.truthOf(command.task, command.run);
+          if (command.checkpoint !== "") {
+            this.#extraCoreMs += restoreMs * command.resources.cpuMilli / 1_000;
+          }
+          const isFailing = truth.workMs < Infinity &&
+            this.#callers.uneven.isFailing(node, this.#nowMs);
+          const runTruth = isFailing ? { ...truth, failsAfterMs: 0 } : truth;
+          this.#workers.get(node)?.start(command, runTruth, this.#nowMs);
           break;
         }
         case "stop":
@@ -249,50 +310,9 @@
   #countServices(): void {
     const { jobs, width } = this.options.services;
     const owed = jobs * width;
-    let well = 0;
-    let over = 0;
-    for (const worker of this.#workers.values()) {
-      for (const run of worker.runs.values()) {
-        if (!run.command.isService) continue;
-        if (run.isOver) over += 1;
-        else if (worker.isServingWell(run, this.#nowMs)) well += 1;
-      }
-    }
+    const { well, over } = countServices(this.#workers.values(), this.#nowMs);
     this.#service.owedMs += owed * stepMs;
     this.#overMs.push(over * stepMs);
     this.#service.awayMs += (owed - well - over) * stepMs;
   }
 }
-
-/** The largest sum of consecutive values that a worst window holds. */
-function worstWindow(values: readonly number[]): number {
-  const size = worstWindowMs / stepMs;
-  let worst = 0;
-  for (let from = 0; from + size <= values.length; from += 1) {
-    worst = Math.max(worst, sum(values.slice(from, from + size)));
-  }
-  return worst;
-}
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
-function newCell({ sharesFairly }: LoadOptions): Cell {
-  const cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 1_800 });
-  if (sharesFairly) cell.order = new ContentionOrder();
-  const kinds = [
-    { name: "service", priority: 0, stretch: 2.2, targetMs: 2_500 },
-    { name: "check", priority: 0, stretch: 1.5, targetMs: 250 },
-    { name: "plan", priority: 2, stretch: 2, targetMs: 1_000 },
-  ];
-  for (const kind of kinds) {
-    cell.queues.set(kind.name, {
-      ...kind,
-      pool: "pool",
-      maxAttempts,
-      advice: undefined,
-    });
-  }
-  return cell;
-}
--- a/stand_ins/load/load_options.ts
+++ b/stand_ins/load/load_options.ts
@@ -1,3 +1,6 @@
+import type { CellOptions } from "../../src/core/cell/cell_options.ts";
+import type { UnevenLoad } from "./uneven_load.ts";
+
 /** The load that a `LoadModel` plays, and what happens to the cell meanwhile. */
 export interface LoadOptions {
   readonly seed: number;
@@ -12,6 +15,8 @@
   readonly keeperChangesAtMs: readonly number[];
   /** When all workers and the keeper lose power; all runs end. */
   readonly powerLossesAtMs: readonly number[];
+  /** The evacuation of one of `zoneCount` data centres, to the end. */
+  readonly evacuation?: { readonly atMs: number; readonly zoneCount: number };
   /** Whether a keeper begins with what its predecessor has learned. */
   readonly keepsLearned: boolean;
   /** Whether the first keeper knows all pressures, for an upper bound. */
@@ -24,6 +29,10 @@
   readonly admits: boolean;
   /** Whether `ContentionOrder` orders waiting groups. */
   readonly sharesFairly: boolean;
+  /** What is uneven; nothing by default. */
+  readonly uneven?: Partial<UnevenLoad>;
+  /** Changes of the cell's options. */
+  readonly cell?: Partial<CellOptions>;
 }
 
 interface Party {
--- a/stand_ins/load/load_result.ts
+++ b/stand_ins/load/load_result.ts
@@ -5,6 +5,10 @@
   readonly services: ServiceResult;
   /** Work of fillers and checks that was lost, in core-seconds. */
   readonly wastedCoreS: number;
+  /** Work to load checkpoints, in core-seconds. */
+  readonly extraCoreS: number;
+  /** Work of all tasks but services, in core-seconds; at full speed. */
+  readonly workedCoreS: number;
   /** Runs stopped to be placed elsewhere. */
   readonly stops: number;
   /** By how much each completed plan ended later than predicted, in ms. */
@@ -15,6 +19,13 @@
   readonly refusedWithFree: number;
   /** Runs of jobs that were refused. */
   readonly refusedRuns: number;
+  /** Zero without an evacuation. */
+  readonly evacuation: {
+    /** From the request until no run was left in the data centre. */
+    readonly clearedAfterMs: number;
+    /** The runs left there 5 s after the request. */
+    readonly leftAfter5s: number;
+  };
 }
 
 /** How the jobs of a kind ended, relative to their objective. */
