--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -4,9 +4,11 @@
   Gauge,
   Histogram,
   Registry,
+  Summary,
 } from "prom-client";
 
 const prefix = "gypsumpond_";
+const forecastWindowMs = 60_000;
 const msPerSecond = 1_000;
 const latencyBucketsS = [
   0.002,
@@ -38,25 +40,35 @@
   stops: ["Runs that were told to stop", ["reason"]],
   ends: ["Runs that ended", ["outcome"]],
   workers_lost: ["Workers whose leases ran out unseen", []],
+  jobs_admitted: ["Jobs admitted at the first request", ["queue", "party"]],
+  jobs_returned: ["Jobs admitted after a refusal", ["queue", "party"]],
+  jobs_refused: ["Jobs refused for load", ["queue", "party"]],
   decisions: ["Decisions about uneven runs and workers", ["event"]],
   terms: ["Terms of office begun", []],
 } as const;
 
-/** Help text of each gauge, by name without the prefix. */
+/** Help text and label names of each gauge, by name without the prefix. */
 const gauges = {
-  epoch: "Epoch of the newest keeper that was heard",
-  in_office: "1 while this process keeps the cell",
-  configuration_version: "Version of the configuration in force",
-  jobs_live: "Jobs without outcome that the keeper knows",
-  outage_forecast_ms: "Expected rest of the store's outage; 0 if there is none",
-  workers_suspected: "Workers that are suspected of being slow",
-  straggler_help_share: "Share of restarts of long runs that helped",
-  extra_core_seconds: "Work that restarts of stragglers may have cost",
-  declared_error: "Mean factor by which declared run times are off",
-  learned_error: "Mean factor by which learned run times are off",
-  workers: "Workers that the keeper has adopted",
-  operator_rows_age_ms: "How old the keeper's read of the operator's rows is",
-  evacuated_tasks: "Tasks that run in evacuated data centres",
+  epoch: ["Epoch of the newest keeper that was heard", []],
+  in_office: ["1 while this process keeps the cell", []],
+  configuration_version: ["Version of the configuration in force", []],
+  jobs_live: ["Jobs without outcome that the keeper knows", []],
+  outage_forecast_ms: [
+    "Expected rest of the store's outage; 0 if there is none",
+    [],
+  ],
+  workers_suspected: ["Workers that are suspected of being slow", []],
+  straggler_help_share: ["Share of restarts of long runs that helped", []],
+  extra_core_seconds: ["Work that restarts of stragglers may have cost", []],
+  declared_error: ["Mean factor by which declared run times are off", []],
+  learned_error: ["Mean factor by which learned run times are off", []],
+  workers: ["Workers that the keeper has adopted", []],
+  operator_rows_age_ms: [
+    "How old the keeper's read of the operator's rows is",
+    [],
+  ],
+  evacuated_tasks: ["Tasks that run in evacuated data centres", []],
+  waiting_core_seconds: ["Work that waits for capacity", ["queue", "party"]],
 } as const;
 
 /** The metrics of a process, exported in the Prometheus text format. */
@@ -65,6 +77,7 @@
   readonly #counters = new Map<string, Counter>();
   readonly #gauges = new Map<string, Gauge>();
   readonly #storeSeconds: Histogram;
+  readonly #forecastErrorMs: Summary;
   readonly #holdSeconds: Histogram;
 
   constructor() {
@@ -74,8 +87,9 @@
       const counter = new Counter({ ...options, labelNames: [...labelNames] });
       this.#counters.set(name, counter);
     }
-    for (const [name, help] of Object.entries(gauges)) {
-      const gauge = new Gauge({ name: `${prefix}${name}`, help, registers });
+    for (const [name, [help, labelNames]] of Object.entries(gauges)) {
+      const options = { name: `${prefix}${name}`, help, registers };
+      const gauge = new Gauge({ ...options, labelNames: [...labelNames] });
       this.#gauges.set(name, gauge);
     }
     this.#storeSeconds = new Histogram({
@@ -85,6 +99,15 @@
       buckets: latencyBucketsS,
       registers,
     });
+    this.#forecastErrorMs = new Summary({
+      name: `${prefix}forecast_error_ms`,
+      help: "How far jobs ended from their predicted end, either way",
+      labelNames: ["queue"],
+      percentiles: [0.5, 0.95],
+      maxAgeSeconds: forecastWindowMs / msPerSecond,
+      ageBuckets: 6,
+      registers,
+    });
     this.#holdSeconds = new Histogram({
       name: `${prefix}submission_hold_seconds`,
       help: "How long submissions were held in outages",
@@ -103,8 +126,25 @@
   }
 
   /** Sets a gauge. */
-  setGauge(name: keyof typeof gauges, value: number): void {
-    this.#gauges.get(name)?.set(value);
+  setGauge(
+    name: keyof typeof gauges,
+    value: number,
+    labels: Readonly<Record<string, string>> = {},
+  ): void {
+    this.#gauges.get(name)?.set(labels, value);
+  }
+
+  addToGauge(
+    name: keyof typeof gauges,
+    value: number,
+    labels: Readonly<Record<string, string>>,
+  ): void {
+    this.#gauges.get(name)?.inc(labels, value);
+  }
+
+  /** Removes a gauge's values for all labels. */
+  resetGauge(name: keyof typeof gauges): void {
+    this.#gauges.get(name)?.reset();
   }
 
   /** Records the outcome and duration of a call to the store. */
@@ -113,6 +153,11 @@
     this.#storeSeconds.observe({ call }, tookMs / msPerSecond);
   }
 
+  /** Records how far a job ended from the end predicted at its submission. */
+  recordForecastError(queue: string, errorMs: number): void {
+    this.#forecastErrorMs.observe({ queue }, errorMs);
+  }
+
   /** Records how long a submission was held in an outage. */
   recordHold(heldMs: number): void {
     this.#holdSeconds.observe(heldMs / msPerSecond);
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -16,6 +16,7 @@
 import { runEffects } from "./run_effects.ts";
 import type { DeferredEffect } from "./deferred_effect.ts";
 import { loadJob } from "./load_job.ts";
+import { needsConfirmation } from "./needs_confirmation.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
 import type { PeerAddressRow } from "./peer_address_row.ts";
 import { servicePressures } from "./service_pressures.ts";
@@ -38,7 +39,7 @@
   readonly #evacuation: EvacuationControl | undefined;
   readonly #openedAtMs: number;
   readonly #unsaved = new UnsavedRows();
-  #deferred: DeferredEffect[] = [];
+  readonly #deferred: DeferredEffect[] = [];
   #isFlushing = false;
   #isClosed = false;
   #isResigning = false;
@@ -101,9 +102,10 @@
   }
 
   submit(job: JobDefinition): void {
-    const { clock, directory, log } = this.options;
+    const { clock, directory, load, log } = this.options;
     const row = directory.rows.get(job.id);
     if (row === undefined) {
+      load?.noteSubmitted(this.cell, job);
       this.#applyAll(this.cell.submit(job, clock.wallMs()));
     } else if (!this.cell.jobs.has(job.id)) {
       loadJob(this.cell, job, row, clock.nowMs(), log);
@@ -222,10 +224,8 @@
   }
 
   #apply(effect: CellEffect): void {
-    if (effect.kind === "save") this.#unsaved.addJob(effect.job);
-    else if (effect.kind === "learned") this.#unsaved.setLearned(effect.row);
-    else if (effect.kind === "runTimes") this.#unsaved.setRunTimes(effect.row);
-    else if (effect.kind === "note") this.#termLog.recordNote(effect);
+    if (this.#unsaved.add(effect)) return;
+    if (effect.kind === "note") this.#termLog.recordNote(effect);
     else if (effect.kind === "stop") {
       const { node, task, run, life } = effect;
       this.#termLog.recordStop(effect);
@@ -274,23 +274,23 @@
   #flush(): void {
     this.#isFlushing = false;
     if (this.#isClosed) return;
-    const { clock, writer } = this.options;
+    const { clock, load, writer } = this.options;
     const nowMs = clock.nowMs();
     this.#releaseLostWorkers(nowMs);
     this.#unsureNotice.sendIfDue(nowMs);
     this.#termLog.recordState(this.cell);
-    const effects = this.cell.tick(nowMs, clock.wallMs());
-    for (const effect of effects) this.#apply(effect);
+    load?.update(this.cell);
+    for (const effect of this.cell.tick(nowMs, clock.wallMs())) {
+      this.#apply(effect);
+    }
     this.#evacuation?.update();
     const rows = this.#unsaved.take();
     const isStartDue = this.#evacuation?.hasDueStarts ?? false;
     if (rows.length === 0 && this.#deferred.length === 0 && !isStartDue) return;
-    const deferred = this.#deferred;
-    this.#deferred = [];
-    // Without a row the store would not confirm that this keeper, which lets a
-    // runner forget an end, has not been deposed.
-    const isForgetting = deferred.some(({ kind }) => kind === "forget");
-    if (isForgetting && rows.length === 0) rows.push(writer.heartbeatRow());
+    const deferred = this.#deferred.splice(0);
+    if (rows.length === 0 && needsConfirmation(deferred)) {
+      rows.push(writer.heartbeatRow());
+    }
     writer.write(rows, () => {
       if (this.#isClosed) return;
       const due = this.#evacuation?.release(deferred) ?? deferred;
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -3,7 +3,6 @@
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { chooseWorker } from "./choose_worker.ts";
-import { compareUrgency } from "./compare_urgency.ts";
 import type { Job } from "./job.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import type { TaskGroup } from "./task_group.ts";
@@ -32,6 +31,7 @@
   wallMs: number,
 ): Effects {
   const waiting: Urgency[] = [];
+  const unplaceable = new Set<TaskGroup>();
   const isSettling = isCellSettling(cell, nowMs);
   cell.demand.update(cell, nowMs);
   const { attempts, runTimes } = cell.statistics;
@@ -40,14 +40,17 @@
     if (queue === undefined) continue;
     for (const group of job.waitingGroups) {
       if (isSettling && group.definition.isFiller) continue;
-      if (isPlaceable(cell, group, queue, nowMs)) {
-        const urgency = urgencyOf(group, queue, wallMs, runTimes);
-        waiting.push(attempts?.demoted(urgency) ?? urgency);
-      } else noteIdle(job, nowMs);
+      if (!isPlaceable(cell, group, queue, nowMs)) {
+        noteIdle(job, nowMs);
+        if (!cell.order.comparesAll) continue;
+        unplaceable.add(group);
+      }
+      const urgency = urgencyOf(group, queue, wallMs, runTimes);
+      waiting.push(attempts?.demoted(urgency) ?? urgency);
     }
   }
-  waiting.sort(compareUrgency);
-  for (const { group } of waiting) {
+  for (const { group } of cell.order.sort(waiting, cell, nowMs, wallMs)) {
+    if (unplaceable.has(group)) continue;
     const queue = cell.queues.get(group.job.definition.queue);
     if (queue === undefined) continue;
     if (group.definition.isGang) yield* placeGang(cell, group, queue, nowMs);
--- a/src/core/cell/urgency_of.ts
+++ b/src/core/cell/urgency_of.ts
@@ -1,21 +1,13 @@
 import { DeclaredRunTimes } from "../estimate/declared_run_times.ts";
 import type { RunTimes } from "../estimate/run_times.ts";
 import type { Queue } from "../jobs/queue.ts";
+import { rankOfWork } from "./rank_of_work.ts";
 import type { TaskGroup } from "./task_group.ts";
 import type { Urgency } from "./urgency.ts";
+import { usefulFactor } from "./useful_factor.ts";
 
-/**
- * How much a job's rank rises for each core-second that it still needs: under
- * overload, many small jobs in time are worth more than one large one.
- */
-const rankPerCoreSecondMs = 40;
 /** Subtracted from the rank of a started job, so that it ends in time. */
 const startedBonusMs = 6_000;
-const milliPerCore = 1_000;
-const msPerSecond = 1_000;
-
-/** After this many times its objective a job is of no use to its caller. */
-const usefulFactor = 3;
 
 const declaredRunTimes = new DeclaredRunTimes();
 
@@ -38,15 +30,15 @@
     return { group, band: 0, priority, rankMs: latestStartMs };
   }
   const rankMs = latestStartMs +
-    remainingCoreSeconds(group, runTimes) * rankPerCoreSecondMs -
+    rankOfWork(remainingMilliMs(group, runTimes)) -
     (job.hasStarted ? startedBonusMs : 0);
   const uselessAtMs = dueAtMs + usefulFactor * objectiveMs;
   const band = wallMs <= latestStartMs ? 1 : wallMs <= uselessAtMs ? 2 : 3;
   return { group, band, priority, rankMs };
 }
 
-/** The core-seconds that a group's occurrence still needs. */
-function remainingCoreSeconds(
+/** The CPU time that a group's occurrence still needs. */
+function remainingMilliMs(
   { job, occurrence }: TaskGroup,
   runTimes: RunTimes,
 ): number {
@@ -55,5 +47,5 @@
     const { cpuMilli } = group.definition.resources;
     milliMs += group.unfinishedCount * cpuMilli * runTimes.expectedMs(group);
   }
-  return milliMs / milliPerCore / msPerSecond;
+  return milliMs;
 }
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -18,6 +18,8 @@
 import type { Store } from "../core/store/store.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import { announcePeer } from "./announce_peer.ts";
+import { createCellTail } from "./create_cell_tail.ts";
+import { EntryLoad } from "./entry_load.ts";
 import { createPeersTail } from "./create_peers_tail.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { NodeOptions } from "./node_options.ts";
@@ -25,8 +27,6 @@
 
 /** How long a tail's read of the store waits for a new row. */
 const tailWaitMs = 2_000;
-/** A standby's pause between reads of the keeper's stream; bounds its lag. */
-const standbyPauseMs = 200;
 const watchIntervalMs = 50;
 /** How long a keeper's message that it cannot reach the store stays valid. */
 const unsureValidMs = 1_000;
@@ -43,6 +43,7 @@
 export class EntryNode {
   readonly directory: JobDirectory;
   readonly jobTails: SubmissionTails;
+  readonly load: EntryLoad;
   /** Undefined if the deployment evacuates no data centres. */
   readonly evacuations: EvacuationRequests | undefined;
   readonly #election: Election;
@@ -76,7 +77,11 @@
       this.evacuations = requests;
     }
     this.directory = new JobDirectory(log);
-    this.directory.onSubmitted = (job) => this.#session?.submit(job);
+    this.load = new EntryLoad(options.hardLoad, metrics);
+    this.directory.onSubmitted = (job) => {
+      this.load.admission?.noteStored(job);
+      this.#session?.submit(job);
+    };
     this.directory.onCancelled = (id) => this.#session?.cancel(id);
     this.jobTails = new SubmissionTails(
       store,
@@ -84,7 +89,7 @@
       (rows) => this.directory.applyJobRows(rows),
       log,
     );
-    this.#cellTail = this.#newCellTail();
+    this.#cellTail = createCellTail(store, this.directory, log);
     this.#election = new Election(store, { node, incarnation }, log);
     this.#election.onWinner = () => this.#handleWinner();
     this.#server = new PeerServer((channel, { epoch, keeper }) => {
@@ -122,6 +127,7 @@
   /** Applies the queues of the current configuration. */
   setQueues(queues: readonly Queue[]): void {
     this.#queues = queues;
+    this.load.admission?.setQueues(queues);
     this.#session?.setQueues(queues);
   }
 
@@ -157,19 +163,11 @@
     for (const tail of [this.#cellTail, this.#election.tail]) tail.stop();
   }
 
-  #newCellTail(): StreamTail {
-    return new StreamTail(
-      this.store,
-      streams.cell,
-      { waitMs: 0, pauseMs: standbyPauseMs },
-      (rows) => this.directory.applyProgressRows(rows),
-      this.log,
-    );
-  }
-
   #handleKeeperMessage(message: KeeperMessage, epoch: number): void {
     if (message.kind === "states") {
       for (const [id, state] of message.jobs) this.directory.advance(id, state);
+    } else if (message.kind === "load") {
+      this.load.receive(message);
     } else if (message.kind === "unsure") {
       this.#unsureAtMs = performance.now();
     } else if (message.kind === "resigned") {
@@ -273,19 +271,22 @@
     const { bounds, node } = this.options;
     this.#cellTail.stop();
     const hello = { kind: "hello", epoch, keeper: node } as const;
+    const links = new PeerLinks(hello, this.log);
     const session = new KeeperSession({
       epoch,
       writer,
       directory: this.directory,
       bounds,
-      links: new PeerLinks(hello, this.log),
+      links,
       operatorRead: () => this.evacuations?.read,
       unevenLoad: this.options.hardLoad,
       advisor: this.advisor,
       clock: systemClock,
       metrics: this.metrics,
       log: this.log,
+      load: this.load.newReporter(links),
     });
+    this.load.prepare(session.cell);
     session.load(this.#queues);
     if (this.evacuations) session.setEvacuations(this.evacuations.zones);
     this.#session = session;
@@ -306,7 +307,7 @@
     this.#peersTail?.stop();
     session.close();
     this.directory.rows.clear();
-    this.#cellTail = this.#newCellTail();
+    this.#cellTail = createCellTail(this.store, this.directory, this.log);
     if (!this.#isClosed) void this.#cellTail.run();
   }
 }
--- a/src/nodes/holding_storer.ts
+++ b/src/nodes/holding_storer.ts
@@ -63,6 +63,10 @@
     });
   }
 
+  mayHaveStored(key: string): boolean {
+    return this.#uncertain.has(key);
+  }
+
   async store(row: Row, time: CallerTime): Promise<StoreOutcome> {
     return await new Promise<StoreOutcome>((done) => {
       const bytes = sizeOf(row);
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -5,6 +5,7 @@
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
 import { describeSteps } from "../core/jobs/describe_steps.ts";
+import { JobAdmission } from "./job_admission.ts";
 import type { CallerTime } from "./caller_time.ts";
 import type { EntryNode } from "./entry_node.ts";
 import type { RowStorer } from "./row_storer.ts";
@@ -22,21 +23,41 @@
 
 /** Serves callers' requests to submit, query and cancel jobs. */
 export class JobService {
+  readonly #admission: JobAdmission | undefined;
+
   constructor(
     readonly entry: EntryNode,
     readonly storer: RowStorer,
     readonly metrics: PrometheusMetrics,
     readonly log: Logger,
-  ) {}
+  ) {
+    const { admission } = entry.load;
+    if (admission === undefined) return;
+    const isKnown = (id: JobId) => entry.directory.definitions.has(id);
+    this.#admission = new JobAdmission(
+      admission,
+      entry.jobTails,
+      isKnown,
+      metrics,
+      log,
+    );
+  }
 
   /** Stores a new job. Submitting a known id again changes nothing. */
-  async submit(
-    definition: JobDefinition,
-    time: CallerTime,
-  ): Promise<StoreOutcome> {
-    const { id, queue } = definition;
+  async submit(job: JobDefinition, time: CallerTime): Promise<StoreOutcome> {
+    const { id, queue } = job;
+    const { zone, hardLoad } = this.entry.options;
+    const definition = hardLoad.sharesFairly ? { ...job, origin: zone } : job;
     const { directory } = this.entry;
     if (directory.definitions.has(id)) return { kind: "stored" };
+    const mayBeStored = this.storer.mayHaveStored(id);
+    const refusal = await this.#admission?.check(definition, mayBeStored);
+    // The refresh of a refusal may have found that the job is stored.
+    if (directory.definitions.has(id)) return { kind: "stored" };
+    if (refusal !== undefined) {
+      const { retryAfterMs } = refusal;
+      return { kind: "refused", reason: "overload", retryAfterMs };
+    }
     const row = { key: id, value: JSON.stringify(definition) };
     const outcome = await this.storer.store(row, time);
     const { kind } = outcome;
--- a/src/nodes/parse_hard_load.ts
+++ b/src/nodes/parse_hard_load.ts
@@ -10,6 +10,8 @@
   };
   return {
     holdsSubmissions: isOn("holdsSubmissions"),
+    admits: isOn("admits"),
+    sharesFairly: isOn("sharesFairly"),
     learnsRunTimes: isOn("learnsRunTimes"),
     watchesSpeed: isOn("watchesSpeed"),
     limitsAttempts: isOn("limitsAttempts"),
--- a/src/nodes/retrying_storer.ts
+++ b/src/nodes/retrying_storer.ts
@@ -30,6 +30,10 @@
     readonly clock: Clock,
   ) {}
 
+  mayHaveStored(key: string): boolean {
+    return this.writer.mayHaveStored(key);
+  }
+
   async store(row: Row, { withinMs }: CallerTime): Promise<StoreOutcome> {
     if (this.health.isUnreachable(this.clock.nowMs())) {
       return outcome(this.writer.mayHaveStored(row.key));
--- a/src/nodes/row_storer.ts
+++ b/src/nodes/row_storer.ts
@@ -8,4 +8,6 @@
  */
 export interface RowStorer {
   store(row: Row, time: CallerTime): Promise<StoreOutcome>;
+  /** Whether an append without answer may have stored a row of the key. */
+  mayHaveStored(key: string): boolean;
 }
--- a/stand_ins/load/load_model.ts
+++ b/stand_ins/load/load_model.ts
@@ -5,15 +5,26 @@
 import type { JobProgressRow } from "../../src/core/cell/job_progress_row.ts";
 import type { RunTimeRow } from "../../src/core/estimate/run_time_row.ts";
 import type { PressureRow } from "../../src/core/interfere/pressure_row.ts";
+import type { JobDefinition } from "../../src/core/jobs/job_definition.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
+import type { JobState } from "../../src/core/jobs/job_state.ts";
 import type { NodeId } from "../../src/core/jobs/node_id.ts";
+import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
+import { CellForecast } from "../../src/core/queueing/cell_forecast.ts";
 import { EvacuationPlanner } from "../../src/core/evacuate/evacuation_planner.ts";
 import { SeededRandom } from "../seeded_random.ts";
 import { InterferenceTruth } from "./interference_truth.ts";
+import { summarizeLoads } from "../../src/core/queueing/summarize_loads.ts";
 import { LoadCallers } from "./load_callers.ts";
+import { LoadEntries } from "./load_entries.ts";
 import type { LoadOptions } from "./load_options.ts";
 import type { LoadResult } from "./load_result.ts";
 import { LoadWorker } from "./load_worker.ts";
+import { countRunsIn } from "./count_runs_in.ts";
+import { countServices } from "./count_services.ts";
+import { newCell } from "./new_cell.ts";
+import { sum } from "./sum.ts";
+import { worstWindow } from "./worst_window.ts";
 
 const stepMs = 50;
 /** The services start before the other callers come. */
@@ -27,7 +38,6 @@
 const reportSpreadMs = 450;
 /** Harm by fillers costs this many times what it lasts. */
 const harmFactor = 4;
-const maxAttempts = 4;
 /** The work to load a checkpoint. */
 const restoreMs = 250;
 const worstWindowMs = 5_000;
@@ -50,7 +60,11 @@
   #runTimes: RunTimeRow | undefined;
   #cell: Cell;
   #nowMs = -leadMs;
+  readonly #entries: LoadEntries;
   #stops = 0;
+  #refusedRuns = 0;
+  #forecast = new CellForecast();
+  readonly #forecastErrorsMs: number[] = [];
   #clearedAfterMs = 0;
   #leftInEvacuated = 0;
   #extraCoreMs = 0;
@@ -80,6 +94,9 @@
       this.#workers.set(node, worker);
     }
     this.#cell = newCell(options);
+    const origins = options.parties.map(({ origin }) => origin);
+    const entryNames = origins.length === 0 ? [""] : origins;
+    this.#entries = new LoadEntries(entryNames, this.#cell.queues.values());
     if (options.knowsPressures) this.#cell.restoreLearned(truth.encode());
   }
 
@@ -96,20 +113,33 @@
     const wastedCoreMs = sum(workers.map((each) => each.wastedCoreMs));
     const workedCoreMs = sum(workers.map((each) => each.workedCoreMs));
     const lostMs = awayMs + overMs * harmFactor;
+    const { admitted, refusedWithFree } = this.#entries;
+    const isAdmitted = (id: JobId) => admitted.has(id);
+    const resultOf = (kind: "plan" | "check", origin?: string) =>
+      this.#callers.result(kind, durationMs, isAdmitted, origin);
     return {
-      plans: this.#callers.result("plan", durationMs),
-      checks: this.#callers.result("check", durationMs),
+      plans: resultOf("plan"),
+      checks: resultOf("check"),
       services: {
         owedS: owedMs / 1_000,
         awayS: awayMs / 1_000,
         overTargetS: overMs / 1_000,
-        worstOverTargetS: worstWindow(this.#overMs) / 1_000,
+        worstOverTargetS: worstWindow(this.#overMs, worstWindowMs / stepMs) /
+          1_000,
         worth: Math.max(0, 1 - lostMs / Math.max(1, owedMs)),
       },
       extraCoreS: this.#extraCoreMs / 1_000,
       wastedCoreS: wastedCoreMs / 1_000,
       workedCoreS: workedCoreMs / 1_000,
       stops: this.#stops,
+      forecastErrorsMs: this.#forecastErrorsMs,
+      plansByParty: Object.fromEntries(
+        this.options.parties.map(({ origin }) =>
+          [origin, resultOf("plan", origin)] as const
+        ),
+      ),
+      refusedWithFree,
+      refusedRuns: this.#refusedRuns,
       evacuation: {
         clearedAfterMs: this.#clearedAfterMs,
         leftAfter5s: this.#leftInEvacuated,
@@ -130,11 +160,13 @@
     const isDark = powerLossesAtMs.some((atMs) =>
       nowMs >= atMs && nowMs < atMs + darkMs + restartMs
     );
-    if (nowMs >= 0 && nowMs < durationMs) {
-      for (const job of this.#callers.submissions(nowMs, stepMs)) {
-        if (isDark) this.#rows.delete(job.id);
-        else this.#apply(this.#cell.submit(job, nowMs));
-      }
+    if (nowMs >= 0) {
+      const isOpen = nowMs < durationMs;
+      const jobs = isOpen ? this.#callers.submissions(nowMs, stepMs) : [];
+      if (isDark) { for (const job of jobs) this.#entries.store(job); }
+      else {for (const job of this.#entries.offer(jobs, nowMs)) {
+          this.#submit(job);
+        }}
     }
     for (const worker of this.#workers.values()) worker.step(nowMs, stepMs);
     const { evacuation } = this.options;
@@ -146,23 +178,24 @@
     this.#nowMs += stepMs;
   }
 
+  #submit(job: JobDefinition): void {
+    const nowMs = this.#nowMs;
+    if (this.options.checksForecast) {
+      this.#forecast.noteSubmitted(this.#cell, job, nowMs);
+    }
+    this.#apply(this.#cell.submit(job, nowMs));
+  }
+
   #evacuate(sinceMs: number): void {
     if (this.#cell.evacuatedZones.size === 0) {
       this.#cell.evacuationPlanner = new EvacuationPlanner(evacuateMs);
       this.#apply(this.#cell.setEvacuations(new Set([evacuated]), this.#nowMs));
     }
-    const left = this.#evacuatedRuns();
+    const left = countRunsIn(evacuated, this.#workers.values());
     if (left > 0) this.#clearedAfterMs = sinceMs + stepMs;
     if (sinceMs <= measuredMs) this.#leftInEvacuated = left;
   }
 
-  #evacuatedRuns(): number {
-    return sum(
-      [...this.#workers.values()].filter(({ zone }) => zone === evacuated)
-        .map(({ runs }) => runs.size),
-    );
-  }
-
   #isAt(atMs: number): boolean {
     return this.#nowMs >= atMs && this.#nowMs < atMs + stepMs;
   }
@@ -175,9 +208,19 @@
       this.#apply(this.#cell.handleReport(worker.node, report, nowMs));
       worker.renew(this.#cell);
     }
+    this.#updateForecast();
     this.#apply(this.#cell.tick(nowMs, nowMs));
   }
 
+  #updateForecast(): void {
+    const { checksForecast, admits } = this.options;
+    const nowMs = this.#nowMs;
+    if (!checksForecast && !admits) return;
+    const isNew = this.#forecast.update(this.#cell, nowMs, nowMs);
+    if (!isNew || !admits) return;
+    this.#entries.receive(summarizeLoads(this.#forecast.loads, nowMs), nowMs);
+  }
+
   /** All runs and the keeper are lost; the store keeps its rows. */
   #losePower(): void {
     for (const worker of this.#workers.values()) worker.losePower();
@@ -195,9 +238,12 @@
 
   #changeKeeper(): void {
     this.#cell = newCell(this.options);
-    for (const [id, { definition }] of this.#callers.jobs) {
+    for (const [id, { definition, kind }] of this.#callers.jobs) {
+      const stored = this.#entries.admitted.get(id);
+      if (stored === undefined && kind !== "service") continue;
       const row = this.#rows.get(id);
-      this.#cell.load(decodeJob(definition, row, this.#nowMs));
+      const job = decodeJob(stored ?? definition, row, this.#nowMs);
+      this.#cell.load(job);
     }
     for (const job of this.#cell.liveJobs) job.openDueOccurrences(this.#nowMs);
     const { keepsLearned } = this.options;
@@ -228,6 +274,10 @@
         case "start": {
           const { command, node } = effect;
           if (!this.#cell.markOrdered(node, command)) break;
+          const { job } = parseTaskName(command.task)!;
+          const { kind } = this.#callers.jobs.get(job)!;
+          const isAdmitted = this.#entries.admitted.has(job);
+          if (kind !== "service" && !isAdmitted) this.#refusedRuns += 1;
           const truth = this.#callers.truthOf(command.task, command.run);
           if (command.checkpoint !== "") {
             this.#extraCoreMs += restoreMs * command.resources.cpuMilli / 1_000;
@@ -243,6 +293,7 @@
           this.#workers.get(effect.node)?.stop(effect.task, effect.run);
           break;
         case "show":
+          this.#checkForecast(effect.job, effect.state);
           if (effect.state === "completed") {
             this.#callers.complete(effect.job, this.#nowMs);
           }
@@ -251,52 +302,17 @@
     }
   }
 
+  #checkForecast(id: JobId, state: JobState): void {
+    const error = this.#forecast.noteState(id, state, this.#nowMs);
+    if (error?.queue === "plan") this.#forecastErrorsMs.push(error.lateMs);
+  }
+
   #countServices(): void {
     const { jobs, width } = this.options.services;
     const owed = jobs * width;
-    let well = 0;
-    let over = 0;
-    for (const worker of this.#workers.values()) {
-      for (const run of worker.runs.values()) {
-        if (!run.command.isService) continue;
-        if (run.isOver) over += 1;
-        else if (worker.isServingWell(run, this.#nowMs)) well += 1;
-      }
-    }
+    const { well, over } = countServices(this.#workers.values(), this.#nowMs);
     this.#service.owedMs += owed * stepMs;
     this.#overMs.push(over * stepMs);
     this.#service.awayMs += (owed - well - over) * stepMs;
   }
 }
-
-/** The largest sum of consecutive values that a worst window holds. */
-function worstWindow(values: readonly number[]): number {
-  const size = worstWindowMs / stepMs;
-  let worst = 0;
-  for (let from = 0; from + size <= values.length; from += 1) {
-    worst = Math.max(worst, sum(values.slice(from, from + size)));
-  }
-  return worst;
-}
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
-function newCell({ cell: change, uneven }: LoadOptions): Cell {
-  const cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 1_800, ...change });
-  const kinds = [
-    { name: "service", priority: 0, stretch: 2.2, targetMs: 2_500 },
-    { name: "check", priority: 0, stretch: 1.5, targetMs: 250 },
-    { name: "plan", priority: 2, stretch: 2, targetMs: 1_000 },
-  ];
-  for (const kind of kinds) {
-    cell.queues.set(kind.name, {
-      ...kind,
-      pool: "pool",
-      maxAttempts: uneven?.maxAttempts ?? maxAttempts,
-      advice: undefined,
-    });
-  }
-  return cell;
-}
--- a/stand_ins/load/load_options.ts
+++ b/stand_ins/load/load_options.ts
@@ -21,12 +21,26 @@
   readonly keepsLearned: boolean;
   /** Whether the first keeper knows all pressures, for an upper bound. */
   readonly knowsPressures: boolean;
+  /** Whether the end of each job is predicted, and compared with its end. */
+  readonly checksForecast: boolean;
+  /** Who submits plans and checks, each at its own entry; none for one party. */
+  readonly parties: readonly Party[];
+  /** Whether the entries refuse what cannot end in time. */
+  readonly admits: boolean;
+  /** Whether `ContentionOrder` orders waiting groups. */
+  readonly sharesFairly: boolean;
   /** What is uneven; nothing by default. */
   readonly uneven?: Partial<UnevenLoad>;
   /** Changes of the cell's options. */
   readonly cell?: Partial<CellOptions>;
 }
 
+interface Party {
+  readonly origin: string;
+  /** Its share of all plans and checks. */
+  readonly share: number;
+}
+
 /** Jobs of services, all submitted at the start. */
 interface ServiceLoad {
   readonly jobs: number;
--- a/stand_ins/load/load_result.ts
+++ b/stand_ins/load/load_result.ts
@@ -11,6 +11,14 @@
   readonly workedCoreS: number;
   /** Runs stopped to be placed elsewhere. */
   readonly stops: number;
+  /** By how much each completed plan ended later than predicted, in ms. */
+  readonly forecastErrorsMs: readonly number[];
+  /** What the callers of each party got of their plans. */
+  readonly plansByParty: Readonly<Record<string, KindResult>>;
+  /** Refusals while a tenth of the CPU was free. */
+  readonly refusedWithFree: number;
+  /** Runs of jobs that were refused. */
+  readonly refusedRuns: number;
   /** Zero without an evacuation. */
   readonly evacuation: {
     /** From the request until no run was left in the data centre. */
@@ -25,6 +33,8 @@
   readonly submitted: number;
   readonly inAim: number;
   readonly late: number;
+  /** Never admitted. */
+  readonly refused: number;
   /** Later than three times the objective, or not at all. */
   readonly failed: number;
   /** The share of the kind's worth, by work and lateness, that was earned. */
--- a/stand_ins/load/site_load.ts
+++ b/stand_ins/load/site_load.ts
@@ -49,6 +49,10 @@
     powerLossesAtMs: [],
     keepsLearned: true,
     knowsPressures: false,
+    checksForecast: false,
+    parties: [],
+    admits: false,
+    sharesFairly: false,
     ...change,
   };
 }
--- a/tests/run_time_estimator_test.ts
+++ b/tests/run_time_estimator_test.ts
@@ -136,7 +136,7 @@
       runTask(earlier, groupOf({ expectedMs: 1_000 }), 3_000);
     }
     const unsaved = new UnsavedRows();
-    unsaved.setRunTimes(earlier.encode());
+    unsaved.add({ kind: "runTimes", row: earlier.encode() });
     const directory = new JobDirectory(new Logger("silent", {}));
     directory.applyProgressRows(
       unsaved.take().map((row, offset) => ({ ...row, offset })),
