A restarted entry is ready once it has read one stream of jobs

With three streams, an entry that restarts while one partition is down would have been unready more often than with one. Announcements that fail are logged.

--- a/src/nodes/announce_peer.ts
+++ b/src/nodes/announce_peer.ts
@@ -7,6 +7,8 @@
 
 const appendTimeoutMs = 1_000;
 const retryPauseMs = 150;
+/** A failure is logged at the first attempt and then at each of this many. */
+const attemptsPerLog = 20;
 
 /** Stores the address at which this process accepts its keeper's connection. */
 export async function announcePeer(
@@ -27,6 +29,9 @@
       log.info("member_announced", { attempt });
       return;
     }
+    if (attempt % attemptsPerLog === 1) {
+      log.warn("member_unannounced", { attempt, reason: result.error.kind });
+    }
     await sleep(retryPauseMs);
   }
 }
--- a/src/nodes/submission_tails.ts
+++ b/src/nodes/submission_tails.ts
@@ -27,6 +27,11 @@
     return this.#tails.every(({ isCaughtUp }) => isCaughtUp);
   }
 
+  /** Whether this holds for one stream at least. */
+  get hasCaughtUp(): boolean {
+    return this.#tails.some(({ isCaughtUp }) => isCaughtUp);
+  }
+
   /** When each stream had been read successfully at least once since. */
   get readAtMs(): number {
     return Math.min(...this.#tails.map(({ readAtMs }) => readAtMs));
