Keepers log which runs a crashed runner had

Callers saw jobs that never end, and other jobs lost with their workers. The keeper's log said nothing of it: claims of another life were released without a line, so that crashes could not be tied to tasks.

worker_crashed names the runs that had started shortly before, and tells whether the runner's next life has come or its address refused connections until its lease ended; sidecars report the latter (isGone, optional on the wire). A life that had announced its exit is no crash.

No decision changes.

--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -9,6 +9,7 @@
 import { AdviceCache } from "./advice_cache.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { findReleasedTask } from "./find_released_task.ts";
+import { recordCrash } from "./record_crash.ts";
 import { reconcileRuns } from "./reconcile_runs.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
@@ -129,6 +130,7 @@
       this.statistics.forgetSpeed(worker);
     }
     worker.report = report;
+    if (report.isDraining) worker.drainedLife = report.life;
     worker.isEvacuated = this.evacuatedZones.has(report.zone);
     const runs = new Map(report.running.map((run) => [run.task, run]));
     for (const refusal of report.refusals ?? []) {
@@ -136,6 +138,9 @@
     }
     yield* this.#applyEnds(worker, report, nowMs);
     if (report.isLapsed) {
+      if (report.isGone && !report.isDraining) {
+        yield* recordCrash(worker, [...worker.claims.values()], "gone");
+      }
       yield* this.handleWorkerLost(node, nowMs);
       return;
     }
--- a/src/core/cell/claim.ts
+++ b/src/core/cell/claim.ts
@@ -16,6 +16,11 @@
    * monotonic clock.
    */
   phaseSinceMs: number;
+  /**
+   * Whether it may still be the start of the run that crashes its worker: the
+   * run has not been seen active for long enough.
+   */
+  isStartingUp: boolean;
   /** The advisor's ticket for the run, in queues that have an advisor. */
   readonly ticket: string | undefined;
   /** The progress last reported, in percent, and when it last changed. */
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -60,6 +60,7 @@
       phase: "starting",
       isOrdered: true,
       phaseSinceMs: nowMs,
+      isStartingUp: true,
       ticket: undefined,
       progressPercent: 0,
       progressAtMs: nowMs,
--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -9,6 +9,7 @@
 import { reservedResources } from "./reserved_resources.ts";
 import { stopUnseenStart } from "../evacuate/stop_unseen_start.ts";
 import { buildStart } from "./build_start.ts";
+import { settleRun } from "./settle_run.ts";
 import { stopEffectFor } from "./stop_effect_for.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
@@ -40,6 +41,7 @@
     cell.recordCheckpoint(task, status.checkpoint);
     cell.markStarted(worker.node, name, status.run, nowMs);
     recordProgress(task, status.percent, nowMs);
+    settleRun(task, status, nowMs);
   }
   for (const run of worker.report?.unsettled.map(parseRunKey) ?? []) {
     if (runs.get(run.task)?.run === run.run) continue;
--- a/src/core/cell/sidecar_report.ts
+++ b/src/core/cell/sidecar_report.ts
@@ -21,6 +21,11 @@
   readonly isDraining: boolean;
   /** Whether the runner answers. */
   readonly isUp: boolean;
+  /**
+   * Whether connections to the runner are refused, as after a crash; sidecars
+   * of an earlier version do not tell.
+   */
+  readonly isGone?: boolean | undefined;
   /** The lease of this life has certainly expired, so nothing of it runs. */
   readonly isLapsed: boolean;
   readonly running: readonly RunStatus[];
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -11,6 +11,7 @@
 import type { RunnerResult } from "./runner_result.ts";
 import type { RunnerClient } from "./runner_client.ts";
 import type { RunnerHeartbeat } from "./runner_heartbeat.ts";
+import { RunnerHealth } from "./runner_health.ts";
 import { RunnerLease } from "./runner_lease.ts";
 import type { RunnerPollResult } from "./runner_poll_result.ts";
 import { StartWindow } from "./start_window.ts";
@@ -21,8 +22,6 @@
 const pendingEndsPauseMs = 40;
 const failedPollPauseMs = 100;
 const reportIntervalMs = 450;
-/** Consecutive polls without answer after which a runner counts as down. */
-const pollsBeforeDown = 2;
 
 type Send = (message: PeerMessage) => void;
 
@@ -34,7 +33,6 @@
 export class Gate implements GateContext {
   lastHeartbeat: RunnerHeartbeat | undefined;
   epoch = 0;
-  isUp = false;
   isDraining = false;
   isStopped = false;
   readonly lease: RunnerLease;
@@ -50,7 +48,7 @@
   #endLedger = new EndLedger();
   /** Whether a next life of the runner has answered. */
   #hasNextLife = false;
-  #failedPolls = 0;
+  readonly #health = new RunnerHealth();
   #appliedPollSentAtMs = -Infinity;
   #running: readonly RunStatus[] = [];
   #wake: () => void = () => {};
@@ -68,6 +66,10 @@
     this.#paceController = new PaceController(this, this.#tracker);
   }
 
+  get isUp(): boolean {
+    return this.#health.isUp;
+  }
+
   /** Handles a heartbeat; one of an earlier life or out of order is ignored. */
   handleHeartbeat(heartbeat: RunnerHeartbeat): void {
     const { lastHeartbeat: known } = this;
@@ -86,7 +88,7 @@
   handleLeave(instance: string): void {
     if (this.lastHeartbeat?.instance !== instance) return;
     this.isDraining = true;
-    this.isUp = false;
+    this.#health.isUp = false;
     this.log.info("runner_left", { instance });
     this.#sendReport();
   }
@@ -208,7 +210,7 @@
     this.#endLedger = new EndLedger();
     this.#hasNextLife = false;
     this.#running = [];
-    this.isUp = false;
+    this.#health.reset();
     this.isDraining = heartbeat.isDraining;
   }
 
@@ -234,26 +236,19 @@
       this.#handleFailedPoll(answer.isOk ? "other_life" : answer.failure);
       return false;
     }
-    this.#failedPolls = 0;
     this.#hasNextLife = false;
     this.#endLedger.confirm(forgetUpTo, this.clock.nowMs());
-    if (!this.isUp) this.log.info("runner_up", { life: lifeOf(heartbeat) });
-    this.isUp = true;
+    if (this.#health.recordAnswer()) {
+      this.log.info("runner_up", { life: lifeOf(heartbeat) });
+    }
     this.recordClock(answer);
     this.#applyPoll(answer.value, sentAtMs);
     return true;
   }
 
-  /**
-   * Counts a failed poll. One without answer does not yet mean that the runner
-   * is down, since a healthy runner may cause it too.
-   */
   #handleFailedPoll(failure: string): void {
-    this.#failedPolls += 1;
     this.#endLedger.doubt();
-    if (!this.isUp) return;
-    if (failure === "unknown" && this.#failedPolls < pollsBeforeDown) return;
-    this.isUp = false;
+    if (!this.#health.recordFailure(failure)) return;
     this.log.warn("runner_down", { failure });
     this.#sendReport();
   }
@@ -289,7 +284,8 @@
         capacity: heartbeat.capacity,
         coldForMs: this.startWindow.evacuateMs && heartbeat.coldForMs,
         isDraining: this.isDraining,
-        isUp: this.isUp,
+        isUp: this.#health.isUp,
+        isGone: this.#health.isGone,
         isLapsed: this.#hasLapsed(nowMs),
         running: this.#running,
         ends: this.#endLedger.ends,
--- a/tests/full_scan_placement.ts
+++ b/tests/full_scan_placement.ts
@@ -178,6 +178,7 @@
     phase: "starting",
     isOrdered: false,
     phaseSinceMs: nowMs,
+    isStartingUp: true,
     ticket: tickets?.get(worker.report!.life),
     progressPercent: 0,
     progressAtMs: nowMs,
--- a/tests/run_time_estimator_test.ts
+++ b/tests/run_time_estimator_test.ts
@@ -42,6 +42,7 @@
     phase: "running",
     isOrdered: true,
     phaseSinceMs: 0,
+    isStartingUp: false,
     ticket: undefined,
     progressPercent: 0,
     progressAtMs: 0,
