Failing tests: a task that crashes its workers is started for ever

Four cases that must hold with any limit pass today: a job is not given up when its worker crashes long after the start, all crash at once, is cut off, or drains and exits, eight times in a row.

--- a/tests/cell_fixture.ts
+++ b/tests/cell_fixture.ts
@@ -113,6 +113,11 @@
     this.reportWorker(node, { ends: [end], running, ...change });
   }
 
+  /** Numbers the next ends of runs from at least this number. */
+  skipEnds(upTo: number): void {
+    this.#endNumber = Math.max(this.#endNumber, upTo);
+  }
+
   /** The runs of a worker that runs all its claims but one. */
   runningOn(node: string, without = ""): RunStatus[] {
     const claims = this.cell.worker(node as NodeId).claims;
--- /dev/null
+++ b/tests/crash_fixture.ts
@@ -0,0 +1,151 @@
+import { decodeJob } from "../src/core/cell/decode_job.ts";
+import { encodeJob } from "../src/core/cell/encode_job.ts";
+import type { JobProgressRow } from "../src/core/cell/job_progress_row.ts";
+import type { SidecarReport } from "../src/core/cell/sidecar_report.ts";
+import type { NodeId } from "../src/core/jobs/node_id.ts";
+import type { RunOutcome } from "../src/core/jobs/run_outcome.ts";
+import type { RunStatus } from "../src/core/jobs/run_status.ts";
+import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
+import type { StepDefinition } from "../src/core/jobs/step_definition.ts";
+import { CellFixture } from "./cell_fixture.ts";
+
+/** From a crash to the first report of the runner's next life. */
+const downMs = 3_400;
+/** How long a sound run is active before it is done. */
+const runMs = 900;
+const stepMs = 100;
+
+/** Workers that crash when they start certain tasks, and do others well. */
+export class CrashFixture {
+  fixture = new CellFixture();
+  /** The tasks that crash each worker that starts them. */
+  readonly deadly = new Set<string>();
+  /** How often each task was started. */
+  readonly startCounts = new Map<string, number>();
+  /** Whether another keeper takes over after each crash. */
+  changesKeeper = false;
+  crashCount = 0;
+  readonly #lives = new Map<string, number>();
+  readonly #upAtMs = new Map<string, number>();
+  /** When the active run of each task began. */
+  readonly #beganAtMs = new Map<string, number>();
+  /** The workers that crash at the next step. */
+  readonly #crashing = new Set<string>();
+
+  constructor(readonly nodes: readonly string[]) {
+    for (const node of nodes) this.#lives.set(node, 1);
+    for (const node of nodes) this.report(node);
+  }
+
+  submit(id: string, steps: readonly StepDefinition[]): void {
+    this.fixture.submit(id, steps);
+  }
+
+  /** Reports what a worker runs, in its current life. */
+  report(node: string, change: Partial<SidecarReport> = {}): void {
+    const life = `${node}@${this.#lives.get(node)}` as RunnerLife;
+    const running = this.#runningOn(node);
+    this.fixture.reportWorker(node, { life, running, ...change });
+  }
+
+  /** Ends a worker's life; the next one reports after a while. */
+  crash(node: string): void {
+    this.crashCount += 1;
+    this.#lives.set(node, this.#lives.get(node)! + 1);
+    this.#upAtMs.set(node, this.fixture.nowMs + downMs);
+    for (const { name } of this.fixture.runsOn(node)) {
+      this.#beganAtMs.delete(name);
+    }
+    if (this.changesKeeper) this.#replaceKeeper();
+  }
+
+  /** Lets time pass, and crashes workers as often as deadly tasks start. */
+  play(forMs: number): void {
+    const untilMs = this.fixture.nowMs + forMs;
+    while (this.fixture.nowMs < untilMs) {
+      this.fixture.advance(stepMs);
+      for (const start of this.fixture.newStarts()) this.#start(start);
+      for (const node of this.#crashing) this.crash(node);
+      this.#crashing.clear();
+      for (const stop of this.fixture.newStops()) this.#stop(stop);
+      for (const node of this.nodes) {
+        if (this.#isUp(node)) this.#work(node);
+      }
+    }
+  }
+
+  /** The worker that a task is claimed on. */
+  workerOf(task: string): string | undefined {
+    return this.nodes.find((node) =>
+      this.fixture.runsOn(node).some(({ name }) => name === task)
+    );
+  }
+
+  #isUp(node: string): boolean {
+    return this.fixture.nowMs >= (this.#upAtMs.get(node) ?? 0);
+  }
+
+  #start(start: string): void {
+    const { task, node } = parseRun(start);
+    this.startCounts.set(task, (this.startCounts.get(task) ?? 0) + 1);
+    this.#beganAtMs.set(task, this.fixture.nowMs);
+    if (this.deadly.has(task)) this.#crashing.add(node);
+  }
+
+  #stop(stop: string): void {
+    const { task, run, node } = parseRun(stop);
+    if (this.#isUp(node) && this.#beganAtMs.has(task)) {
+      this.#end(node, task, run, "stopped");
+    }
+  }
+
+  #work(node: string): void {
+    this.report(node);
+    const { nowMs } = this.fixture;
+    for (const { name, run, group } of this.fixture.runsOn(node)) {
+      const ageMs = nowMs - (this.#beganAtMs.get(name) ?? Infinity);
+      const { isGang, isService } = group.definition;
+      const isWhole = group.tasks.every((each) =>
+        this.#beganAtMs.has(each.name)
+      );
+      if (isService || ageMs < runMs || (isGang && !isWhole)) continue;
+      this.#end(node, name, run, "done");
+    }
+  }
+
+  #end(node: string, name: string, run: number, outcome: RunOutcome): void {
+    const life = `${node}@${this.#lives.get(node)}` as RunnerLife;
+    const running = this.#runningOn(node).filter(({ task }) => task !== name);
+    this.#beganAtMs.delete(name);
+    this.fixture.endRun(node, name, run, outcome, "", { life, running });
+  }
+
+  #runningOn(node: string): RunStatus[] {
+    return this.fixture.runningOn(node)
+      .filter(({ task }) => this.#beganAtMs.has(task))
+      .map((status) => ({ ...status, percent: 50 }));
+  }
+
+  #replaceKeeper(): void {
+    const next = new CellFixture();
+    next.nowMs = this.fixture.nowMs;
+    next.wallMs = this.fixture.wallMs;
+    for (const job of this.fixture.cell.jobs.values()) {
+      const row = JSON.parse(JSON.stringify(encodeJob(job))) as JobProgressRow;
+      next.cell.load(decodeJob(job.definition, row, next.nowMs));
+    }
+    // End numbers go on in the lives of the workers.
+    for (const node of this.nodes) {
+      const { lastEnd } = this.fixture.cell.worker(node as NodeId);
+      next.skipEnds(lastEnd);
+    }
+    this.fixture = next;
+  }
+}
+
+/** Parses a run as the fixture names it, `task#run@node`. */
+function parseRun(text: string): { task: string; run: number; node: string } {
+  const [, task = "", run = "", node = ""] = /^(.*)#(\d+)@(.*)$/.exec(text) ??
+    [];
+  return { task, run: Number(run), node };
+}
--- /dev/null
+++ b/tests/crashing_task_test.ts
@@ -0,0 +1,92 @@
+import { expect } from "chai";
+import type { NodeId } from "../src/core/jobs/node_id.ts";
+import { CellFixture } from "./cell_fixture.ts";
+import { CrashFixture } from "./crash_fixture.ts";
+
+const { step } = CellFixture;
+const workers = ["w1", "w2", "w3", "w4", "w5"];
+/** Three crashes, and fewer than three starts more. */
+const maxStarts = 5;
+
+describe("a task that crashes each worker that starts it", () => {
+  const kinds = [
+    { kind: "plain", change: {} },
+    { kind: "gang", change: { isGang: true } },
+    { kind: "service", change: { isService: true } },
+    { kind: "speculative", change: { isSpeculative: true } },
+    { kind: "filler", change: { isFiller: true, image: "f" } },
+  ];
+  for (const { kind, change } of kinds) {
+    for (const changesKeeper of [false, true]) {
+      const keeper = changesKeeper ? "a new keeper each time" : "one keeper";
+      it(`is not started for ever: ${kind}, ${keeper}`, () => {
+        const fleet = new CrashFixture(workers);
+        fleet.changesKeeper = changesKeeper;
+        fleet.deadly.add("bad.0.0.1");
+        fleet.submit("bad", [step({ count: 3, ...change })]);
+        fleet.play(60_000);
+        expect(fleet.startCounts.get("bad.0.0.1")).to.be.at.most(maxStarts);
+        expect(fleet.fixture.jobState("bad")).to.equal("failed");
+      });
+    }
+  }
+
+  it("does not get the jobs given up whose tasks crash beside it", () => {
+    const fleet = new CrashFixture(workers);
+    fleet.deadly.add("bad.0.0.0").add("worse.0.0.0");
+    const jobs = ["a", "b", "c", "d"];
+    for (const id of ["bad", ...jobs, "worse"]) {
+      fleet.submit(id, [step({ count: 3 })]);
+    }
+    fleet.play(60_000);
+    expect(jobs.map((id) => fleet.fixture.jobState(id)))
+      .to.eql(jobs.map(() => "completed"));
+    expect(fleet.fixture.jobState("bad")).to.equal("failed");
+    expect(fleet.fixture.jobState("worse")).to.equal("failed");
+  });
+});
+
+describe("a job is not given up", () => {
+  const outages: {
+    name: string;
+    strike: (fleet: CrashFixture, node: string) => void;
+  }[] = [
+    {
+      name: "when its worker crashes again and again, long after the start",
+      strike: (fleet, node) => fleet.crash(node),
+    },
+    {
+      name: "when all workers crash together again and again",
+      strike: (fleet) => workers.forEach((node) => fleet.crash(node)),
+    },
+    {
+      name: "when its worker is cut off again and again",
+      strike: ({ fixture }, node) => {
+        const { cell, nowMs } = fixture;
+        fixture.collect(cell.handleWorkerLost(node as NodeId, nowMs));
+      },
+    },
+    {
+      name: "when its worker drains and exits again and again",
+      strike: (fleet, node) => {
+        fleet.report(node, { isDraining: true });
+        fleet.crash(node);
+      },
+    },
+  ];
+  for (const { name, strike } of outages) {
+    it(name, () => {
+      const fleet = new CrashFixture(workers);
+      fleet.submit("j", [step({ isService: true })]);
+      for (let time = 0; time < 8; time++) {
+        fleet.play(5_000);
+        const node = fleet.workerOf("j.0.0.0");
+        expect(node, `strike ${time}`).to.be.a("string");
+        strike(fleet, node!);
+      }
+      fleet.play(5_000);
+      expect(fleet.fixture.jobState("j")).to.equal("running");
+      expect(fleet.workerOf("j.0.0.0")).to.be.a("string");
+    });
+  }
+});
