A task that crashes its workers is given up after three crashes in a row

Cause: only ends of runs were counted. A run that ends with its worker's life has none; its claim was released as lapsed, and nothing told a task that crashes its worker from one whose worker is lost. All that started beside it was placed again in the same tick, often together.

Change: each run that was ordered and had not started up (300 ms of being listed) when its worker's runner crashed is a suspect, and its task's crashes rise; a run that starts up, is done or fails resets them. They are in the job's row, with the marks of claims that have started up, so that a later keeper goes on. A suspect goes where it endangers least and away from other suspects; after two crashes it is tried alone: on a worker on which nothing is starting, and nothing else starts there until it has started up. After three the job is failed. An announced exit, a cut-off worker, and a runner that is silent are no crash; one whose address refuses connections until its lease ends is one.

The reference in full_scan_choice.ts follows the same rules.

--- a/src/core/cell/apply_run_end.ts
+++ b/src/core/cell/apply_run_end.ts
@@ -34,6 +34,8 @@
   const { attempts } = cell.statistics;
   if (attempts) yield* attempts.recordEnd(worker, task, end.outcome, nowMs);
   task.claim = undefined;
+  // A run that ends by itself has not crashed its worker.
+  if (end.outcome === "done" || end.outcome === "failed") task.crashes = 0;
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
   if (job.outcome !== undefined) {
     // The row must show a later keeper that there is nothing left to stop.
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -64,7 +64,7 @@
   readonly statistics: RunStatistics;
   /** When it first decided, by the keeper's monotonic clock. */
   beganAtMs = Infinity;
-  /** Jobs with checkpoints that are not in the store yet. */
+  /** Jobs that are saved at the next interval. */
   readonly #unsavedJobs = new Set<Job>();
   #checkpointsSavedAtMs = -Infinity;
   readonly #learnedRows = new LearnedRows();
@@ -125,6 +125,7 @@
     const worker = this.worker(node);
     const isNewLife = worker.report?.life !== report.life;
     if (isNewLife) {
+      yield* recordCrash(this, worker, "next_life", nowMs, report.life);
       worker.lastEnd = 0;
       worker.statuses.clear();
       this.statistics.forgetSpeed(worker);
@@ -139,7 +140,7 @@
     yield* this.#applyEnds(worker, report, nowMs);
     if (report.isLapsed) {
       if (report.isGone && !report.isDraining) {
-        yield* recordCrash(worker, [...worker.claims.values()], "gone");
+        yield* recordCrash(this, worker, "gone", nowMs);
       }
       yield* this.handleWorkerLost(node, nowMs);
       return;
@@ -272,7 +273,12 @@
   recordCheckpoint(task: Task, checkpoint: string): void {
     if (checkpoint === "" || checkpoint === task.checkpoint) return;
     task.checkpoint = checkpoint;
-    this.#unsavedJobs.add(task.group.job);
+    this.saveSoon(task.group.job);
+  }
+
+  /** Saves a job with the next checkpoints. */
+  saveSoon(job: Job): void {
+    this.#unsavedJobs.add(job);
   }
 
   *#saveCheckpoints(nowMs: number): Effects {
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -3,6 +3,7 @@
 import { subtractResources } from "../resources/subtract_resources.ts";
 import type { Queue } from "../jobs/queue.ts";
 import type { RunnerLife } from "../jobs/runner_life.ts";
+import { isIsolated } from "./is_isolated.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import { estimateFillerImpact } from "./estimate_filler_impact.ts";
 import type { FillerView } from "./filler_view.ts";
@@ -34,6 +35,10 @@
 const coldPenalty = 3;
 const avoidedWorkerPenalty = 4;
 const slownessPenalty = 10;
+/** Penalties for a suspect: a full worker, its services, each other suspect. */
+const exposurePenalty = 2;
+const exposedServicePenalty = 1;
+const besideSuspectPenalty = 2;
 /** Penalty for each step of `addedImageMix`. */
 const imageMixPenalty = 2;
 
@@ -93,6 +98,7 @@
   const { report } = worker;
   if (report === undefined || !worker.isReconciled) return false;
   if (worker.isEvacuated) return false;
+  if (!mayStartBeside(task, worker)) return false;
   if (!report.isUp || report.isDraining || report.pool !== queue.pool) {
     return false;
   }
@@ -110,6 +116,24 @@
   return fits(reservedResources(definition), room);
 }
 
+/**
+ * Whether a task and the worker's runs may be suspects of one crash. The members
+ * of a gang may, since they belong to one job.
+ */
+function mayStartBeside(task: Task, worker: Worker): boolean {
+  const { group } = task;
+  const isOther = (other: Task) =>
+    !group.definition.isGang || other.group !== group;
+  if (worker.isTrying && [...worker.startingSuspects].some(isOther)) {
+    return false;
+  }
+  if (!isIsolated(task)) return true;
+  for (const other of worker.claims.values()) {
+    if (other.claim?.phase === "starting" && isOther(other)) return false;
+  }
+  return true;
+}
+
 /** The cost of a worker for a filler; infinite if strict mode rules it out. */
 function fillerCost(
   task: Task,
@@ -142,7 +166,15 @@
   if (task.avoidedWorker === worker.node) cost += avoidedWorkerPenalty;
   if ((worker.report?.coldForMs ?? 0) > 0) cost += coldPenalty;
   if (isOnRemoteRack(task, worker)) cost += remoteRackPenalty;
-  return cost;
+  return task.crashes === 0 ? cost : cost + suspectCost(worker);
+}
+
+/** The cost of starting a task on a worker that it may crash. */
+function suspectCost(worker: Worker): number {
+  const usedShare = worker.used.cpuMilli / worker.capacityMilli;
+  return exposurePenalty * Math.min(1, usedShare) +
+    (worker.targetCount > 0 ? exposedServicePenalty : 0) +
+    besideSuspectPenalty * worker.startingSuspects.size;
 }
 
 /**
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -49,9 +49,17 @@
       group.unfinishedCount -= 1;
       continue;
     }
-    const [run, failures, checkpoint, workerIndex, startCheckpoint] = row;
-    Object.assign(task, { run, failures, checkpoint });
-    const worker = workerIndex === undefined ? undefined : workers[workerIndex];
+    const [
+      run,
+      failures,
+      checkpoint,
+      workerIndex,
+      startCheckpoint,
+      crashes = 0,
+      hasStartedUp = 0,
+    ] = row;
+    Object.assign(task, { run, failures, checkpoint, crashes });
+    const worker = workers[workerIndex ?? -1];
     if (worker === undefined) continue;
     // The worker's next report shows whether the run is active.
     task.claim = {
@@ -60,7 +68,7 @@
       phase: "starting",
       isOrdered: true,
       phaseSinceMs: nowMs,
-      isStartingUp: true,
+      isStartingUp: hasStartedUp === 0,
       ticket: undefined,
       progressPercent: 0,
       progressAtMs: nowMs,
--- a/src/core/cell/demand_index.ts
+++ b/src/core/cell/demand_index.ts
@@ -5,6 +5,7 @@
 import { chooseWorker } from "./choose_worker.ts";
 import { DemandClass } from "./demand_class.ts";
 import { FillerView } from "./filler_view.ts";
+import { isIsolated } from "./is_isolated.ts";
 import { PressureModel } from "../interfere/pressure_model.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import { reservedResources } from "./reserved_resources.ts";
@@ -89,8 +90,8 @@
     const demandClass = this.#classOf(group, queue, nowMs, mode);
     const { candidates } = demandClass;
     demandClass.refresh(this.#states.keys(), nowMs, this.recheckMs);
-    const [task] = group.tasks;
-    if (task === undefined) return false;
+    const task = group.tasks.find((each) => !isIsolated(each));
+    if (task === undefined) return group.tasks.length > 0;
     for (const worker of candidates) {
       const chosen = chooseWorker(task, queue, [worker], this.view, mode);
       if (chosen !== undefined) return true;
@@ -106,6 +107,10 @@
     mode: PlacementMode,
     tickets: Tickets,
   ): Worker | undefined {
+    if (isIsolated(task)) {
+      const workers = this.#states.keys();
+      return chooseWorker(task, queue, workers, this.view, mode, tickets);
+    }
     const { nowMs } = this.view;
     const demandClass = this.#classOf(task.group, queue, nowMs, mode);
     const { candidates } = demandClass;
@@ -196,7 +201,7 @@
   }
 }
 
-/** Groups of equal keys fit the same workers. */
+/** Groups of equal keys fit the same workers, but for isolated tasks. */
 function classKey({ definition }: TaskGroup, pool: string): string {
   const { isFiller, resources, label, image } = definition;
   const { cpuMilli, memoryBytes, accelerators } = isFiller
--- a/src/core/cell/encode_job.ts
+++ b/src/core/cell/encode_job.ts
@@ -32,14 +32,21 @@
 
 function encodeTask(task: Task, workers: Map<string, number>): TaskRow {
   if (task.isDone) return 1;
-  const { claim, run, failures, checkpoint } = task;
+  const { claim, run, failures, crashes, checkpoint } = task;
   if (run === 0) return 0;
-  if (claim === undefined) return [run, failures, checkpoint];
+  const start = [run, failures, checkpoint] as const;
+  if (claim === undefined) {
+    return crashes === 0 ? start : [...start, null, "", crashes];
+  }
   const key = `${claim.node} ${claim.life}`;
   const worker = workers.get(key) ?? workers.size;
   workers.set(key, worker);
-  const row = [run, failures, checkpoint, worker] as const;
-  return claim.startCheckpoint === "" ? row : [...row, claim.startCheckpoint];
+  const { startCheckpoint, isStartingUp } = claim;
+  if (!isStartingUp) return [...start, worker, startCheckpoint, crashes, 1];
+  if (crashes > 0) return [...start, worker, startCheckpoint, crashes];
+  return startCheckpoint === ""
+    ? [...start, worker]
+    : [...start, worker, startCheckpoint];
 }
 
 function splitWorkerKey(key: string): [string, string] {
--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -171,6 +171,7 @@
       index,
       run: 0,
       failures: 0,
+      crashes: 0,
       checkpoint: "",
       isDone: false,
       claim: undefined,
--- a/src/core/cell/job_progress_row.ts
+++ b/src/core/cell/job_progress_row.ts
@@ -19,7 +19,8 @@
 /**
  * 1 if the task is done, 0 if it has never been started. `worker` is an index
  * into `w`, given while the run is claimed; `from` is the checkpoint that the
- * run started from.
+ * run started from. `crashes` counts the runs in a row that crashed their worker
+ * or started beside one that did; `hasStartedUp` is 1 if the claimed run did not.
  */
 type TaskRow =
   | 0
@@ -28,6 +29,8 @@
     run: number,
     failures: number,
     checkpoint: string,
-    worker?: number,
+    worker?: number | null,
     from?: string,
+    crashes?: number,
+    hasStartedUp?: 0 | 1,
   ];
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -3,6 +3,7 @@
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { chooseWorker } from "./choose_worker.ts";
+import { isIsolated } from "./is_isolated.ts";
 import type { Job } from "./job.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import type { TaskGroup } from "./task_group.ts";
@@ -112,6 +113,8 @@
     const worker = chooseForTask(cell, task, queue, tickets, mayRelax);
     if (worker === undefined) {
       noteIdle(job, nowMs);
+      // An isolated task waits for a worker of its own, the others need not.
+      if (isIsolated(task)) continue;
       return;
     }
     yield* claimAndStart(worker, task, task.run + 1, nowMs, tickets);
--- a/src/core/cell/release_claims_of_other_lives.ts
+++ b/src/core/cell/release_claims_of_other_lives.ts
@@ -3,7 +3,6 @@
 import type { TaskName } from "../jobs/task_name.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
-import { recordCrash } from "./record_crash.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
 import type { Worker } from "./worker.ts";
 
@@ -19,14 +18,9 @@
   runs: ReadonlyMap<TaskName, RunStatus>,
   nowMs: number,
 ): Generator<CellEffect, void> {
-  const lost = [...worker.claims.values()]
-    .filter(({ claim }) => claim !== undefined && claim.life !== life);
-  const crashed = lost
-    .filter(({ claim }) => claim?.life !== worker.drainedLife);
-  yield* recordCrash(worker, crashed, "next_life");
-  for (const task of lost) {
+  for (const task of [...worker.claims.values()]) {
     const { claim } = task;
-    if (claim === undefined) continue;
+    if (claim === undefined || claim.life === life) continue;
     const mayRunHere = runs.get(task.name)?.run === task.run ||
       unsettled.includes(runKey({ task: task.name, run: task.run }));
     if (mayRunHere) {
--- a/src/core/cell/task.ts
+++ b/src/core/cell/task.ts
@@ -11,6 +11,11 @@
   /** The number of the newest run; 0 before the first. */
   run: number;
   failures: number;
+  /**
+   * How many runs in a row have crashed their worker at their start, or were
+   * starting beside one that did.
+   */
+  crashes: number;
   /** The newest checkpoint; empty for none. */
   checkpoint: string;
   isDone: boolean;
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -7,6 +7,7 @@
 import type { RunnerLife } from "../jobs/runner_life.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
+import { isIsolated } from "./is_isolated.ts";
 import { reservedResources } from "./reserved_resources.ts";
 import type { Task } from "./task.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
@@ -32,6 +33,8 @@
   reserved: Resources = noResources;
   /** The tasks whose current run is claimed here. */
   readonly claims = new Map<TaskName, Task>();
+  /** Those among them that may have crashed a worker and are starting up. */
+  readonly startingSuspects = new Set<Task>();
   /** The resources of unclaimed runs, by run key. */
   readonly strays = new Map<string, Resources>();
   /** When the stop of each unclaimed run was last sent, by run key. */
@@ -76,6 +79,17 @@
     return Math.max(1, this.report?.capacity.cpuMilli ?? 1);
   }
 
+  /**
+   * Whether an isolated task is starting up here. Nothing else starts meanwhile:
+   * it would be lost in a further crash, and be a suspect of it.
+   */
+  get isTrying(): boolean {
+    for (const task of this.startingSuspects) {
+      if (isIsolated(task)) return true;
+    }
+    return false;
+  }
+
   /** The resources that claimed and unclaimed runs reserve. */
   get used(): Resources {
     let used = this.#claimedResources;
@@ -98,6 +112,9 @@
   addClaim(task: Task): void {
     if (this.claims.has(task.name)) return;
     this.claims.set(task.name, task);
+    if (task.crashes > 0 && task.claim?.isStartingUp) {
+      this.startingSuspects.add(task);
+    }
     this.#count(task, 1);
     this.#claimedResources = addResources(
       this.#claimedResources,
@@ -110,6 +127,7 @@
     task.group.job.changeCount += 1;
     if (!this.claims.delete(task.name)) return;
     this.removalCount += 1;
+    this.startingSuspects.delete(task);
     this.#count(task, -1);
     this.statuses.delete(task.name);
     this.#claimedResources = subtractResources(
@@ -118,6 +136,12 @@
     );
   }
 
+  /** Ends the startup of a claimed run. */
+  endStartup(task: Task): void {
+    if (task.claim !== undefined) task.claim.isStartingUp = false;
+    this.startingSuspects.delete(task);
+  }
+
   /**
    * Removes a claim that was added on trial. The worker is as it was before, so
    * this does not count as a removal.
--- a/src/core/cell/worker_state.ts
+++ b/src/core/cell/worker_state.ts
@@ -15,6 +15,7 @@
   #isReconciled = false;
   #isSuspended = false;
   #isEvacuated = false;
+  #isTrying = false;
   #speed: Worker["speed"] = "normal";
   #reserved: Resources | undefined;
   #removalCount = -1;
@@ -30,13 +31,14 @@
   update(nowMs: number, pressureVersion: number): Gain {
     const { worker } = this;
     const { report, isReconciled, removalCount, claimVersion } = worker;
-    const { isEvacuated, reserved, speed } = worker;
+    const { isEvacuated, isTrying, reserved, speed } = worker;
     const isSuspended = nowMs < worker.suspendedUntilMs;
     const isReported = report !== this.#report;
     const hasRemovals = removalCount !== this.#removalCount;
     const isChanged = isReconciled !== this.#isReconciled ||
       isSuspended !== this.#isSuspended ||
-      isEvacuated !== this.#isEvacuated || speed !== this.#speed ||
+      isEvacuated !== this.#isEvacuated || isTrying !== this.#isTrying ||
+      speed !== this.#speed ||
       hasRemovals ||
       (isReported && this.#isDifferent(report));
     const hasFillerChange = reserved !== this.#reserved ||
@@ -54,6 +56,7 @@
     this.#isReconciled = isReconciled;
     this.#isSuspended = isSuspended;
     this.#isEvacuated = isEvacuated;
+    this.#isTrying = isTrying;
     this.#speed = speed;
     this.#reserved = reserved;
     this.#removalCount = removalCount;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -212,6 +212,8 @@
     this.#running = [];
     this.#health.reset();
     this.isDraining = heartbeat.isDraining;
+    // Before any refusal of a start that the life before had not answered.
+    this.#sendReport();
   }
 
   /**
--- a/src/ops/describe_job.ts
+++ b/src/ops/describe_job.ts
@@ -25,10 +25,11 @@
   );
   const tasks = [...job.tasks()]
     .filter(({ run, isDone }) => run > 0 && !isDone)
-    .map(({ name, run, failures, checkpoint, claim }) => ({
+    .map(({ name, run, failures, crashes, checkpoint, claim }) => ({
       task: name,
       runs: run,
       failures,
+      crashes,
       checkpoint,
       worker: claim?.node,
     }));
--- a/src/ops/job_details.ts
+++ b/src/ops/job_details.ts
@@ -22,6 +22,8 @@
   /** How many runs of it were started. */
   readonly runs: number;
   readonly failures: number;
+  /** How many runs in a row may have crashed their worker. */
+  readonly crashes: number;
   readonly checkpoint: string;
   /** The worker that its current run is claimed on, if any. */
   readonly worker: string | undefined;
--- a/tests/crashing_task_test.ts
+++ b/tests/crashing_task_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import type { NodeId } from "../src/core/jobs/node_id.ts";
+import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
 import { CellFixture } from "./cell_fixture.ts";
 import { CrashFixture } from "./crash_fixture.ts";
 
@@ -31,6 +32,21 @@
     }
   }
 
+  it("is blamed for a crash before its start was answered", () => {
+    const fixture = new CellFixture();
+    fixture.reportWorker("w");
+    fixture.submit("j", [step()]);
+    for (let run = 1; run <= maxStarts; run++) {
+      fixture.advance(1_000);
+      const life = `w@${run + 1}` as RunnerLife;
+      const unsettled = [`j.0.0.0#${run}`];
+      fixture.reportWorker("w", { life, isUp: false, unsettled });
+      fixture.refuse("w", "j.0.0.0", run, "old");
+      fixture.reportWorker("w", { life });
+    }
+    expect(fixture.jobState("j")).to.equal("failed");
+  });
+
   it("does not get the jobs given up whose tasks crash beside it", () => {
     const fleet = new CrashFixture(workers);
     fleet.deadly.add("bad.0.0.0").add("worse.0.0.0");
--- a/tests/full_scan_choice.ts
+++ b/tests/full_scan_choice.ts
@@ -29,6 +29,9 @@
 const coldPenalty = 3;
 const avoidedWorkerPenalty = 4;
 const slownessPenalty = 10;
+const exposurePenalty = 2;
+const exposedServicePenalty = 1;
+const besideSuspectPenalty = 2;
 /** Penalty for each step of `addedImageMix`. */
 const imageMixPenalty = 2;
 
@@ -70,7 +73,7 @@
 ): boolean {
   const { report } = worker;
   if (report === undefined || !worker.isReconciled) return false;
-  if (worker.isEvacuated) return false;
+  if (worker.isEvacuated || isKeptApart(task, worker)) return false;
   if (!report.isUp || report.isDraining || report.pool !== queue.pool) {
     return false;
   }
@@ -87,6 +90,18 @@
   return fits(reservedResources(definition), room);
 }
 
+/**
+ * Whether the worker tries an isolated task, or starts runs beside which an
+ * isolated task must not start; gangs count as one.
+ */
+function isKeptApart(task: Task, worker: Worker): boolean {
+  return [...worker.claims.values()].some(({ claim, crashes, group }) => {
+    if (group.definition.isGang && group === task.group) return false;
+    const isTried = claim?.isStartingUp === true && crashes >= 2;
+    return isTried || (claim?.phase === "starting" && task.crashes >= 2);
+  });
+}
+
 /** The cost of a worker for a filler; infinite if strict mode rules it out. */
 function fillerCost(
   task: Task,
@@ -129,6 +144,15 @@
   if (task.avoidedWorker === worker.node) cost += avoidedWorkerPenalty;
   if ((worker.report?.coldForMs ?? 0) > 0) cost += coldPenalty;
   if (isOnRemoteRack(task, worker)) cost += remoteRackPenalty;
+  if (task.crashes > 0) {
+    const suspects = [...worker.claims.values()].filter(({ claim, crashes }) =>
+      claim?.isStartingUp === true && crashes > 0
+    );
+    cost += besideSuspectPenalty * suspects.length;
+    cost += worker.targetCount > 0 ? exposedServicePenalty : 0;
+    const usedShare = worker.used.cpuMilli / worker.capacityMilli;
+    cost += exposurePenalty * Math.min(1, usedShare);
+  }
   return cost;
 }
 
--- a/tests/full_scan_placement.ts
+++ b/tests/full_scan_placement.ts
@@ -82,6 +82,7 @@
     const worker = chooseForTask(cell, task, queue, nowMs, tickets, mayRelax);
     if (worker === undefined) {
       noteIdle(job, nowMs);
+      if (task.crashes >= 2) continue;
       return;
     }
     yield* claimAndStart(worker, task, task.run + 1, nowMs, tickets);
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -282,6 +282,27 @@
     fixture.gate.stop();
   });
 
+  it("and reports a next one before it refuses what the earlier one left", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    fixture.runner.faults.push("ignored");
+    fixture.sendStarts(fixture.startCommand());
+    await fixture.clock.advance(50);
+    fixture.runner.restart();
+    fixture.sendHeartbeat(1);
+    await fixture.clock.advance(2_000);
+    const life = `i-1@${fixture.runner.bornMs}`;
+    const kinds = fixture.sent.flatMap((message) =>
+      message.kind === "refused" ||
+        (message.kind === "report" && message.report.life === life)
+        ? [message.kind]
+        : []
+    );
+    expect(kinds[0]).to.equal("report");
+    expect(kinds).to.include("refused");
+    fixture.gate.stop();
+  });
+
   it("and ignores a late heartbeat of an earlier one", async () => {
     const fixture = new GateFixture();
     await fixture.start();
