A start without an answer is repeated only to the life that it was meant for

Callers saw, in the model of a runner that starts again under its id: a start that crashes the runner before it is answered is repeated every 0.4 s in each next life, under one run number: 12 crashes in 5 s, and none of them known to the keeper, which counts crashes by run.

Cause: the retry of a start looks at the life of the newest heartbeat, and a next life answers before its first heartbeat.

Change: after a start without an answer, the sidecar polls until the known life has answered, and repeats the start only then. It remains possible that the life changes between that poll and the repeated start.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -195,8 +195,8 @@
     else clock.applyReading(answer.clockMs, nowMs);
   }
 
-  pollNow(): void {
-    void this.#poll(0);
+  pollNow(): Promise<boolean> {
+    return this.#poll(0);
   }
 
   #beginLife(heartbeat: RunnerHeartbeat): void {
--- a/src/gate/gate_context.ts
+++ b/src/gate/gate_context.ts
@@ -25,6 +25,9 @@
   send(message: PeerMessage): void;
   /** Records the reading of the runner's clock that an answer carries. */
   recordClock(answer: RunnerResult<unknown>): void;
-  /** Polls the runner at once, beside a poll that may be waiting. */
-  pollNow(): void;
+  /**
+   * Polls the runner at once, beside a poll that may be waiting. Returns whether
+   * the life of the newest heartbeat has answered.
+   */
+  pollNow(): Promise<boolean>;
 }
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -221,7 +221,7 @@
         this.#recordUnanswered(run);
         const { task } = run;
         context.log.warn("start_unanswered", { task, run: run.run });
-        await context.clock.sleep(retryPauseMs);
+        await this.#awaitKnownLife(run, arrivedAtMs);
         continue;
       }
       if (run.isStartUncertain) break;
@@ -229,7 +229,7 @@
         // The run may have been executed and ended: the next poll shows it.
         run.phase = "stopping";
         run.stopAcknowledgedAtMs = context.clock.nowMs();
-        context.pollNow();
+        void context.pollNow();
         return;
       }
       this.runs.delete(runKey(run));
@@ -240,6 +240,21 @@
     if (this.#isStarting(run)) await this.#stop(run);
   }
 
+  /**
+   * Waits until the runner's known life answers. A next life under the same id
+   * would carry out a repeated start, also if the start ended the earlier life.
+   */
+  async #awaitKnownLife(run: Run, arrivedAtMs: number): Promise<void> {
+    const { context } = this;
+    do {
+      await context.clock.sleep(retryPauseMs);
+      if (await context.pollNow()) return;
+    } while (
+      this.#isStarting(run) && !run.isStopRequested &&
+      context.startWindow.isOpen(arrivedAtMs, context.clock.nowMs())
+    );
+  }
+
   /**
    * The lease that a start carries ends with the window for starts, so that the
    * runner rejects one that reaches it later. Polls extend the lease.
@@ -274,7 +289,7 @@
     if (!await sendStop(context, run, () => this.#isCurrent(run))) return;
     run.stopAcknowledgedAtMs = context.clock.nowMs();
     // The end of a listed run completes the poll that is waiting.
-    if (!mayBeListed) context.pollNow();
+    if (!mayBeListed) void context.pollNow();
   }
 
   #recordUnanswered(run: Run): void {
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -87,6 +87,18 @@
     fixture.gate.stop();
   });
 
+  it("and does not repeat one that crashes the runner in its next lives", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    const { runner } = fixture;
+    runner.observer = { onStarted: () => runner.restart() };
+    runner.faults.push(...Array<"lost">(20).fill("lost"));
+    fixture.sendStarts(fixture.startCommand());
+    await fixture.clock.advance(5_000);
+    expect(runner.startCount).to.equal(1);
+    fixture.gate.stop();
+  });
+
   it("and a stop that overtakes a late start prevents the run", async () => {
     const fixture = new GateFixture();
     await fixture.start();
