A list of runs from before a crash does not clear the task that caused it

Cause: while a runner does not answer, its sidecar's reports repeat the newest list of runs. The keeper took a run that was listed 300 ms after its start for one that had started up, whatever the age of the list, and reset its task's count.

Change: the sidecar, which knows when a poll was sent and when the run became active, names the runs that may still be starting up; the keeper clears the others. The field is optional on the wire.

--- a/scenarios/cell_histories/history_step.ts
+++ b/scenarios/cell_histories/history_step.ts
@@ -29,4 +29,6 @@
   "evacuate",
   "suspend_keeper",
   "submit_long",
+  "submit_crashing",
+  "resize",
 ] as const;
--- a/scenarios/cell_histories/history_world.ts
+++ b/scenarios/cell_histories/history_world.ts
@@ -7,6 +7,7 @@
 import type { JobId } from "../../src/core/jobs/job_id.ts";
 import type { NodeId } from "../../src/core/jobs/node_id.ts";
 import type { Queue } from "../../src/core/jobs/queue.ts";
+import type { TaskName } from "../../src/core/jobs/task_name.ts";
 import type { StepDefinition } from "../../src/core/jobs/step_definition.ts";
 import type { KeeperMessage } from "../../src/link/keeper_message.ts";
 import { VirtualClock } from "../../stand_ins/clock/virtual_clock.ts";
@@ -138,8 +139,10 @@
     });
   }
 
-  submit(steps: readonly StepDefinition[]): void {
+  /** Submits a job; the first task of one that crashes does so at each start. */
+  submit(steps: readonly StepDefinition[], isCrashing = false): void {
     const id = `j${this.checker.jobs.size}` as JobId;
+    if (isCrashing) this.checker.crashingTasks.add(`${id}.0.0.0` as TaskName);
     const definition: JobDefinition = {
       id,
       queue: queue.name,
@@ -209,6 +212,7 @@
       worker.silence(false);
       worker.runner.faults.length = 0;
       worker.sidecar?.clock.resume();
+      worker.resize(capacityMilli);
       if (worker.isDraining) worker.restartRunner();
       if (this.checker.isEvacuated(worker.zone)) {
         this.evacuate(worker.zone, false);
--- a/scenarios/cell_histories/run_cell_history.ts
+++ b/scenarios/cell_histories/run_cell_history.ts
@@ -84,6 +84,10 @@
       const long = { savesProgress: true, expectedMs: longExpectedMs };
       return world.submit([{ ...newStep(2 + a % 4), ...long }]);
     }
+    case "submit_crashing":
+      return world.submit([newStep(1 + a % 4)], true);
+    case "resize":
+      return worker.resize(resizedMilli[b % resizedMilli.length]!);
     case "submit_chain":
       return world.submit([
         newStep(1 + a % 3),
@@ -146,6 +150,8 @@
   }
 }
 
+/** Capacities of a worker, from room for one task to its full size. */
+const resizedMilli = [1_000, 2_000, 3_000, 4_000] as const;
 const faults = ["lost", "late", "ignored"] as const;
 
 /** A step of tasks that each take a quarter of a worker. */
--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -41,7 +41,7 @@
     cell.recordCheckpoint(task, status.checkpoint);
     cell.markStarted(worker.node, name, status.run, nowMs);
     recordProgress(task, status.percent, nowMs);
-    settleRun(cell, worker, task, status, nowMs);
+    settleRun(cell, worker, task, status);
   }
   for (const run of worker.report?.unsettled.map(parseRunKey) ?? []) {
     if (runs.get(run.task)?.run === run.run) continue;
--- a/src/core/cell/settle_run.ts
+++ b/src/core/cell/settle_run.ts
@@ -1,25 +1,23 @@
+import { runKey } from "../jobs/run_key.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { Cell } from "./cell.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
-/** A run that was active for this long did not crash its worker by starting. */
-const startupMs = 300;
-
 /**
- * Ends the startup of a listed run that has been active for long enough: its
- * task is not what crashed the workers of earlier runs.
+ * Ends the startup of a listed run, unless its sidecar says that it may still
+ * crash the worker by starting: its task is not what crashed earlier ones.
  */
 export function settleRun(
   cell: Cell,
   worker: Worker,
   task: Task,
   { percent }: RunStatus,
-  nowMs: number,
 ): void {
-  const { claim, group } = task;
+  const { claim, group, name, run } = task;
   if (claim?.isStartingUp !== true || claim.phase !== "running") return;
-  if (nowMs - claim.phaseSinceMs < startupMs) return;
+  const key = runKey({ task: name, run });
+  if (worker.report?.startingUp?.includes(key)) return;
   const { isGang, isService } = group.definition;
   // The members of a gang do not work before all of them are present.
   if (isGang && percent === 0) return;
--- a/src/core/cell/sidecar_report.ts
+++ b/src/core/cell/sidecar_report.ts
@@ -34,6 +34,12 @@
   readonly unexplained: number;
   /** Keys of the runs whose start or stop has no known result yet. */
   readonly unsettled: readonly string[];
+  /**
+   * Keys of the runs that may still crash the runner by starting. No poll that
+   * was sent long enough after their start has found them active; sidecars of an
+   * earlier version do not list them.
+   */
+  readonly startingUp?: readonly string[];
   /**
    * The refused starts that the keeper has not acknowledged; sidecars of an
    * earlier version do not list them.
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -293,6 +293,7 @@
         ends: this.#endLedger.ends,
         unexplained: this.#tracker.unexplained,
         unsettled: this.#tracker.unsettled,
+        startingUp: this.#tracker.startingUp,
         refusals: this.#tracker.refused.unacknowledged,
       },
     });
--- a/src/gate/new_run.ts
+++ b/src/gate/new_run.ts
@@ -11,6 +11,8 @@
     run,
     startCommand: undefined,
     phase: "running",
+    activeSinceMs: undefined,
+    hasStartedUp: false,
     isStartUncertain: false,
     isStopRequested: false,
     refusal: undefined,
--- a/src/gate/run.ts
+++ b/src/gate/run.ts
@@ -9,6 +9,10 @@
   /** Undefined for a found run, until the keeper sends it. */
   startCommand: StartCommand | undefined;
   phase: "starting" | "running" | "stopping";
+  /** Since when it is known to be active, on the local monotonic clock. */
+  activeSinceMs: number | undefined;
+  /** Whether a later poll has found it active for long enough. */
+  hasStartedUp: boolean;
   /** A start got no answer, so the runner may still execute it. */
   isStartUncertain: boolean;
   /** The run must be stopped once the outcome of its start is known. */
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -2,19 +2,21 @@
 import type { StartRefusal } from "../core/cell/start_refusal.ts";
 import type { StopCommand } from "../link/stop_command.ts";
 import type { GateContext } from "./gate_context.ts";
-import { hasRoom } from "./has_room.ts";
 import { lifeOf } from "./life_of.ts";
 import { newRun } from "./new_run.ts";
 import type { Run } from "./run.ts";
 import { sendStop } from "./send_stop.ts";
 import { RefusedStarts } from "./refused_starts.ts";
+import type { RunStatus } from "../core/jobs/run_status.ts";
 import { runKey } from "../core/jobs/run_key.ts";
+import { refusalReason } from "./refusal_reason.ts";
 import { refusalFor } from "./refusal_for.ts";
 import type { RunnerPollResult } from "./runner_poll_result.ts";
+import { UnansweredStarts } from "./unanswered_starts.ts";
 
 const retryPauseMs = 30;
-/** An unanswered start may be executed up to this much later. */
-const maxLatenessMs = 15_000;
+/** A run that was active for this long did not crash its runner by starting. */
+const startupMs = 300;
 
 /**
  * Tracks the runs of a runner, from the start command until the runner lists
@@ -26,8 +28,7 @@
 export class RunTracker {
   readonly runs = new Map<string, Run>();
   readonly refused = new RefusedStarts();
-  /** The runs with a start that got no answer, and when it got none. */
-  readonly #unanswered = new Map<string, { run: Run; atMs: number }>();
+  readonly #unanswered = new UnansweredStarts();
 
   constructor(readonly context: GateContext) {}
 
@@ -46,6 +47,13 @@
     );
   }
 
+  /** The keys of the runs that may still crash the runner by starting. */
+  get startingUp(): string[] {
+    return [...this.runs.values()]
+      .filter(({ hasStartedUp }) => !hasStartedUp)
+      .map(runKey);
+  }
+
   /** The keys of the runs whose start or stop is not completed. */
   get unsettled(): string[] {
     return [...this.runs.values()]
@@ -59,14 +67,10 @@
    * answered, so its run is stopped there.
    */
   beginLife(): void {
-    const mayStart = new Map<string, Run>();
+    const mayStart = this.#unanswered.runs(this.context.clock.nowMs());
     for (const [key, run] of this.runs) {
       if (run.phase === "starting") mayStart.set(key, run);
     }
-    const sinceMs = this.context.clock.nowMs() - maxLatenessMs;
-    for (const [key, { run, atMs }] of this.#unanswered) {
-      if (atMs >= sinceMs) mayStart.set(key, run);
-    }
     this.runs.clear();
     for (const [key, run] of mayStart) {
       const carried = { ...run, stopAcknowledgedAtMs: undefined };
@@ -98,8 +102,11 @@
     for (const status of poll.running) {
       const key = runKey(status);
       const known = this.runs.get(key);
-      if (known === undefined) this.runs.set(key, newRun(status));
+      if (known === undefined) this.runs.set(key, this.#foundRun(status));
       else if (known.phase === "starting") this.#started(known);
+      else if (sentAtMs - (known.activeSinceMs ?? Infinity) >= startupMs) {
+        known.hasStartedUp = true;
+      }
     }
   }
 
@@ -151,7 +158,7 @@
       phase: "starting",
       pace: 100,
     };
-    run.refusal = this.#refusalReason(command);
+    run.refusal = refusalReason(context, [...this.runs.values()], command);
     if (run.refusal === undefined) {
       this.runs.set(runKey(run), run);
       void this.#start(run, command);
@@ -176,19 +183,6 @@
     else if (run.phase === "running") void this.#stop(run);
   }
 
-  #refusalReason(start: StartCommand): StartRefusal | undefined {
-    const { clock, lastHeartbeat: last, isDraining, isUp, lease, startWindow } =
-      this.context;
-    if (last === undefined || start.life !== lifeOf(last)) return "other_life";
-    if (startWindow.isEvacuated) return "evacuated";
-    const nowMs = clock.nowMs();
-    if (!startWindow.isOpen(nowMs, nowMs)) return "late";
-    if (isDraining) return "draining";
-    if (!isUp || lease.endClockMs === undefined) return "unhealthy";
-    const others = [...this.runs.values()];
-    return hasRoom(last.capacity, others, start) ? undefined : "no_room";
-  }
-
   /** Retries the start until its outcome is known, or else stops the run. */
   async #start(run: Run, command: StartCommand): Promise<void> {
     const { context } = this;
@@ -218,7 +212,7 @@
       }
       if (answer.failure === "unknown") {
         run.isStartUncertain = true;
-        this.#recordUnanswered(run);
+        this.#unanswered.record(run, context.clock.nowMs());
         const { task } = run;
         context.log.warn("start_unanswered", { task, run: run.run });
         await this.#awaitKnownLife(run, arrivedAtMs);
@@ -273,7 +267,12 @@
     this.context.log.info("start_given_up", { task, run: run.run, reason });
   }
 
+  #foundRun(status: RunStatus): Run {
+    return { ...newRun(status), activeSinceMs: this.context.clock.nowMs() };
+  }
+
   #started(run: Run): void {
+    run.activeSinceMs = this.context.clock.nowMs();
     run.isStartUncertain = false;
     run.phase = "running";
     const { task } = run;
@@ -292,14 +291,6 @@
     if (!mayBeListed) void context.pollNow();
   }
 
-  #recordUnanswered(run: Run): void {
-    const nowMs = this.context.clock.nowMs();
-    for (const [key, { atMs }] of this.#unanswered) {
-      if (nowMs - atMs > maxLatenessMs) this.#unanswered.delete(key);
-    }
-    this.#unanswered.set(runKey(run), { run, atMs: nowMs });
-  }
-
   /** Refuses a run for good; see `RefusedStarts`. */
   #refuse({ task, run, startCommand }: Run, reason: StartRefusal): void {
     const life = startCommand?.life ?? lifeOf(this.context.lastHeartbeat!);
--- a/src/link/is_peer_message.ts
+++ b/src/link/is_peer_message.ts
@@ -30,6 +30,7 @@
     (value.coldForMs === undefined || Number.isFinite(value.coldForMs)) &&
     isListOf(value.running, isStatus) &&
     isListOf(value.ends, isEnd) && isListOf(value.unsettled, isText) &&
+    (value.startingUp === undefined || isListOf(value.startingUp, isText)) &&
     (value.refusals === undefined || isListOf(value.refusals, isRefusal));
 }
 
