Only a run that had begun is blamed for the crash of its runner

Cause: the keeper blamed each claimed run whose start it had ordered. It cannot know which of them had reached the runner; the sidecar beside the runner can.

Change: the sidecar's reports name the runs that had begun and not started up when the life before ended (crashedStarts): those with an answered start, those that were listed, and those whose call broke off. A start that ran into its time limit is not among them, nor is any after an announced exit or a restart of the sidecar. So the marks of claims that had started up leave the job's row again, and a loss of all machines blames nobody.

Not covered: a task whose runner dies silently before it answers the start is never blamed; the calls then end by their time limit.

--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -125,13 +125,12 @@
     const worker = this.worker(node);
     const isNewLife = worker.report?.life !== report.life;
     if (isNewLife) {
-      yield* recordCrash(this, worker, "next_life", nowMs, report.life);
+      yield* recordCrash(this, worker, report, "next_life", nowMs);
       worker.lastEnd = 0;
       worker.statuses.clear();
       this.statistics.forgetSpeed(worker);
     }
     worker.report = report;
-    if (report.isDraining) worker.drainedLife = report.life;
     worker.isEvacuated = this.evacuatedZones.has(report.zone);
     const runs = new Map(report.running.map((run) => [run.task, run]));
     for (const refusal of report.refusals ?? []) {
@@ -139,8 +138,8 @@
     }
     yield* this.#applyEnds(worker, report, nowMs);
     if (report.isLapsed) {
-      if (report.isGone && !report.isDraining) {
-        yield* recordCrash(this, worker, "gone", nowMs);
+      if (report.isGone) {
+        yield* recordCrash(this, worker, report, "gone", nowMs);
       }
       yield* this.handleWorkerLost(node, nowMs);
       return;
--- a/src/core/cell/claim.ts
+++ b/src/core/cell/claim.ts
@@ -16,10 +16,7 @@
    * monotonic clock.
    */
   phaseSinceMs: number;
-  /**
-   * Whether it may still be the start of the run that crashes its worker: the
-   * run has not been seen active for long enough.
-   */
+  /** Whether the run may still crash its worker by starting. */
   isStartingUp: boolean;
   /** The advisor's ticket for the run, in queues that have an advisor. */
   readonly ticket: string | undefined;
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -56,7 +56,6 @@
       workerIndex,
       startCheckpoint,
       crashes = 0,
-      hasStartedUp = 0,
     ] = row;
     Object.assign(task, { run, failures, checkpoint, crashes });
     const worker = workers[workerIndex ?? -1];
@@ -68,7 +67,7 @@
       phase: "starting",
       isOrdered: true,
       phaseSinceMs: nowMs,
-      isStartingUp: hasStartedUp === 0,
+      isStartingUp: true,
       ticket: undefined,
       progressPercent: 0,
       progressAtMs: nowMs,
--- a/src/core/cell/encode_job.ts
+++ b/src/core/cell/encode_job.ts
@@ -41,8 +41,7 @@
   const key = `${claim.node} ${claim.life}`;
   const worker = workers.get(key) ?? workers.size;
   workers.set(key, worker);
-  const { startCheckpoint, isStartingUp } = claim;
-  if (!isStartingUp) return [...start, worker, startCheckpoint, crashes, 1];
+  const { startCheckpoint } = claim;
   if (crashes > 0) return [...start, worker, startCheckpoint, crashes];
   return startCheckpoint === ""
     ? [...start, worker]
--- a/src/core/cell/job_progress_row.ts
+++ b/src/core/cell/job_progress_row.ts
@@ -20,7 +20,7 @@
  * 1 if the task is done, 0 if it has never been started. `worker` is an index
  * into `w`, given while the run is claimed; `from` is the checkpoint that the
  * run started from. `crashes` counts the runs in a row that crashed their worker
- * or started beside one that did; `hasStartedUp` is 1 if the claimed run did not.
+ * or were starting up beside one that did.
  */
 type TaskRow =
   | 0
@@ -32,5 +32,4 @@
     worker?: number | null,
     from?: string,
     crashes?: number,
-    hasStartedUp?: 0 | 1,
   ];
--- a/src/core/cell/record_crash.ts
+++ b/src/core/cell/record_crash.ts
@@ -1,7 +1,7 @@
 import { runKey } from "../jobs/run_key.ts";
-import type { RunnerLife } from "../jobs/runner_life.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
+import type { SidecarReport } from "./sidecar_report.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
@@ -16,25 +16,27 @@
 const maxNamedRuns = 8;
 
 /**
- * Records the end of a worker's runner with the runs that it had, unless it had
- * announced that. The runs of its next life are not among them. Each run
- * that was starting up may have caused it. Placement keeps such tasks apart
- * from each other and, after a second crash, tries each of them alone, so that
- * only the cause is still there at the last one.
+ * Records the crash of a worker's runner that its sidecar reports, with the runs
+ * that it had. Each run that was starting up may have caused it. Placement keeps
+ * such tasks apart from each other and, after a second crash, tries each of them
+ * alone, so that only the cause is still there at the last one.
  */
 export function* recordCrash(
   cell: Cell,
   worker: Worker,
+  { crashedStarts, life }: SidecarReport,
   evidence: Evidence,
   nowMs: number,
-  nextLife?: RunnerLife,
 ): Effects {
-  const { drainedLife } = worker;
+  if (crashedStarts === undefined) return;
   const runs = [...worker.claims.values()].filter(({ claim }) =>
-    claim?.isOrdered && claim.life !== nextLife && claim.life !== drainedLife
+    claim?.isOrdered && (evidence === "gone" || claim.life !== life)
   );
   if (runs.length === 0) return;
-  const suspects = runs.filter(({ claim }) => claim?.isStartingUp);
+  const crashed = new Set(crashedStarts);
+  const suspects = runs.filter(({ name, run }) =>
+    crashed.has(runKey({ task: name, run }))
+  );
   yield {
     kind: "note",
     event: "worker_crashed",
--- a/src/core/cell/settle_run.ts
+++ b/src/core/cell/settle_run.ts
@@ -18,11 +18,10 @@
   if (claim?.isStartingUp !== true || claim.phase !== "running") return;
   const key = runKey({ task: name, run });
   if (worker.report?.startingUp?.includes(key)) return;
-  const { isGang, isService } = group.definition;
   // The members of a gang do not work before all of them are present.
-  if (isGang && percent === 0) return;
+  if (group.definition.isGang && percent === 0) return;
   worker.endStartup(task);
-  // Otherwise a later keeper would take a service's run for one that starts.
-  if (task.crashes > 0 || isService) cell.saveSoon(group.job);
+  if (task.crashes === 0) return;
   task.crashes = 0;
+  cell.saveSoon(group.job);
 }
--- a/src/core/cell/sidecar_report.ts
+++ b/src/core/cell/sidecar_report.ts
@@ -40,6 +40,12 @@
    * earlier version do not list them.
    */
   readonly startingUp?: readonly string[];
+  /**
+   * Keys of the runs that were starting up when the life before ended, or this
+   * one if the runner is gone; undefined unless that was a crash. A start that
+   * never reached the runner is not among them.
+   */
+  readonly crashedStarts?: readonly string[] | undefined;
   /**
    * The refused starts that the keeper has not acknowledged; sidecars of an
    * earlier version do not list them.
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -4,7 +4,6 @@
 import type { Resources } from "../../schema/resources.ts";
 import type { SpeedState } from "../estimate/speed_state.ts";
 import type { NodeId } from "../jobs/node_id.ts";
-import type { RunnerLife } from "../jobs/runner_life.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
 import { isIsolated } from "./is_isolated.ts";
@@ -20,8 +19,6 @@
   readonly order = workerCount++;
   /** The newest report of its sidecar. */
   report: SidecarReport | undefined;
-  /** The life of the runner that last announced its exit. */
-  drainedLife: RunnerLife | undefined;
   /**
    * Whether its sidecar is connected and the claims have been reconciled with
    * the runs of its current life.
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -77,7 +77,9 @@
     const isSameLife = known?.bornMs === heartbeat.bornMs;
     if (isSameLife && heartbeat.sequence < known.sequence) return;
     this.lastHeartbeat = heartbeat;
-    if (!isSameLife) this.#beginLife(heartbeat);
+    if (!isSameLife) {
+      this.#beginLife(heartbeat, known !== undefined && !this.isDraining);
+    }
     if (!heartbeat.isDraining || this.isDraining) return;
     this.isDraining = true;
     this.log.info("runner_draining", { life: lifeOf(heartbeat) });
@@ -199,12 +201,12 @@
     return this.#poll(0);
   }
 
-  #beginLife(heartbeat: RunnerHeartbeat): void {
+  #beginLife(heartbeat: RunnerHeartbeat, isAfterCrash: boolean): void {
     this.log.info("runner_life", {
       life: lifeOf(heartbeat),
       cpu_milli: heartbeat.capacity.cpuMilli,
     });
-    this.#tracker.beginLife();
+    this.#tracker.beginLife(isAfterCrash);
     this.#paceController.reset();
     this.lease.reset(this.clock.nowMs());
     this.#endLedger = new EndLedger();
@@ -291,10 +293,7 @@
         isLapsed: this.#hasLapsed(nowMs),
         running: this.#running,
         ends: this.#endLedger.ends,
-        unexplained: this.#tracker.unexplained,
-        unsettled: this.#tracker.unsettled,
-        startingUp: this.#tracker.startingUp,
-        refusals: this.#tracker.refused.unacknowledged,
+        ...this.#tracker.report(this.#health.isGone),
       },
     });
   }
--- a/src/gate/new_run.ts
+++ b/src/gate/new_run.ts
@@ -11,6 +11,7 @@
     run,
     startCommand: undefined,
     phase: "running",
+    hasBegun: false,
     activeSinceMs: undefined,
     hasStartedUp: false,
     isStartUncertain: false,
--- a/src/gate/run.ts
+++ b/src/gate/run.ts
@@ -9,6 +9,8 @@
   /** Undefined for a found run, until the keeper sends it. */
   startCommand: StartCommand | undefined;
   phase: "starting" | "running" | "stopping";
+  /** Whether the runner has begun it, or ended while it received the start. */
+  hasBegun: boolean;
   /** Since when it is known to be active, on the local monotonic clock. */
   activeSinceMs: number | undefined;
   /** Whether a later poll has found it active for long enough. */
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -1,7 +1,10 @@
 import type { StartCommand } from "../core/cell/start_command.ts";
 import type { StartRefusal } from "../core/cell/start_refusal.ts";
 import type { StopCommand } from "../link/stop_command.ts";
+import { awaitKnownLife } from "./await_known_life.ts";
+import { describeRuns } from "./describe_runs.ts";
 import type { GateContext } from "./gate_context.ts";
+import { leaseEndForStart } from "./lease_end_for_start.ts";
 import { lifeOf } from "./life_of.ts";
 import { newRun } from "./new_run.ts";
 import type { Run } from "./run.ts";
@@ -14,9 +17,13 @@
 import type { RunnerPollResult } from "./runner_poll_result.ts";
 import { UnansweredStarts } from "./unanswered_starts.ts";
 
-const retryPauseMs = 30;
 /** A run that was active for this long did not crash its runner by starting. */
 const startupMs = 300;
+const notBegun = {
+  hasBegun: false,
+  activeSinceMs: undefined,
+  hasStartedUp: false,
+} as const;
 
 /**
  * Tracks the runs of a runner, from the start command until the runner lists
@@ -29,17 +36,11 @@
   readonly runs = new Map<string, Run>();
   readonly refused = new RefusedStarts();
   readonly #unanswered = new UnansweredStarts();
+  /** The runs that may have crashed the life before, unless it was none. */
+  #crashedStarts: readonly string[] | undefined;
 
   constructor(readonly context: GateContext) {}
 
-  /** The number of found runs whose start command is not known. */
-  get unexplained(): number {
-    return [...this.runs.values()].filter(({ startCommand }) =>
-      startCommand === undefined
-    )
-      .length;
-  }
-
   /** Whether a poll has yet to confirm that a stopped run is gone. */
   get hasUnconfirmedStop(): boolean {
     return [...this.runs.values()].some((run) =>
@@ -47,18 +48,15 @@
     );
   }
 
-  /** The keys of the runs that may still crash the runner by starting. */
-  get startingUp(): string[] {
-    return [...this.runs.values()]
-      .filter(({ hasStartedUp }) => !hasStartedUp)
-      .map(runKey);
-  }
-
-  /** The keys of the runs whose start or stop is not completed. */
-  get unsettled(): string[] {
-    return [...this.runs.values()]
-      .filter(({ phase }) => phase !== "running")
-      .map(runKey);
+  /** The part of a report that is about runs. */
+  report(isRunnerGone: boolean) {
+    const description = describeRuns([...this.runs.values()]);
+    const { startingUp } = description;
+    return {
+      ...description,
+      crashedStarts: isRunnerGone ? startingUp : this.#crashedStarts,
+      refusals: this.refused.unacknowledged,
+    };
   }
 
   /**
@@ -66,14 +64,20 @@
    * without answer may still reach the new life, even if a repeated one was
    * answered, so its run is stopped there.
    */
-  beginLife(): void {
+  beginLife(isAfterCrash: boolean): void {
+    const { startingUp } = describeRuns([...this.runs.values()]);
+    this.#crashedStarts = isAfterCrash ? startingUp : undefined;
     const mayStart = this.#unanswered.runs(this.context.clock.nowMs());
     for (const [key, run] of this.runs) {
       if (run.phase === "starting") mayStart.set(key, run);
     }
     this.runs.clear();
     for (const [key, run] of mayStart) {
-      const carried = { ...run, stopAcknowledgedAtMs: undefined };
+      const carried = {
+        ...run,
+        ...notBegun,
+        stopAcknowledgedAtMs: undefined,
+      };
       this.runs.set(key, carried);
       // It is refused again once it certainly does not run in the new life.
       this.refused.remove(carried);
@@ -201,7 +205,7 @@
         payload: command.payload,
         ticket: command.ticket,
         checkpoint: command.checkpoint,
-        leaseEndClockMs: this.#leaseEndForStart(arrivedAtMs),
+        leaseEndClockMs: leaseEndForStart(context, arrivedAtMs),
       });
       // Meanwhile a poll may have listed the run as running or ended.
       if (!this.#isStarting(run)) return;
@@ -212,10 +216,11 @@
       }
       if (answer.failure === "unknown") {
         run.isStartUncertain = true;
+        run.hasBegun ||= answer.isBroken ?? false;
         this.#unanswered.record(run, context.clock.nowMs());
         const { task } = run;
         context.log.warn("start_unanswered", { task, run: run.run });
-        await this.#awaitKnownLife(run, arrivedAtMs);
+        await awaitKnownLife(context, () => this.#mayRepeat(run, arrivedAtMs));
         continue;
       }
       if (run.isStartUncertain) break;
@@ -234,32 +239,6 @@
     if (this.#isStarting(run)) await this.#stop(run);
   }
 
-  /**
-   * Waits until the runner's known life answers. A next life under the same id
-   * would carry out a repeated start, also if the start ended the earlier life.
-   */
-  async #awaitKnownLife(run: Run, arrivedAtMs: number): Promise<void> {
-    const { context } = this;
-    do {
-      await context.clock.sleep(retryPauseMs);
-      if (await context.pollNow()) return;
-    } while (
-      this.#isStarting(run) && !run.isStopRequested &&
-      context.startWindow.isOpen(arrivedAtMs, context.clock.nowMs())
-    );
-  }
-
-  /**
-   * The lease that a start carries ends with the window for starts, so that the
-   * runner rejects one that reaches it later. Polls extend the lease.
-   */
-  #leaseEndForStart(arrivedAtMs: number): number {
-    const { lease, startWindow } = this.context;
-    const endMs = startWindow.endMsFor(arrivedAtMs);
-    const lastClockMs = Math.floor(lease.clock.lowestReadingAt(endMs));
-    return Math.min(lease.grant() ?? 0, lastClockMs);
-  }
-
   #giveUpStart(run: Run, reason: StartRefusal): void {
     run.isStopRequested = true;
     run.refusal ??= reason;
@@ -268,11 +247,18 @@
   }
 
   #foundRun(status: RunStatus): Run {
-    return { ...newRun(status), activeSinceMs: this.context.clock.nowMs() };
+    const run = newRun(status);
+    this.#begin(run);
+    return run;
   }
 
-  #started(run: Run): void {
+  #begin(run: Run): void {
+    run.hasBegun = true;
     run.activeSinceMs = this.context.clock.nowMs();
+  }
+
+  #started(run: Run): void {
+    this.#begin(run);
     run.isStartUncertain = false;
     run.phase = "running";
     const { task } = run;
@@ -300,6 +286,12 @@
     this.context.send({ kind: "refused", ...refusal });
   }
 
+  #mayRepeat(run: Run, arrivedAtMs: number): boolean {
+    const { clock, startWindow } = this.context;
+    return this.#isStarting(run) && !run.isStopRequested &&
+      startWindow.isOpen(arrivedAtMs, clock.nowMs());
+  }
+
   #isStarting(run: Run): boolean {
     return this.#isCurrent(run) && run.phase === "starting";
   }
--- a/src/gate/runner_result.ts
+++ b/src/gate/runner_result.ts
@@ -6,5 +6,7 @@
   | {
     readonly isOk: false;
     readonly failure: RunnerFailure;
+    /** Whether the connection ended during the call, as in a crash. */
+    readonly isBroken?: boolean;
     readonly clockMs: number | undefined;
   };
--- a/src/link/is_peer_message.ts
+++ b/src/link/is_peer_message.ts
@@ -31,6 +31,8 @@
     isListOf(value.running, isStatus) &&
     isListOf(value.ends, isEnd) && isListOf(value.unsettled, isText) &&
     (value.startingUp === undefined || isListOf(value.startingUp, isText)) &&
+    (value.crashedStarts === undefined ||
+      isListOf(value.crashedStarts, isText)) &&
     (value.refusals === undefined || isListOf(value.refusals, isRefusal));
 }
 
