A start under way is given up when its runner's capacity shrinks

Callers would see: a runner over its capacity (LIMIT), slow for all its runs.

Cause: the sidecar compared a start with the runner's capacity once, when the keeper's command came. A start without an answer is repeated until there is one, or is carried out late, up to 15 s; a capacity that shrank meanwhile was not looked at again. Same class as evacuations, which give up starts under way.

Change: each heartbeat compares the starts under way with the capacity that it tells, and gives up those that do not fit beside all runs, the newest first: they are stopped, and refused as no_room once the runner has confirmed that.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -77,9 +77,8 @@
     const isSameLife = known?.bornMs === heartbeat.bornMs;
     if (isSameLife && heartbeat.sequence < known.sequence) return;
     this.lastHeartbeat = heartbeat;
-    if (!isSameLife) {
-      this.#beginLife(heartbeat, known !== undefined && !this.isDraining);
-    }
+    if (isSameLife) this.#tracker.fitStarts(heartbeat.capacity);
+    else this.#beginLife(heartbeat, known !== undefined && !this.isDraining);
     if (!heartbeat.isDraining || this.isDraining) return;
     this.isDraining = true;
     this.log.info("runner_draining", { life: lifeOf(heartbeat) });
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -1,5 +1,6 @@
 import type { StartCommand } from "../core/cell/start_command.ts";
 import type { StartRefusal } from "../core/cell/start_refusal.ts";
+import type { Resources } from "../schema/resources.ts";
 import type { StopCommand } from "../link/stop_command.ts";
 import { awaitKnownLife } from "./await_known_life.ts";
 import { describeRuns } from "./describe_runs.ts";
@@ -8,6 +9,7 @@
 import { lifeOf } from "./life_of.ts";
 import { newRun } from "./new_run.ts";
 import type { Run } from "./run.ts";
+import { startsWithoutRoom } from "./starts_without_room.ts";
 import { sendStop } from "./send_stop.ts";
 import { RefusedStarts } from "./refused_starts.ts";
 import type { RunStatus } from "../core/jobs/run_status.ts";
@@ -142,6 +144,16 @@
     }
   }
 
+  /**
+   * Gives up the starts that do not fit into a changed capacity: one without
+   * answer may still be executed, or would be repeated.
+   */
+  fitStarts(capacity: Resources): void {
+    for (const run of startsWithoutRoom(capacity, [...this.runs.values()])) {
+      this.#giveUpStart(run, "no_room");
+    }
+  }
+
   /** Starts a run; refuses it if the runner cannot take it now. */
   start(command: StartCommand): void {
     const { context } = this;
--- a/tests/gate_fixture.ts
+++ b/tests/gate_fixture.ts
@@ -59,7 +59,11 @@
     this.gate.detachKeeper(this.#send);
   }
 
-  sendHeartbeat(sequence: number, isDraining = false): void {
+  sendHeartbeat(
+    sequence: number,
+    isDraining = false,
+    cpuMilli = 4_000,
+  ): void {
     const { instance, bornMs } = this.runner;
     this.gate.handleHeartbeat({
       instance,
@@ -69,7 +73,7 @@
       rack: "r1",
       labels: ["a", "r1"],
       capacity: {
-        cpuMilli: 4_000,
+        cpuMilli,
         memoryBytes: 1_000 * bytesPerMb,
         accelerators: 0,
       },
