Soak: jobs that crash each runner that starts them

A sixteenth of the soak's jobs, by their ids, crash the runner 10 ms after the start of their first task: its connections break off, its address refuses others for 1.2 s, and the next life has the same id. Such a job must be shown as failed in the end; any other, or one under which fewer than two runners have crashed, must not; and once all faults have ended its task starts at most five times.

--- a/tests/soak/guarantee_checker.ts
+++ b/tests/soak/guarantee_checker.ts
@@ -3,12 +3,18 @@
 import type { RunOutcome } from "../../src/core/jobs/run_outcome.ts";
 import type { SoakJob } from "./soak_job.ts";
 
+/** In calm a task that crashes runners starts thrice, and twice more at most. */
+const maxCrashingStarts = 5;
+
 interface TaskHistory {
   /** The runners on which a run of the task is active. */
   readonly runners: Set<string>;
   isDone: boolean;
   /** The keeper has acknowledged that a run of it ended as `done`. */
   isAcked: boolean;
+  /** How many runners have crashed under it. */
+  crashes: number;
+  calmStarts: number;
 }
 
 /**
@@ -17,6 +23,8 @@
  */
 export class GuaranteeChecker {
   readonly violations: string[] = [];
+  /** Whether all faults have ended. */
+  isCalm = false;
   readonly jobs = new Map<string, SoakJob>();
   readonly #histories = new Map<string, TaskHistory>();
 
@@ -43,6 +51,10 @@
       );
     }
     if (history.isAcked) this.fail("duplicate run", `${task} has ended`);
+    if (this.isCalm) history.calmStarts += 1;
+    if (this.crashes(task) && history.calmStarts > maxCrashingStarts) {
+      this.fail("crash loop", `${task}, ${history.calmStarts} starts in calm`);
+    }
     for (const earlier of job.steps[position.step]?.after ?? []) {
       for (const name of taskNamesOf(job, earlier)) {
         if (!this.#task(name).isDone) this.fail("early", `${task}, ${name}`);
@@ -51,6 +63,21 @@
     history.runners.add(runner);
   }
 
+  /** Whether a task crashes each runner that starts it. */
+  crashes(task: string): boolean {
+    const position = parseTaskName(task);
+    return position?.step === 0 && position.index === 0 &&
+      this.jobs.get(position.job)?.crashesRunners === true;
+  }
+
+  /** A runner has crashed with these runs. */
+  onRunnerCrashed(runner: string, tasks: Iterable<string>): void {
+    for (const task of tasks) {
+      this.#task(task).crashes += 1;
+      this.onRunEnded(runner, task, "lapsed");
+    }
+  }
+
   /** A run has ended. */
   onRunEnded(runner: string, task: string, outcome: RunOutcome): void {
     const history = this.#task(task);
@@ -71,7 +98,9 @@
     if (state === "completed" && !this.#isDone(job)) {
       this.fail("premature completion", `${id} has tasks that are not done`);
     }
-    if (state === "failed") this.fail("lost job", `${id} has failed`);
+    if (state === "failed" && !this.#isCrashed(job)) {
+      this.fail("lost job", `${id} has failed`);
+    }
     if (state === "canceled" && !job.isCancelled) {
       this.fail("lost job", `${id} is cancelled without a request`);
     }
@@ -92,6 +121,13 @@
     }
   }
 
+  /** Whether two runners have crashed under one of the job's tasks. */
+  #isCrashed(job: SoakJob): boolean {
+    return job.steps.some((_, step) =>
+      taskNamesOf(job, step).some((name) => this.#task(name).crashes >= 2)
+    );
+  }
+
   #isDone(job: SoakJob): boolean {
     return job.steps.every((_, step) =>
       taskNamesOf(job, step).every((name) => this.#task(name).isDone)
@@ -105,14 +141,19 @@
       runners: new Set<string>(),
       isDone: false,
       isAcked: false,
+      crashes: 0,
+      calmStarts: 0,
     };
     this.#histories.set(task, history);
     return history;
   }
 }
 
-function isFinished({ state, isCancelled }: SoakJob): boolean {
-  return state === "completed" || (isCancelled && state === "canceled");
+function isFinished(
+  { state, isCancelled, crashesRunners }: SoakJob,
+): boolean {
+  return state === "completed" || (isCancelled && state === "canceled") ||
+    (crashesRunners && state === "failed");
 }
 
 /** The names of a step's tasks; the soak's jobs have one occurrence. */
--- a/tests/soak/run_soak.ts
+++ b/tests/soak/run_soak.ts
@@ -99,6 +99,7 @@
     submitIntervalMs,
   );
   await injector.run(faultsMs);
+  checker.isCalm = true;
   clearInterval(submitTimer);
   await Promise.all(submissions);
   const untilMs = performance.now() + finishMs;
--- a/tests/soak/runner_stand_in.ts
+++ b/tests/soak/runner_stand_in.ts
@@ -11,6 +11,9 @@
 export const capacityMilli = 4_000;
 const heartbeatIntervalMs = 400;
 const observeIntervalMs = 25;
+/** From a start that crashes it to the crash, and to its next life. */
+const crashAfterMs = 10;
+const crashedMs = 1_200;
 
 interface RunnerRequest {
   readonly task: TaskName;
@@ -39,6 +42,8 @@
   #bornMs = Date.now();
   #lastEndNumber = 0;
   #sequence = 0;
+  #isDown = false;
+  #isClosed = false;
 
   constructor(
     readonly name: string,
@@ -93,18 +98,37 @@
     await this.#sendHeartbeat();
   }
 
+  /** Crashes under a task: connections are refused until the next life. */
+  #crash(): void {
+    if (this.#isDown) return;
+    this.#isDown = true;
+    this.#endRuns();
+    this.model.running.clear();
+    this.#server.close();
+    this.#server.closeAllConnections();
+    setTimeout(() => {
+      if (this.#isClosed) return;
+      this.#isDown = false;
+      this.restart();
+      this.#server.listen(this.port, this.host);
+    }, crashedMs);
+  }
+
+  #endRuns(): void {
+    this.checker.onRunnerCrashed(this.name, this.#activeRuns.keys());
+    this.#activeRuns.clear();
+  }
+
   /** Simulates a crash and a restart under the same id. */
   restart(): void {
-    for (const task of this.#activeRuns.keys()) {
-      this.checker.onRunEnded(this.name, task, "lapsed");
-    }
-    this.#activeRuns.clear();
+    this.#endRuns();
     this.model.restart();
     this.#bornMs = Date.now();
     this.#lastEndNumber = 0;
   }
 
   close(): void {
+    this.#isClosed = true;
     for (const timer of this.#timers) clearInterval(timer);
     this.#server.close();
     this.#server.closeAllConnections();
@@ -151,6 +175,7 @@
   #observeRuns(): void {
     const { model } = this;
     const isLeaseValid = model.clockMs < model.leaseEndClockMs;
+    if (this.#isDown) return;
     for (const { task, run } of [...model.running.values()]) {
       const active = this.#activeRuns.get(task);
       if (active === undefined) this.#onRunFound(task, run);
@@ -173,6 +198,9 @@
     const step = jobSteps?.[position?.step ?? -1] ?? { ms: 0, cpuMilli: 0 };
     const spec = this.#specs.get(runKey({ task, run })) ?? "";
     this.checker.onRunStarted(this.name, task, spec);
+    if (this.checker.crashes(task)) {
+      setTimeout(() => this.#crash(), crashAfterMs);
+    }
     const doneAtMs = performance.now() + step.ms;
     this.#activeRuns.set(task, { doneAtMs, cpuMilli: step.cpuMilli });
     let used = 0;
@@ -186,6 +214,7 @@
   }
 
   async #sendHeartbeat(): Promise<void> {
+    if (this.#isDown) return;
     this.#sequence += 1;
     const body = {
       service: "pool",
--- a/tests/soak/soak_client.ts
+++ b/tests/soak/soak_client.ts
@@ -55,7 +55,7 @@
     let isFinished = true;
     for (const job of this.checker.jobs.values()) {
       if (!job.isAccepted) continue;
-      if (job.state === "completed" || job.state === "canceled") continue;
+      if (hasEnded(job)) continue;
       isFinished = false;
       const { status, body } = await this.#call("GET", job.id);
       if (status === 200) this.checker.onJobState(job.id, String(body.state));
@@ -105,6 +105,7 @@
       id,
       payload: `p${id}`,
       steps,
+      crashesRunners: id.startsWith("0"),
       isAccepted: false,
       isRefused: false,
       isCancelled: false,
@@ -117,3 +118,8 @@
     return Math.floor(this.random.next() * (max + 1));
   }
 }
+
+function hasEnded({ state, crashesRunners }: SoakJob): boolean {
+  return state === "completed" || state === "canceled" ||
+    (state === "failed" && crashesRunners);
+}
--- a/tests/soak/soak_job.ts
+++ b/tests/soak/soak_job.ts
@@ -10,6 +10,8 @@
     readonly cpuMilli: number;
     readonly ms: number;
   }[];
+  /** Its first task crashes each runner that starts it. */
+  readonly crashesRunners: boolean;
   isAccepted: boolean;
   /** Every attempt to submit it was refused. */
   isRefused: boolean;
