Names and comments of crash handling; an exit that is announced is no crash

hasIsolatedStart for isTrying. A runner that drains and then refuses connections until its lease ends has not crashed: the keeper no longer takes its starts for suspects.

--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -138,7 +138,7 @@
     }
     yield* this.#applyEnds(worker, report, nowMs);
     if (report.isLapsed) {
-      if (report.isGone) {
+      if (report.isGone && !report.isDraining) {
         yield* recordCrash(this, worker, report, "gone", nowMs);
       }
       yield* this.handleWorkerLost(node, nowMs);
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -117,14 +117,15 @@
 }
 
 /**
- * Whether a task and the worker's runs may be suspects of one crash. The members
- * of a gang may, since they belong to one job.
+ * Whether a task may start beside the worker's runs: an isolated one starts
+ * alone, so that only it can have caused a crash that follows. The members of a
+ * gang may start together, since they belong to one job.
  */
 function mayStartBeside(task: Task, worker: Worker): boolean {
   const { group } = task;
   const isOther = (other: Task) =>
     !group.definition.isGang || other.group !== group;
-  if (worker.isTrying && [...worker.startingSuspects].some(isOther)) {
+  if (worker.hasIsolatedStart && [...worker.startingSuspects].some(isOther)) {
     return false;
   }
   if (!isIsolated(task)) return true;
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -80,7 +80,7 @@
    * Whether an isolated task is starting up here. Nothing else starts meanwhile:
    * it would be lost in a further crash, and be a suspect of it.
    */
-  get isTrying(): boolean {
+  get hasIsolatedStart(): boolean {
     for (const task of this.startingSuspects) {
       if (isIsolated(task)) return true;
     }
--- a/src/core/cell/worker_state.ts
+++ b/src/core/cell/worker_state.ts
@@ -15,7 +15,7 @@
   #isReconciled = false;
   #isSuspended = false;
   #isEvacuated = false;
-  #isTrying = false;
+  #hasIsolatedStart = false;
   #speed: Worker["speed"] = "normal";
   #reserved: Resources | undefined;
   #removalCount = -1;
@@ -31,13 +31,14 @@
   update(nowMs: number, pressureVersion: number): Gain {
     const { worker } = this;
     const { report, isReconciled, removalCount, claimVersion } = worker;
-    const { isEvacuated, isTrying, reserved, speed } = worker;
+    const { isEvacuated, hasIsolatedStart, reserved, speed } = worker;
     const isSuspended = nowMs < worker.suspendedUntilMs;
     const isReported = report !== this.#report;
     const hasRemovals = removalCount !== this.#removalCount;
     const isChanged = isReconciled !== this.#isReconciled ||
       isSuspended !== this.#isSuspended ||
-      isEvacuated !== this.#isEvacuated || isTrying !== this.#isTrying ||
+      isEvacuated !== this.#isEvacuated ||
+      hasIsolatedStart !== this.#hasIsolatedStart ||
       speed !== this.#speed ||
       hasRemovals ||
       (isReported && this.#isDifferent(report));
@@ -56,7 +57,7 @@
     this.#isReconciled = isReconciled;
     this.#isSuspended = isSuspended;
     this.#isEvacuated = isEvacuated;
-    this.#isTrying = isTrying;
+    this.#hasIsolatedStart = hasIsolatedStart;
     this.#speed = speed;
     this.#reserved = reserved;
     this.#removalCount = removalCount;
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -38,7 +38,7 @@
   readonly runs = new Map<string, Run>();
   readonly refused = new RefusedStarts();
   readonly #unanswered = new UnansweredStarts();
-  /** The runs that may have crashed the life before, unless it was none. */
+  /** What was starting up when the life before crashed; undefined if it did not. */
   #crashedStarts: readonly string[] | undefined;
 
   constructor(readonly context: GateContext) {}
