Histories: a runner that is down does not crash once more

The trace: run 2 crashes its runner at 17.947 s, the next life begins at 20.947 s, and in between, at 19.800 s, the model carries out a late copy of the start on the runner that is down, and crashes it again. No runner starts anything between two lives; the check counted one crash too many. Of the four real crashes one, under a keeper and a sidecar that were both replaced meanwhile, was not counted, which leaves two starts after the third: within the rule. A crash now needs a runner that is up; the bounds are unchanged.

--- a/scenarios/cell_histories/history_worker.ts
+++ b/scenarios/cell_histories/history_worker.ts
@@ -117,9 +117,9 @@
     this.#sendHeartbeatSoon();
   }
 
-  /** Crashes the runner if a run is still active there. */
+  /** Crashes the runner if it is up and a run is still active there. */
   #crashIn(run: { readonly task: TaskName }): void {
-    if (this.runner.running.get(run.task) !== run) return;
+    if (this.#isDown || this.runner.running.get(run.task) !== run) return;
     this.checker.crashed(this.node, run.task);
     this.restartRunner(crashedMs);
   }
