--- a/tests/crash_fixture.ts
+++ b/tests/crash_fixture.ts
@@ -27,7 +27,6 @@
   readonly startCounts = new Map<string, number>();
   /** Whether another keeper takes over after each crash. */
   changesKeeper = false;
-  crashCount = 0;
   readonly #lives = new Map<string, number>();
   readonly #crashedStarts = new Map<string, readonly string[] | undefined>();
   readonly #upAtMs = new Map<string, number>();
@@ -60,7 +59,6 @@
    * after a while.
    */
   crash(node: string, isExit = false): void {
-    this.crashCount += 1;
     this.#lives.set(node, this.#lives.get(node)! + 1);
     this.#upAtMs.set(node, this.fixture.nowMs + downMs);
     const crashedStarts = this.#startingUpOn(node);
