A restarted entry reads each stream of jobs once, and holds no question

Cause: an entry that does not know an id reads the streams of jobs before it answers. While the first read of a stream was not done, each question began one of its own, three streams in pages of up to 1 MB. On the links of 7 Mbit/s they crowded each other out, each page ran into its time-out of 1.5 s, and the next attempt began with the first page again: five of eight entries never finished the stream `jobs`. Since such an entry says that it is ready after one stream, an empty one, so callers kept coming.

The readiness check had a test of its own, the answers in that state had none.

Change: all callers share one first read, which goes on after a page that failed. An entry is ready when each stream has been read or cannot be, and one at least has been. A question waits for half of its caller's time at most, and is answered `unsure` at once while a stream cannot be read. The number of waiting jobs is refused until all are known. Looked through the other waits of an entry: submissions and cancellations are bounded by half of the caller's time, and read nothing before they store but through a question.

--- a/src/cellhost/stream_tail.ts
+++ b/src/cellhost/stream_tail.ts
@@ -14,6 +14,17 @@
   readonly pauseMs: number;
 }
 
+/** A read of the newest row of each key, of which some pages have come. */
+interface NewestRead {
+  /** When its first page was requested. */
+  readonly sent: OperatorRead;
+  readonly keys: Set<string>;
+  /** The end of the stream at the first page. */
+  from: number | undefined;
+  /** The key after which the next page begins. */
+  after: string | undefined;
+}
+
 /**
  * Follows a stream: reads the newest row of each key first, then each row as it
  * is appended.
@@ -21,6 +32,8 @@
 export class StreamTail {
   /** Whether the first read has ended: all rows stored before are known. */
   isCaughtUp = false;
+  /** Whether the last read has failed. */
+  isUnreachable = false;
   /** When the last read succeeded. */
   readAtMs = 0;
   /**
@@ -35,6 +48,9 @@
   /** The highest end of the stream that a read has returned. */
   end = 0;
   #next: number | undefined;
+  #newestRead: NewestRead | undefined;
+  /** The attempt at `#newestRead` that is in progress. */
+  #catchingUp: Promise<boolean> | undefined;
   #isStopped = false;
   /**
    * Offsets of the rows that `newest` returned, until sequential reads have
@@ -74,7 +90,11 @@
   async refresh(): Promise<boolean> {
     while (!this.#isStopped) {
       const from = this.#next;
-      if (from === undefined) return await this.#catchUp();
+      if (from === undefined) {
+        // It may have begun earlier, so what came since is still to be read.
+        if (!await this.#catchUp()) return false;
+        continue;
+      }
       const outcome = await this.#read(from, 0);
       if (outcome !== "overtaken") return outcome === "read";
     }
@@ -90,31 +110,47 @@
     return this.#next !== undefined;
   }
 
-  async #catchUp(): Promise<boolean> {
-    let from: number | undefined;
-    let after: string | undefined;
-    const keys = new Set<string>();
-    const sent = this.#sentNow();
+  /**
+   * Reads the newest row of each key. Its callers share one attempt: attempts of
+   * their own would fill the link, so that none of them succeeds.
+   */
+  #catchUp(): Promise<boolean> {
+    this.#catchingUp ??= this.#readNewest().finally(() => {
+      this.#catchingUp = undefined;
+    });
+    return this.#catchingUp;
+  }
+
+  /** Reads the pages that are missing; after a failure, the next call goes on. */
+  async #readNewest(): Promise<boolean> {
+    const read = this.#newestRead ??= {
+      sent: this.#sentNow(),
+      keys: new Set(),
+      from: undefined,
+      after: undefined,
+    };
     do {
-      const page = await this.store.readNewest(this.stream, after);
+      const page = await this.store.readNewest(this.stream, read.after);
       if (this.#isStopped) return false;
       if (page.isErr) {
         this.#recordFailure("newest", page.error.kind);
         return false;
       }
-      from ??= page.value.end;
-      after = page.value.more;
-      for (const { key } of page.value.rows) keys.add(key);
+      this.isUnreachable = false;
+      read.from ??= page.value.end;
+      read.after = page.value.more;
+      for (const { key } of page.value.rows) read.keys.add(key);
       const newer = this.#deliver(page.value.rows);
       for (const { key, offset } of newer) {
         this.#seen.set(key, offset);
         this.#maxSeenOffset = Math.max(this.#maxSeenOffset, offset);
       }
-    } while (after !== undefined);
-    this.onSnapshot(keys, from ?? 0);
-    this.completeRead = sent;
-    this.#next ??= from;
-    this.end = Math.max(this.end, from ?? 0);
+    } while (read.after !== undefined);
+    this.#newestRead = undefined;
+    this.onSnapshot(read.keys, read.from);
+    this.completeRead = read.sent;
+    this.#next = read.from;
+    this.end = Math.max(this.end, read.from);
     this.#recordSuccess(true);
     return true;
   }
@@ -166,6 +202,7 @@
       this.log.info("store_reached", { stream: this.stream });
     }
     this.#isReachable = true;
+    this.isUnreachable = false;
     this.readAtMs = nowMs;
     if (hasGrown) this.grewAtMs = nowMs;
     this.isCaughtUp = true;
@@ -178,5 +215,6 @@
       this.log.warn("store_unreached", { stream: this.stream, call, reason });
     }
     this.#isReachable = false;
+    this.isUnreachable = true;
   }
 }
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { cancellationKey } from "../cellhost/cancellation_key.ts";
@@ -13,6 +14,8 @@
 
 /** An older read may miss jobs that were submitted to other entries. */
 const freshWithinMs = 1_500;
+/** The share of a caller's time for reading what may name its job. */
+const readShare = 0.5;
 
 /** The refusal of a cancellation of a job that may exist. */
 const unsureRefusal = {
@@ -72,13 +75,26 @@
    * Returns a job's state; `unknown` if there is no such job, `unsure` if one
    * may exist that this entry has not read.
    */
-  async state(id: JobId): Promise<JobState | "unknown" | "unsure"> {
+  async state(
+    id: JobId,
+    time: CallerTime,
+  ): Promise<JobState | "unknown" | "unsure"> {
     const known = this.entry.directory.state(id);
     if (known !== undefined) return known;
-    const isFresh = await this.entry.jobTails.refresh();
+    const isRead = await this.#refresh(time);
     const refreshed = this.entry.directory.state(id);
     if (refreshed !== undefined) return refreshed;
-    return isFresh || this.entry.isFresh(freshWithinMs) ? "unknown" : "unsure";
+    return isRead || this.entry.isFresh(freshWithinMs) ? "unknown" : "unsure";
+  }
+
+  /** Reads the newest jobs in a share of the caller's time, if the store answers. */
+  async #refresh({ withinMs }: CallerTime): Promise<boolean> {
+    const { jobTails } = this.entry;
+    if (jobTails.isUnreachable) return false;
+    return await Promise.race([
+      jobTails.refresh(),
+      sleep(withinMs * readShare, false),
+    ]);
   }
 
   /** Cancels a job; returns `gone` if there is no such job. */
@@ -86,7 +102,7 @@
     id: JobId,
     time: CallerTime,
   ): Promise<StoreOutcome | { readonly kind: "gone" }> {
-    const state = await this.state(id);
+    const state = await this.state(id, time);
     if (state === "unknown") return { kind: "gone" };
     if (state === "unsure") return unsureRefusal;
     if (state !== "queued" && state !== "running") {
@@ -101,8 +117,12 @@
     return outcome;
   }
 
-  /** Counts the queue's jobs that have not started. */
-  waiting(queue: string): number {
+  /**
+   * Counts the queue's jobs that have not started; undefined before all jobs
+   * have been read.
+   */
+  waiting(queue: string): number | undefined {
+    if (!this.entry.jobTails.isCaughtUp) return undefined;
     return [...this.entry.directory.waiting(queue)].length;
   }
 }
--- a/src/nodes/submission_tails.ts
+++ b/src/nodes/submission_tails.ts
@@ -27,9 +27,15 @@
     return this.#tails.every(({ isCaughtUp }) => isCaughtUp);
   }
 
-  /** Whether this holds for one stream at least. */
-  get hasCaughtUp(): boolean {
-    return this.#tails.some(({ isCaughtUp }) => isCaughtUp);
+  /** Whether this holds for each stream that can be read, and for one at least. */
+  get hasReadReachable(): boolean {
+    return this.#tails.some(({ isCaughtUp }) => isCaughtUp) &&
+      this.#tails.every((tail) => tail.isCaughtUp || tail.isUnreachable);
+  }
+
+  /** Whether the last read of a stream has failed. */
+  get isUnreachable(): boolean {
+    return this.#tails.some(({ isUnreachable }) => isUnreachable);
   }
 
   /** When each stream had been read successfully at least once since. */
--- a/tests/failover_test.ts
+++ b/tests/failover_test.ts
@@ -112,7 +112,7 @@
       log,
     );
     expect(await tails.refresh()).to.equal(false);
-    expect([tails.isCaughtUp, tails.hasCaughtUp]).to.eql([false, true]);
+    expect([tails.isCaughtUp, tails.hasReadReachable]).to.eql([false, true]);
     expect(directory.state(id)).to.equal("queued");
     store.lostStreams.clear();
     expect(await tails.refresh()).to.equal(true);
