An innocent task tried alone is given up no more for a neighbour's crash

Cause: two faults together. A task after two crashes is tried on a worker on which nothing is starting, but only starts without an answer counted as such: a run that was confirmed and still starting up did not. And a start whose connection ends is blamed for the crash, though the runner may have died of another run just before.

Evidence: crashing_task_test plays workers on which runs start all the time, with tasks that crash them 200 ms after their start.

Change: an isolated task starts only where no run is starting up. The third crash counts only if no other task may have caused it; a gang counts as one. The eligibility of workers is split into room and what may start beside what.

--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -1,14 +1,11 @@
-import { isAvoidedForSpeed } from "../estimate/is_avoided_for_speed.ts";
-import { fits } from "../resources/fits.ts";
-import { subtractResources } from "../resources/subtract_resources.ts";
 import type { Queue } from "../jobs/queue.ts";
 import type { RunnerLife } from "../jobs/runner_life.ts";
-import { isIsolated } from "./is_isolated.ts";
+import { countTasksOn } from "./count_tasks_on.ts";
+import { hasCapacityFor } from "./has_capacity_for.ts";
+import { mayStartBeside } from "./may_start_beside.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import { estimateFillerImpact } from "./estimate_filler_impact.ts";
 import type { FillerView } from "./filler_view.ts";
-import type { TaskGroup } from "./task_group.ts";
-import { reservedResources } from "./reserved_resources.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
@@ -62,7 +59,8 @@
   const { nowMs } = view;
   for (const worker of workers) {
     const isFit = hasTicket(worker, tickets) &&
-      isEligible(task, queue, worker, nowMs, mode);
+      mayStartBeside(task, worker, nowMs) &&
+      hasCapacityFor(task, queue, worker, nowMs, mode);
     const cost = !isFit
       ? Infinity
       : isFiller
@@ -88,53 +86,6 @@
     (report !== undefined && tickets.has(report.life));
 }
 
-function isEligible(
-  task: Task,
-  queue: Queue,
-  worker: Worker,
-  nowMs: number,
-  mode: PlacementMode,
-): boolean {
-  const { report } = worker;
-  if (report === undefined || !worker.isReconciled) return false;
-  if (worker.isEvacuated) return false;
-  if (!mayStartBeside(task, worker)) return false;
-  if (!report.isUp || report.isDraining || report.pool !== queue.pool) {
-    return false;
-  }
-  if (mode === "strict" && nowMs < worker.suspendedUntilMs) return false;
-  if (mode === "strict" && isAvoidedForSpeed(task, worker)) return false;
-  const { definition } = task.group;
-  const { label, mostPerWorker } = definition;
-  if (label !== undefined && !report.labels.includes(label)) return false;
-  if (mostPerWorker > 0 && countTasksOn(task.group, worker) >= mostPerWorker) {
-    return false;
-  }
-  const room = definition.isFiller
-    ? subtractResources(worker.free, worker.reserved)
-    : worker.free;
-  return fits(reservedResources(definition), room);
-}
-
-/**
- * Whether a task may start beside the worker's runs: an isolated one starts
- * alone, so that only it can have caused a crash that follows. The members of a
- * gang may start together, since they belong to one job.
- */
-function mayStartBeside(task: Task, worker: Worker): boolean {
-  const { group } = task;
-  const isOther = (other: Task) =>
-    !group.definition.isGang || other.group !== group;
-  if (worker.hasIsolatedStart && [...worker.startingSuspects].some(isOther)) {
-    return false;
-  }
-  if (!isIsolated(task)) return true;
-  for (const other of worker.claims.values()) {
-    if (other.claim?.phase === "starting" && isOther(other)) return false;
-  }
-  return true;
-}
-
 /** The cost of a worker for a filler; infinite if strict mode rules it out. */
 function fillerCost(
   task: Task,
@@ -201,11 +152,3 @@
     claim !== undefined && claim.node !== worker.node
   ) && countTasksOn(task.group, worker) === 0;
 }
-
-function countTasksOn(group: TaskGroup, worker: Worker): number {
-  let count = 0;
-  for (const { claim } of group.tasks) {
-    if (claim?.node === worker.node) count += 1;
-  }
-  return count;
-}
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -7,6 +7,7 @@
 import type { Job } from "./job.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import type { TaskGroup } from "./task_group.ts";
+import { reserveQuietWorker } from "./reserve_quiet_worker.ts";
 import { buildStart } from "./build_start.ts";
 import type { Task } from "./task.ts";
 import type { Urgency } from "./urgency.ts";
@@ -113,9 +114,10 @@
     const worker = chooseForTask(cell, task, queue, tickets, mayRelax);
     if (worker === undefined) {
       noteIdle(job, nowMs);
+      if (!isIsolated(task)) return;
       // An isolated task waits for a worker of its own, the others need not.
-      if (isIsolated(task)) continue;
-      return;
+      reserveQuietWorker(cell, group, queue, nowMs);
+      continue;
     }
     yield* claimAndStart(worker, task, task.run + 1, nowMs, tickets);
     job.idleSinceMs = undefined;
@@ -187,6 +189,7 @@
   }
   if (claimed.length < group.tasks.length) {
     for (const [worker, task] of claimed) undoClaim(worker, task);
+    reserveQuietWorker(cell, group, queue, nowMs);
     cell.demand.noteGangUnplaced(group, queue, nowMs, mayRelax);
     noteIdle(group.job, nowMs);
     return;
@@ -237,6 +240,7 @@
 
 /** Saves the claim and starts its run. */
 function* startRun(worker: Worker, task: Task): Effects {
+  if (isIsolated(task)) worker.quiet = undefined;
   const { job } = task.group;
   const hadStarted = job.hasStarted;
   job.hasStarted = true;
--- a/src/core/cell/record_crash.ts
+++ b/src/core/cell/record_crash.ts
@@ -1,6 +1,7 @@
 import { runKey } from "../jobs/run_key.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
+import { isIsolated } from "./is_isolated.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
@@ -19,7 +20,8 @@
  * Records the crash of a worker's runner that its sidecar reports, with the runs
  * that it had. Each run that was starting up may have caused it. Placement keeps
  * such tasks apart from each other and, after a second crash, tries each of them
- * alone, so that only the cause is still there at the last one.
+ * alone. A start that broke off may have come too late to be the cause, so the
+ * last crash counts only if no other run was starting up.
  */
 export function* recordCrash(
   cell: Cell,
@@ -51,11 +53,19 @@
   };
   for (const task of suspects) {
     worker.endStartup(task);
+    if (isIsolated(task) && !isAlone(task, suspects)) continue;
     task.crashes += 1;
     yield* giveUpIfSpent(cell, task, nowMs);
   }
 }
 
+/** Whether no other task may have caused the crash; a gang counts as one. */
+function isAlone({ group }: Task, suspects: readonly Task[]): boolean {
+  if (suspects.length === 1) return true;
+  const { isGang } = group.definition;
+  return isGang && suspects.every((suspect) => suspect.group === group);
+}
+
 function* giveUpIfSpent(cell: Cell, task: Task, nowMs: number): Effects {
   const { job } = task.group;
   if (job.outcome !== undefined || task.crashes < maxCrashes) return;
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -9,6 +9,7 @@
 import { isIsolated } from "./is_isolated.ts";
 import { reservedResources } from "./reserved_resources.ts";
 import type { Task } from "./task.ts";
+import type { TaskGroup } from "./task_group.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
 
 let workerCount = 0;
@@ -32,6 +33,8 @@
   readonly claims = new Map<TaskName, Task>();
   /** Those among them that may have crashed a worker and are starting up. */
   readonly startingSuspects = new Set<Task>();
+  /** The group whose isolated tasks alone may start here, until then. */
+  quiet: { readonly group: TaskGroup; readonly untilMs: number } | undefined;
   /** The resources of unclaimed runs, by run key. */
   readonly strays = new Map<string, Resources>();
   /** When the stop of each unclaimed run was last sent, by run key. */
@@ -87,6 +90,11 @@
     return false;
   }
 
+  /** Whether only isolated tasks of one group may start here. */
+  isQuiet(nowMs: number): boolean {
+    return this.quiet !== undefined && nowMs < this.quiet.untilMs;
+  }
+
   /** The resources that claimed and unclaimed runs reserve. */
   get used(): Resources {
     let used = this.#claimedResources;
--- a/src/core/cell/worker_state.ts
+++ b/src/core/cell/worker_state.ts
@@ -16,6 +16,7 @@
   #isSuspended = false;
   #isEvacuated = false;
   #hasIsolatedStart = false;
+  #isQuiet = false;
   #speed: Worker["speed"] = "normal";
   #reserved: Resources | undefined;
   #removalCount = -1;
@@ -33,12 +34,14 @@
     const { report, isReconciled, removalCount, claimVersion } = worker;
     const { isEvacuated, hasIsolatedStart, reserved, speed } = worker;
     const isSuspended = nowMs < worker.suspendedUntilMs;
+    const isQuiet = worker.isQuiet(nowMs);
     const isReported = report !== this.#report;
     const hasRemovals = removalCount !== this.#removalCount;
     const isChanged = isReconciled !== this.#isReconciled ||
       isSuspended !== this.#isSuspended ||
       isEvacuated !== this.#isEvacuated ||
       hasIsolatedStart !== this.#hasIsolatedStart ||
+      isQuiet !== this.#isQuiet ||
       speed !== this.#speed ||
       hasRemovals ||
       (isReported && this.#isDifferent(report));
@@ -58,6 +61,7 @@
     this.#isSuspended = isSuspended;
     this.#isEvacuated = isEvacuated;
     this.#hasIsolatedStart = hasIsolatedStart;
+    this.#isQuiet = isQuiet;
     this.#speed = speed;
     this.#reserved = reserved;
     this.#removalCount = removalCount;
--- a/tests/crash_fixture.ts
+++ b/tests/crash_fixture.ts
@@ -7,6 +7,7 @@
 import type { RunOutcome } from "../src/core/jobs/run_outcome.ts";
 import type { RunStatus } from "../src/core/jobs/run_status.ts";
 import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
+import type { TaskName } from "../src/core/jobs/task_name.ts";
 import type { StepDefinition } from "../src/core/jobs/step_definition.ts";
 import { CellFixture } from "./cell_fixture.ts";
 
@@ -25,6 +26,8 @@
   readonly deadly = new Set<string>();
   /** How often each task was started. */
   readonly startCounts = new Map<string, number>();
+  /** How long after its start such a task crashes its worker. */
+  crashAfterMs = 0;
   /** Whether another keeper takes over after each crash. */
   changesKeeper = false;
   readonly #lives = new Map<string, number>();
@@ -32,8 +35,8 @@
   readonly #upAtMs = new Map<string, number>();
   /** When the active run of each task began. */
   readonly #beganAtMs = new Map<string, number>();
-  /** The workers that crash at the next step. */
-  readonly #crashing = new Set<string>();
+  /** When the workers that have started such tasks crash. */
+  readonly #crashAtMs = new Map<string, number>();
 
   constructor(readonly nodes: readonly string[]) {
     for (const node of nodes) this.#lives.set(node, 1);
@@ -59,6 +62,7 @@
    * after a while.
    */
   crash(node: string, isExit = false): void {
+    this.#crashAtMs.delete(node);
     this.#lives.set(node, this.#lives.get(node)! + 1);
     this.#upAtMs.set(node, this.fixture.nowMs + downMs);
     const crashedStarts = this.#startingUpOn(node);
@@ -75,8 +79,9 @@
     while (this.fixture.nowMs < untilMs) {
       this.fixture.advance(stepMs);
       for (const start of this.fixture.newStarts()) this.#start(start);
-      for (const node of this.#crashing) this.crash(node);
-      this.#crashing.clear();
+      for (const [node, atMs] of this.#crashAtMs) {
+        if (this.fixture.nowMs >= atMs) this.crash(node);
+      }
       for (const stop of this.fixture.newStops()) this.#stop(stop);
       for (const node of this.nodes) {
         if (this.#isUp(node)) this.#work(node);
@@ -96,10 +101,25 @@
   }
 
   #start(start: string): void {
-    const { task, node } = parseRun(start);
+    const { task, run, node } = parseRun(start);
+    if (!this.#isUp(node)) {
+      this.#breakOff(node, runKey({ task: task as TaskName, run }));
+      return;
+    }
     this.startCounts.set(task, (this.startCounts.get(task) ?? 0) + 1);
     this.#beganAtMs.set(task, this.fixture.nowMs);
-    if (this.deadly.has(task)) this.#crashing.add(node);
+    if (!this.deadly.has(task) || this.#crashAtMs.has(node)) return;
+    this.#crashAtMs.set(node, this.fixture.nowMs + this.crashAfterMs);
+  }
+
+  /** A start that arrives just after a crash breaks off, a later one is lost. */
+  #breakOff(node: string, key: string): void {
+    const crashedAtMs = this.#upAtMs.get(node)! - downMs;
+    const starts = this.#crashedStarts.get(node);
+    if (starts === undefined || this.fixture.nowMs > crashedAtMs + stepMs) {
+      return;
+    }
+    this.#crashedStarts.set(node, [...starts, key]);
   }
 
   #stop(stop: string): void {
@@ -127,7 +147,9 @@
     const life = `${node}@${this.#lives.get(node)}` as RunnerLife;
     const running = this.#runningOn(node).filter(({ task }) => task !== name);
     this.#beganAtMs.delete(name);
-    this.fixture.endRun(node, name, run, outcome, "", { life, running });
+    const startingUp = this.#startingUpOn(node);
+    const report = { life, running, startingUp };
+    this.fixture.endRun(node, name, run, outcome, "", report);
   }
 
   /** How long a task's run has been active; negative if it has none. */
--- a/tests/crashing_task_test.ts
+++ b/tests/crashing_task_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import type { NodeId } from "../src/core/jobs/node_id.ts";
 import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
+import { SeededRandom } from "../stand_ins/seeded_random.ts";
 import { CellFixture } from "./cell_fixture.ts";
 import { CrashFixture } from "./crash_fixture.ts";
 
@@ -71,6 +72,36 @@
   });
 });
 
+describe("tasks that crash workers on which runs start all the time", () => {
+  const seeds = [1, 2, 3, 4, 5, 6];
+  for (const seed of seeds) {
+    it(`alone get their jobs given up, seed ${seed}`, () => {
+      const random = new SeededRandom(seed);
+      const fleet = new CrashFixture(workers);
+      fleet.crashAfterMs = 200;
+      const innocent: string[] = [];
+      const deadly: string[] = [];
+      for (let round = 0; round < 200; round++) {
+        const id = `j${round}`;
+        const isDeadly = round % 25 === 5;
+        (isDeadly ? deadly : innocent).push(id);
+        if (isDeadly) fleet.deadly.add(`${id}.0.0.0`);
+        fleet.submit(id, [step({ count: 1 + Math.floor(random.next() * 3) })]);
+        fleet.play(100 + 100 * Math.floor(random.next() * 3));
+      }
+      fleet.play(60_000);
+      const statesOf = (ids: readonly string[]) =>
+        new Set(ids.map((id) => fleet.fixture.jobState(id)));
+      expect(statesOf(innocent)).to.eql(new Set(["completed"]));
+      expect(statesOf(deadly)).to.eql(new Set(["failed"]));
+      for (const id of deadly) {
+        expect(fleet.startCounts.get(`${id}.0.0.0`), id)
+          .to.be.at.most(maxStarts);
+      }
+    });
+  }
+});
+
 describe("a job is not given up", () => {
   const outages: {
     name: string;
--- a/tests/full_scan_choice.ts
+++ b/tests/full_scan_choice.ts
@@ -73,7 +73,7 @@
 ): boolean {
   const { report } = worker;
   if (report === undefined || !worker.isReconciled) return false;
-  if (worker.isEvacuated || isKeptApart(task, worker)) return false;
+  if (worker.isEvacuated || isKeptApart(task, worker, nowMs)) return false;
   if (!report.isUp || report.isDraining || report.pool !== queue.pool) {
     return false;
   }
@@ -94,11 +94,16 @@
  * Whether the worker tries an isolated task, or starts runs beside which an
  * isolated task must not start; gangs count as one.
  */
-function isKeptApart(task: Task, worker: Worker): boolean {
+function isKeptApart(task: Task, worker: Worker, nowMs: number): boolean {
+  const { quiet } = worker;
+  const isReserved = quiet !== undefined && nowMs < quiet.untilMs;
+  if (isReserved && (task.crashes < 2 || quiet.group !== task.group)) {
+    return true;
+  }
   return [...worker.claims.values()].some(({ claim, crashes, group }) => {
     if (group.definition.isGang && group === task.group) return false;
     const isTried = claim?.isStartingUp === true && crashes >= 2;
-    return isTried || (claim?.phase === "starting" && task.crashes >= 2);
+    return isTried || (claim?.isStartingUp === true && task.crashes >= 2);
   });
 }
 
--- a/tests/full_scan_placement.ts
+++ b/tests/full_scan_placement.ts
@@ -7,6 +7,7 @@
 import type { Job } from "../src/core/cell/job.ts";
 import type { PlacementMode } from "../src/core/cell/placement_mode.ts";
 import type { TaskGroup } from "../src/core/cell/task_group.ts";
+import { reserveQuietWorker } from "../src/core/cell/reserve_quiet_worker.ts";
 import { buildStart } from "../src/core/cell/build_start.ts";
 import type { Task } from "../src/core/cell/task.ts";
 import type { Urgency } from "../src/core/cell/urgency.ts";
@@ -82,8 +83,9 @@
     const worker = chooseForTask(cell, task, queue, nowMs, tickets, mayRelax);
     if (worker === undefined) {
       noteIdle(job, nowMs);
-      if (task.crashes >= 2) continue;
-      return;
+      if (task.crashes < 2) return;
+      reserveQuietWorker(cell, group, queue, nowMs);
+      continue;
     }
     yield* claimAndStart(worker, task, task.run + 1, nowMs, tickets);
     job.idleSinceMs = undefined;
@@ -147,6 +149,7 @@
   }
   if (claimed.length < group.tasks.length) {
     for (const [worker, task] of claimed) undoClaim(worker, task);
+    reserveQuietWorker(cell, group, queue, nowMs);
     noteIdle(group.job, nowMs);
     return;
   }
@@ -196,6 +199,7 @@
 
 /** Saves the claim and starts its run. */
 function* startRun(worker: Worker, task: Task): Effects {
+  if (task.crashes >= 2) worker.quiet = undefined;
   const { job } = task.group;
   const hadStarted = job.hasStarted;
   job.hasStarted = true;
