Crashes count although the sidecar has restarted since

Cause: the runs that had begun when a runner crashed were known to the sidecar alone. One that restarts before the next life, even after a late heartbeat of the life that ended, forgets them and reports that nothing had been starting.

Change: such a sidecar says that the life before is unknown to it. The keeper then counts the runs that had been confirmed there and had not started up. A keeper that is new as well cannot tell which had begun: each of them raises the count to one at most, so that its task is kept apart and not given up for it. The new field of a report is optional: a build before it ignores the field, and one after it takes its absence as known.

--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -181,7 +181,9 @@
   /** Marks a claimed run as running. */
   markStarted(node: NodeId, name: TaskName, run: number, nowMs: number): void {
     const claim = this.workers.get(node)?.claimedTask(name, run)?.claim;
-    if (claim?.phase !== "starting") return;
+    if (claim === undefined) return;
+    claim.hasBegun = true;
+    if (claim.phase !== "starting") return;
     claim.phase = "running";
     claim.phaseSinceMs = nowMs;
     claim.progressAtMs = nowMs;
--- a/src/core/cell/claim.ts
+++ b/src/core/cell/claim.ts
@@ -16,6 +16,8 @@
    * monotonic clock.
    */
   phaseSinceMs: number;
+  /** Whether the worker has confirmed that the run has begun. */
+  hasBegun: boolean;
   /** Whether the run may still crash its worker by starting. */
   isStartingUp: boolean;
   /** The advisor's ticket for the run, in queues that have an advisor. */
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -67,6 +67,7 @@
       phase: "starting",
       isOrdered: true,
       phaseSinceMs: nowMs,
+      hasBegun: false,
       isStartingUp: true,
       ticket: undefined,
       progressPercent: 0,
--- a/src/core/cell/record_crash.ts
+++ b/src/core/cell/record_crash.ts
@@ -26,19 +26,22 @@
 export function* recordCrash(
   cell: Cell,
   worker: Worker,
-  { crashedStarts, life }: SidecarReport,
+  report: SidecarReport,
   evidence: Evidence,
   nowMs: number,
 ): Effects {
-  if (crashedStarts === undefined) return;
+  const { life } = report;
   const runs = [...worker.claims.values()].filter(({ claim }) =>
     claim?.isOrdered && (evidence === "gone" || claim.life !== life)
   );
-  if (runs.length === 0) return;
-  const crashed = new Set(crashedStarts);
-  const suspects = runs.filter(({ name, run }) =>
-    crashed.has(runKey({ task: name, run }))
-  );
+  const crashed = crashedStartsOf(worker, report);
+  const hasCrashed = ({ name, run }: Task) =>
+    crashed?.has(runKey({ task: name, run })) ?? false;
+  if (evidence === "next_life" && report.isLifeBeforeUnknown) {
+    noteSuspicion(worker, runs.filter((task) => !hasCrashed(task)));
+  }
+  if (crashed === undefined || runs.length === 0) return;
+  const suspects = runs.filter(hasCrashed);
   yield {
     kind: "note",
     event: "worker_crashed",
@@ -59,6 +62,37 @@
   }
 }
 
+/**
+ * Counts one crash at most for the runs that may have begun in a life of which
+ * nothing is known, so that their tasks are kept apart but not given up for it.
+ */
+function noteSuspicion({ report }: Worker, runs: readonly Task[]): void {
+  if (report?.isDraining) return;
+  for (const task of runs) {
+    if (task.claim?.isStartingUp) task.crashes = Math.max(1, task.crashes);
+  }
+}
+
+/**
+ * The keys of the runs that were starting up at the crash; undefined if there
+ * was none. If a sidecar has restarted since, they include those that its
+ * predecessor had confirmed.
+ */
+function crashedStartsOf(
+  worker: Worker,
+  { crashedStarts, isLifeBeforeUnknown, life }: SidecarReport,
+): ReadonlySet<string> | undefined {
+  const last = worker.report;
+  if (!isLifeBeforeUnknown || last === undefined || last.isDraining) {
+    return crashedStarts && new Set(crashedStarts);
+  }
+  const begun = [...worker.claims.values()].filter(({ claim }) =>
+    claim?.life !== life && claim?.hasBegun && claim.isStartingUp
+  );
+  const keys = begun.map(({ name, run }) => runKey({ task: name, run }));
+  return new Set([...crashedStarts ?? [], ...keys]);
+}
+
 /** Whether no other task may have caused the crash; a gang counts as one. */
 function isAlone({ group }: Task, suspects: readonly Task[]): boolean {
   if (suspects.length === 1) return true;
--- a/src/core/cell/sidecar_report.ts
+++ b/src/core/cell/sidecar_report.ts
@@ -46,6 +46,11 @@
    * never reached the runner is not among them.
    */
   readonly crashedStarts?: readonly string[] | undefined;
+  /**
+   * Whether the life before had ended before the sidecar, since restarted, could
+   * list its runs; sidecars of an earlier version do not tell.
+   */
+  readonly isLifeBeforeUnknown?: boolean | undefined;
   /**
    * The refused starts that the keeper has not acknowledged; sidecars of an
    * earlier version do not list them.
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -3,6 +3,7 @@
 import type { Resources } from "../schema/resources.ts";
 import type { StopCommand } from "../link/stop_command.ts";
 import { awaitKnownLife } from "./await_known_life.ts";
+import { CrashEvidence } from "./crash_evidence.ts";
 import { describeRuns } from "./describe_runs.ts";
 import type { GateContext } from "./gate_context.ts";
 import { leaseEndForStart } from "./lease_end_for_start.ts";
@@ -38,8 +39,7 @@
   readonly runs = new Map<string, Run>();
   readonly refused = new RefusedStarts();
   readonly #unanswered = new UnansweredStarts();
-  /** What was starting up when the life before crashed; undefined if it did not. */
-  #crashedStarts: readonly string[] | undefined;
+  readonly #evidence = new CrashEvidence();
 
   constructor(readonly context: GateContext) {}
 
@@ -56,7 +56,7 @@
     const { startingUp } = description;
     return {
       ...description,
-      crashedStarts: isRunnerGone ? startingUp : this.#crashedStarts,
+      ...this.#evidence.describe(isRunnerGone ? startingUp : undefined),
       refusals: this.refused.unacknowledged,
     };
   }
@@ -68,7 +68,10 @@
    */
   beginLife(isAfterCrash: boolean): void {
     const { startingUp } = describeRuns([...this.runs.values()]);
-    this.#crashedStarts = isAfterCrash ? startingUp : undefined;
+    this.#evidence.beginLife(
+      this.context.isDraining,
+      isAfterCrash ? startingUp : undefined,
+    );
     const mayStart = this.#unanswered.runs(this.context.clock.nowMs());
     for (const [key, run] of this.runs) {
       if (run.phase === "starting") mayStart.set(key, run);
@@ -92,6 +95,7 @@
    * listed is gone only if the poll was sent after the stop was acknowledged.
    */
   applyPoll(poll: RunnerPollResult, sentAtMs: number): void {
+    this.#evidence.recordPoll();
     const listed = new Set(poll.running.map(runKey));
     const ended = new Set(poll.ends.map(runKey));
     for (const [key, run] of this.runs) {
--- a/src/link/is_peer_message.ts
+++ b/src/link/is_peer_message.ts
@@ -33,6 +33,8 @@
     (value.startingUp === undefined || isListOf(value.startingUp, isText)) &&
     (value.crashedStarts === undefined ||
       isListOf(value.crashedStarts, isText)) &&
+    (value.isLifeBeforeUnknown === undefined ||
+      typeof value.isLifeBeforeUnknown === "boolean") &&
     (value.refusals === undefined || isListOf(value.refusals, isRefusal));
 }
 
--- a/tests/cell_histories_test.ts
+++ b/tests/cell_histories_test.ts
@@ -10,6 +10,7 @@
   [661, "a lease was reported as ended though the next life had a start"],
   [2062, "a start was retried after its claim had been released"],
   [2082, "the runner's clock was never read, so leases seemed to last longer"],
+  [12132, "crashes were not counted whose sidecar had restarted since"],
 ];
 
 /** Shortened histories that once broke a rule. */
--- a/tests/crash_fixture.ts
+++ b/tests/crash_fixture.ts
@@ -28,10 +28,14 @@
   readonly startCounts = new Map<string, number>();
   /** How long after its start such a task crashes its worker. */
   crashAfterMs = 0;
+  /** How many of the next crashes the worker's sidecar is restarted after. */
+  sidecarRestarts = 0;
   /** Whether another keeper takes over after each crash. */
   changesKeeper = false;
   readonly #lives = new Map<string, number>();
   readonly #crashedStarts = new Map<string, readonly string[] | undefined>();
+  /** The workers whose sidecar was restarted after the last crash. */
+  readonly #forgetful = new Set<string>();
   readonly #upAtMs = new Map<string, number>();
   /** When the active run of each task began. */
   readonly #beganAtMs = new Map<string, number>();
@@ -53,7 +57,15 @@
     const running = this.#runningOn(node);
     const startingUp = this.#startingUpOn(node);
     const crashedStarts = this.#crashedStarts.get(node);
-    const report = { life, running, startingUp, crashedStarts, ...change };
+    const isLifeBeforeUnknown = this.#forgetful.has(node);
+    const report = {
+      life,
+      running,
+      startingUp,
+      crashedStarts,
+      isLifeBeforeUnknown,
+      ...change,
+    };
     this.fixture.reportWorker(node, report);
   }
 
@@ -67,6 +79,12 @@
     this.#upAtMs.set(node, this.fixture.nowMs + downMs);
     const crashedStarts = this.#startingUpOn(node);
     this.#crashedStarts.set(node, isExit ? undefined : crashedStarts);
+    this.#forgetful.delete(node);
+    if (this.sidecarRestarts > 0) {
+      this.sidecarRestarts -= 1;
+      this.#crashedStarts.delete(node);
+      this.#forgetful.add(node);
+    }
     for (const { name } of this.fixture.runsOn(node)) {
       this.#beganAtMs.delete(name);
     }
--- a/tests/crashing_task_test.ts
+++ b/tests/crashing_task_test.ts
@@ -33,6 +33,26 @@
     }
   }
 
+  // A restarted sidecar does not know what had begun before the crash.
+  const restarts = [
+    { sidecarRestarts: Infinity, changesKeeper: false },
+    { sidecarRestarts: 2, changesKeeper: true },
+  ];
+  for (const { sidecarRestarts, changesKeeper } of restarts) {
+    const keeper = changesKeeper ? "a new keeper each time" : "one keeper";
+    const name = `${sidecarRestarts} restarts of its sidecar, ${keeper}`;
+    it(`is not started for ever: ${name}`, () => {
+      const fleet = new CrashFixture(workers);
+      Object.assign(fleet, { sidecarRestarts, changesKeeper });
+      fleet.crashAfterMs = 200;
+      fleet.deadly.add("bad.0.0.1");
+      fleet.submit("bad", [step({ count: 3 })]);
+      fleet.play(60_000);
+      expect(fleet.startCounts.get("bad.0.0.1")).to.be.at.most(maxStarts);
+      expect(fleet.fixture.jobState("bad")).to.equal("failed");
+    });
+  }
+
   const unanswered = [
     { name: "is blamed if its start broke off", hasBegun: true },
     { name: "is not blamed if its start never arrived", hasBegun: false },
@@ -122,6 +142,13 @@
         fixture.collect(cell.handleWorkerLost(node as NodeId, nowMs));
       },
     },
+    {
+      name: "when its worker and its sidecar restart again and again",
+      strike: (fleet, node) => {
+        fleet.sidecarRestarts = 1;
+        fleet.crash(node);
+      },
+    },
     {
       name: "when its worker drains and exits again and again",
       strike: (fleet, node) => {
--- a/tests/full_scan_placement.ts
+++ b/tests/full_scan_placement.ts
@@ -182,6 +182,7 @@
     phase: "starting",
     isOrdered: false,
     phaseSinceMs: nowMs,
+    hasBegun: false,
     isStartingUp: true,
     ticket: tickets?.get(worker.report!.life),
     progressPercent: 0,
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -99,6 +99,29 @@
     fixture.gate.stop();
   });
 
+  const restarts = [
+    { name: "after the crash", isListed: false, isUnknown: true },
+    { name: "before the crash", isListed: true, isUnknown: false },
+  ];
+  for (const { name, isListed, isUnknown } of restarts) {
+    it(`and tells what a sidecar restarted ${name} knows of it`, async () => {
+      const fixture = new GateFixture();
+      await fixture.start();
+      fixture.sendStarts(fixture.startCommand());
+      await fixture.clock.advance(100);
+      fixture.restartSidecar();
+      if (isListed) {
+        fixture.sendHeartbeat(2);
+        await fixture.clock.advance(100);
+      }
+      fixture.runner.restart();
+      fixture.sendHeartbeat(1);
+      await fixture.clock.advance(100);
+      expect(fixture.lastReport()?.isLifeBeforeUnknown).to.equal(isUnknown);
+      fixture.gate.stop();
+    });
+  }
+
   it("and a stop that overtakes a late start prevents the run", async () => {
     const fixture = new GateFixture();
     await fixture.start();
--- a/tests/run_time_estimator_test.ts
+++ b/tests/run_time_estimator_test.ts
@@ -42,6 +42,7 @@
     phase: "running",
     isOrdered: true,
     phaseSinceMs: 0,
+    hasBegun: true,
     isStartingUp: false,
     ticket: undefined,
     progressPercent: 0,
