--- /dev/null
+++ b/tests/soak/current_program.ts
@@ -0,0 +1,2 @@
+/** The program of this checkout, as the platform runs it. */
+export const currentProgram = "target/gypsumpond.mjs";
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -1,5 +1,6 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { buildCommit } from "./build_commit.ts";
 import { runSoak } from "./run_soak.ts";
 
 const msPerSecond = 1_000;
@@ -12,14 +13,27 @@
     default: 12,
     describe: "how long faults are injected for each seed",
   })
+  .option("production", {
+    type: "string",
+    describe: "a commit; its build and this one replace each other in turn",
+  })
   .strict()
   .parse();
 
+const { production } = options;
+const olderProgram = production === undefined
+  ? undefined
+  : buildCommit(production);
+if (production !== undefined && olderProgram === undefined) {
+  throw new Error(`this repository has no commit ${production}`);
+}
+
 let failed = 0;
 for (let seed = options.seed; seed < options.seed + options.seeds; seed++) {
   const { broken, jobs, accepted, notes, folder } = await runSoak(
     seed,
     options.seconds * msPerSecond,
+    olderProgram,
   );
   // A run in which most jobs were not accepted proves little.
   const isConclusive = accepted * 2 >= jobs;
--- a/tests/soak/run_soak.ts
+++ b/tests/soak/run_soak.ts
@@ -7,6 +7,8 @@
 import { callersHost } from "./callers_host.ts";
 import { FaultInjector } from "./fault_injector.ts";
 import { SoakDeployment } from "./soak_deployment.ts";
+import { currentProgram } from "./current_program.ts";
+import { RollingUpgrade } from "./rolling_upgrade.ts";
 import { GuaranteeChecker } from "./guarantee_checker.ts";
 
 const submitIntervalMs = 250;
@@ -17,6 +19,7 @@
 const finishMs = 30_000;
 /** Keeps the random series of the faults apart from that of the client. */
 const faultSeedOffset = 1_000_003;
+const upgradeSeedOffset = 2_000_003;
 
 const configuration = {
   version: 1,
@@ -50,15 +53,20 @@
 export async function runSoak(
   seed: number,
   faultsMs: number,
+  /** The program of an older build, which the processes begin with. */
+  olderProgram?: string,
 ): Promise<SoakResult> {
   const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
   const checker = new GuaranteeChecker();
   const deployment = new SoakDeployment(seed, folder, checker);
   const notes: string[] = [];
   try {
+    if (olderProgram !== undefined) {
+      for (const each of deployment.processes) each.program = olderProgram;
+    }
     await deployment.start(configuration);
     await sleep(startUpMs);
-    await runLoad(deployment, checker, seed, faultsMs, notes);
+    await runLoad(deployment, checker, seed, faultsMs, notes, olderProgram);
   } finally {
     await deployment.close();
   }
@@ -80,6 +88,7 @@
   seed: number,
   faultsMs: number,
   notes: string[],
+  olderProgram: string | undefined,
 ): Promise<void> {
   const startedAtMs = performance.now();
   const recordFault = (line: string) =>
@@ -98,7 +107,13 @@
     () => submissions.push(client.submit()),
     submitIntervalMs,
   );
-  await injector.run(faultsMs);
+  const upgrade = olderProgram === undefined ? undefined : new RollingUpgrade(
+    processes,
+    [olderProgram, currentProgram],
+    new SeededRandom(seed + upgradeSeedOffset),
+    recordFault,
+  );
+  await Promise.all([injector.run(faultsMs), upgrade?.run(faultsMs)]);
   checker.isCalm = true;
   clearInterval(submitTimer);
   await Promise.all(submissions);
--- a/tests/soak/soak_process.ts
+++ b/tests/soak/soak_process.ts
@@ -1,11 +1,13 @@
 import { type ChildProcess, spawn } from "node:child_process";
+import { currentProgram } from "./current_program.ts";
 import { createWriteStream, writeFileSync } from "node:fs";
 
 const restartDelayMs = 500;
-const program = "target/gypsumpond.mjs";
 
 /** One process of the system, restarted whenever it exits. */
 export class SoakProcess {
+  /** What the next start runs. */
+  program = currentProgram;
   #child: ChildProcess | undefined;
   #isClosed = false;
 
@@ -22,7 +24,7 @@
     const path = `${this.basePath}.conf`;
     const lines = Object.entries(this.settings).map(([k, v]) => `${k}=${v}`);
     writeFileSync(path, lines.join("\n"));
-    const child = spawn(process.execPath, [program, this.role], {
+    const child = spawn(process.execPath, [this.program, this.role], {
       env: { PATH: process.env.PATH, GYPSUMPOND_BOOT: path },
       stdio: ["ignore", "pipe", "pipe"],
     });
