Rows of a later build are kept as they are

What callers would have seen: a keeper dropped the fields of a job's progress that its build does not know, at the next start or end of a run. A row of an unknown state was taken for an ended job; one that could not be read was left out, so that its runs were stopped as unclaimed ones, and their ends forgotten: the next keeper that can read it would run finished tasks a second time.

Cause: rows were written from what the build knows alone, and `loadJob` kept nothing of a job that it left out.

Change: unknown fields of a progress row are written again. Of a job whose row cannot be read, runs are left alone and reserve their resources, and no list of ends is forgotten from its first end on. Read, not changed: definitions are written once, what keepers learn is replaced as a whole, unknown messages and fields are ignored.

--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -24,6 +24,7 @@
 import { applyRefusal } from "./apply_refusal.ts";
 import { applyRunEnd } from "./apply_run_end.ts";
 import type { GroupOrder } from "./group_order.ts";
+import { UnreadableJobs } from "./unreadable_jobs.ts";
 import { UrgencyOrder } from "./urgency_order.ts";
 import type { StartCommand } from "./start_command.ts";
 import { stopEffectFor } from "./stop_effect_for.ts";
@@ -50,8 +51,8 @@
   readonly jobs = new Map<JobId, Job>();
   /** The jobs without an outcome. */
   readonly liveJobs = new Set<Job>();
+  readonly unreadable = new UnreadableJobs();
   readonly workers = new Map<NodeId, Worker>();
-
   /** The data centres in which nothing may be started. */
   evacuatedZones: ReadonlySet<string> = new Set();
   /** Undefined if the deployment evacuates no data centres. */
@@ -181,9 +182,8 @@
   /** Marks a claimed run as running. */
   markStarted(node: NodeId, name: TaskName, run: number, nowMs: number): void {
     const claim = this.workers.get(node)?.claimedTask(name, run)?.claim;
-    if (claim === undefined) return;
+    if (claim?.phase !== "starting") return;
     claim.hasBegun = true;
-    if (claim.phase !== "starting") return;
     claim.phase = "running";
     claim.phaseSinceMs = nowMs;
     claim.progressAtMs = nowMs;
@@ -240,10 +240,10 @@
       worker.lastEnd = end.number;
       yield* this.#applyEnd(worker, end, nowMs);
     }
-    if (report.ends.length > 0) {
-      const { node, lastEnd } = worker;
-      yield { kind: "forget", node, life: report.life, end: lastEnd };
-    }
+    if (report.ends.length === 0) return;
+    const { node, lastEnd } = worker;
+    const end = this.unreadable.lastForgettable(report.ends, lastEnd);
+    yield { kind: "forget", node, life: report.life, end };
   }
 
   *#applyEnd(worker: Worker, end: RunEnd, nowMs: number): Effects {
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -7,6 +7,14 @@
 
 type GroupRow = JobProgressRow["o"][number][1][number];
 
+const knownStates: ReadonlySet<string> = new Set([
+  "q",
+  "r",
+  "completed",
+  "failed",
+  "cancelled",
+]);
+
 /** Restores a job from its definition and its progress row, if it has one. */
 export function decodeJob(
   definition: JobDefinition,
@@ -15,12 +23,15 @@
 ): Job {
   const job = new Job(definition);
   if (row === undefined) return job;
-  job.hasStarted = row.s !== "q";
-  if (row.s !== "q" && row.s !== "r") job.outcome = row.s;
-  for (const [number, groups] of row.o) {
+  const { s: state, n: next, w: workers, o: open, ...unknownFields } = row;
+  if (!knownStates.has(state)) throw new Error(`unknown state "${state}"`);
+  job.unknownFields = unknownFields;
+  job.hasStarted = state !== "q";
+  if (state !== "q" && state !== "r") job.outcome = state;
+  for (const [number, groups] of open) {
     const occurrence = job.openOccurrence(number);
     occurrence.groups.forEach((group, step) => {
-      restoreGroup(group, groups[step] ?? 0, row.w, nowMs);
+      restoreGroup(group, groups[step] ?? 0, workers, nowMs);
     });
     // A claim of a job with an outcome is a run that must still be stopped.
     for (const { claim } of job.tasks()) {
@@ -29,7 +40,7 @@
       }
     }
   }
-  job.nextOccurrence = Math.max(job.nextOccurrence, row.n);
+  job.nextOccurrence = Math.max(job.nextOccurrence, next);
   return job;
 }
 
--- a/src/core/cell/encode_job.ts
+++ b/src/core/cell/encode_job.ts
@@ -17,6 +17,7 @@
     }
   }
   return {
+    ...job.unknownFields,
     s: job.outcome ?? (job.hasStarted ? "r" : "q"),
     n: job.nextOccurrence,
     w: [...workers.keys()].map((key) => splitWorkerKey(key)),
--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -22,6 +22,8 @@
    */
   idleSinceMs: number | undefined;
   outcome: "completed" | "failed" | "cancelled" | undefined;
+  /** The fields of its row that this build does not know. */
+  unknownFields: Readonly<Record<string, unknown>> = {};
   /** How often its claims, ends or open occurrences have changed. */
   changeCount = 0;
   #waitingGroups: readonly TaskGroup[] = [];
--- a/src/core/cell/job_progress_row.ts
+++ b/src/core/cell/job_progress_row.ts
@@ -1,6 +1,8 @@
 /**
  * A job's progress as stored. Its names are short since every start and end of
- * a run writes it.
+ * a run writes it. A later build may add fields: they are kept when the row is
+ * written again. A row that cannot be understood without them has a state `s`
+ * that is not listed here, and is left alone.
  */
 export interface JobProgressRow {
   /** The outcome; without one `q` for queued or `r` for running. */
--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -62,12 +62,14 @@
   run: RunId,
   nowMs: number,
 ): Effects {
-  const definition = cell.task(run.task)?.group.definition;
+  const unreadable = cell.unreadable.stepOf(run.task);
+  const definition = unreadable ?? cell.task(run.task)?.group.definition;
   const key = runKey(run);
   worker.strays.set(
     key,
     definition === undefined ? noResources : reservedResources(definition),
   );
+  if (unreadable !== undefined) return;
   const sentAtMs = worker.strayStopSentAtMs.get(key) ?? -Infinity;
   if (nowMs - sentAtMs < unclaimedStopIntervalMs) return;
   worker.strayStopSentAtMs.set(key, nowMs);
