An entry denies a job only by a read that was sent recently

Cause: an entry whose reads fail answered `unknown` while its last read had been answered 3.5 s ago at most, 2 s of them for a read that waits for rows. But a read without an answer says nothing: the store had hung since before the job was stored.

Evidence: the job was stored by entry-0 at 53:31.28; entry-2 found the store unreachable from 53:34.04 to 34.16, in the second in which callers began to ask. Which entry answered is not logged. The new test fails before.

Change: an entry denies a job if it has just read all streams to their end, or if the last such reads were sent 1.5 s ago at most, by both clocks. A refresh goes on until the end of the stream instead of one page.

--- a/src/cellhost/stream_tail.ts
+++ b/src/cellhost/stream_tail.ts
@@ -96,7 +96,9 @@
         continue;
       }
       const outcome = await this.#read(from, 0);
-      if (outcome !== "overtaken") return outcome === "read";
+      if (outcome === "failed") return false;
+      const isRead = outcome === "read" && this.#next! >= this.end;
+      if (isRead) return true;
     }
     return false;
   }
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -25,8 +25,6 @@
 import type { NodeOptions } from "./node_options.ts";
 import { SubmissionTails } from "./submission_tails.ts";
 
-/** How long a tail's read of the store waits for a new row. */
-const tailWaitMs = 2_000;
 const watchIntervalMs = 50;
 /** How long a keeper's message that it cannot reach the store stays valid. */
 const unsureValidMs = 1_000;
@@ -131,15 +129,6 @@
     this.#session?.setQueues(queues);
   }
 
-  /**
-   * Whether the jobs were read recently enough to say that one does not exist.
-   * A read may wait `tailWaitMs` for a row, so this time is added to the limit.
-   */
-  isFresh(withinMs: number): boolean {
-    return this.jobTails.isCaughtUp &&
-      performance.now() - this.jobTails.readAtMs < withinMs + tailWaitMs;
-  }
-
   /** Whether the keeper, perhaps this entry, cannot reach the store either. */
   hearsOutage(nowMs: number): boolean {
     return nowMs - this.#unsureAtMs <= unsureValidMs ||
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { systemClock } from "../adapters/system_clock.ts";
 import type { PrometheusMetrics } from "../adapters/prometheus_metrics.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { cancellationKey } from "../cellhost/cancellation_key.ts";
@@ -84,7 +85,9 @@
     const isRead = await this.#refresh(time);
     const refreshed = this.entry.directory.state(id);
     if (refreshed !== undefined) return refreshed;
-    return isRead || this.entry.isFresh(freshWithinMs) ? "unknown" : "unsure";
+    const isFresh = isRead ||
+      this.entry.jobTails.ageMs(systemClock) < freshWithinMs;
+    return isFresh ? "unknown" : "unsure";
   }
 
   /** Reads the newest jobs in a share of the caller's time, if the store answers. */
--- a/src/nodes/submission_tails.ts
+++ b/src/nodes/submission_tails.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../core/clock/clock.ts";
 import type { Store } from "../core/store/store.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Logger } from "../adapters/logger.ts";
@@ -38,9 +39,18 @@
     return this.#tails.some(({ isUnreachable }) => isUnreachable);
   }
 
-  /** When each stream had been read successfully at least once since. */
-  get readAtMs(): number {
-    return Math.min(...this.#tails.map(({ readAtMs }) => readAtMs));
+  /**
+   * How long ago, at most, each stream was read to its end; Infinity if one never
+   * was. The monotonic clock may stop while the machine is suspended.
+   */
+  ageMs(clock: Clock): number {
+    const ages = this.#tails.map(({ completeRead }) =>
+      completeRead === undefined ? Infinity : Math.max(
+        clock.nowMs() - completeRead.sentAtMs,
+        clock.wallMs() - completeRead.sentAtWallMs,
+      )
+    );
+    return Math.max(...ages);
   }
 
   /** The end of the preferred stream, as far as it was read. */
--- a/tests/restarted_entry_test.ts
+++ b/tests/restarted_entry_test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { Logger } from "../src/adapters/logger.ts";
 import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
@@ -106,6 +107,20 @@
   });
 });
 
+describe("an entry that can read no stream any more", () => {
+  // A read that had not been answered for 2 s counted as recent.
+  it("does not deny a job that was stored elsewhere meanwhile", async () => {
+    const store = await newStore();
+    const service = newService(store);
+    await service.entry.jobTails.refresh();
+    await store.append("jobs", [{ key: id, value }], { kind: "none" });
+    for (const stream of streams) store.lostStreams.set(stream, "refused");
+    await service.entry.jobTails.refresh();
+    await sleep(1_600);
+    expect(await service.state(id, time)).to.equal("unsure");
+  });
+});
+
 describe("a restarted entry", () => {
   const [first, second, third] = streams as [string, string, string];
   const cases = [
