Services over their target leave workers that have shrunk

What callers saw: nothing moved when a runner's capacity shrank below what its runs reserve, so its services stayed slow for as long as it was small.

Change: `OverfullRelief` stops a running service that is over its latency target on such a worker where another one has room, one at a time for each worker that takes it, and no more of a step than may be away. The targets of moves, which evacuations have too, are kept in `PendingMoves`.

--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -4,11 +4,9 @@
 import type { NodeId } from "../jobs/node_id.ts";
 import { parseTaskName } from "../jobs/parse_task_name.ts";
 import type { Queue } from "../jobs/queue.ts";
-import type { RunEnd } from "../jobs/run_end.ts";
 import type { TaskName } from "../jobs/task_name.ts";
 import { AdviceCache } from "./advice_cache.ts";
 import type { CellEffect } from "./cell_effect.ts";
-import { findReleasedTask } from "./find_released_task.ts";
 import { recordCrash } from "./record_crash.ts";
 import { reconcileRuns } from "./reconcile_runs.ts";
 import type { CellOptions } from "./cell_options.ts";
@@ -20,7 +18,9 @@
 import { LearnedRows } from "./learned_rows.ts";
 import { drainWorkers } from "./drain_workers.ts";
 import { openDueOccurrences } from "./open_due_occurrences.ts";
+import { OverfullRelief } from "./overfull_relief.ts";
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
+import { applyEnds } from "./apply_ends.ts";
 import { applyRefusal } from "./apply_refusal.ts";
 import { applyRunEnd } from "./apply_run_end.ts";
 import type { GroupOrder } from "./group_order.ts";
@@ -69,6 +69,7 @@
   readonly #unsavedJobs = new Set<Job>();
   #checkpointsSavedAtMs = -Infinity;
   readonly #learnedRows = new LearnedRows();
+  readonly #overfullRelief = new OverfullRelief();
 
   constructor(readonly options: CellOptions) {
     this.statistics = new RunStatistics(options);
@@ -137,7 +138,7 @@
     for (const refusal of report.refusals ?? []) {
       yield* applyRefusal(this, worker, refusal, nowMs);
     }
-    yield* this.#applyEnds(worker, report, nowMs);
+    yield* applyEnds(this, worker, report, nowMs);
     if (report.isLapsed) {
       if (report.isGone && !report.isDraining) {
         yield* recordCrash(this, worker, report, "gone", nowMs);
@@ -201,8 +202,8 @@
   }
 
   /**
-   * Opens due occurrences, saves checkpoints, stops stuck runs, drains workers
-   * and places waiting tasks.
+   * Opens due occurrences, saves checkpoints, stops stuck runs, drains and
+   * relieves workers and places waiting tasks.
    */
   *tick(nowMs: number, wallMs: number): Effects {
     this.beganAtMs = Math.min(this.beganAtMs, nowMs);
@@ -211,6 +212,7 @@
     yield* this.#learnedRows.take(this, nowMs);
     yield* stopStuckRuns(this, nowMs);
     yield* drainWorkers(this, nowMs);
+    yield* this.#overfullRelief.relieve(this, nowMs);
     if (this.evacuationPlanner !== undefined) {
       yield* this.evacuationPlanner.plan(this, nowMs);
     }
@@ -234,26 +236,6 @@
     return this.jobs.get(job)?.taskAt(occurrence, step, index);
   }
 
-  *#applyEnds(worker: Worker, report: SidecarReport, nowMs: number): Effects {
-    for (const end of report.ends) {
-      if (end.number <= worker.lastEnd) continue;
-      worker.lastEnd = end.number;
-      yield* this.#applyEnd(worker, end, nowMs);
-    }
-    if (report.ends.length === 0) return;
-    const { node, lastEnd } = worker;
-    const end = this.unreadable.lastForgettable(report.ends, lastEnd);
-    yield { kind: "forget", node, life: report.life, end };
-  }
-
-  *#applyEnd(worker: Worker, end: RunEnd, nowMs: number): Effects {
-    const task = worker.claimedTask(end.task, end.run) ??
-      findReleasedTask(this, end);
-    if (task === undefined) return;
-    worker.removeClaim(task);
-    yield* applyRunEnd(this, worker, task, end, nowMs);
-  }
-
   /** Releases a claim of a run that certainly is not active any more. */
   *releaseClaim(
     worker: Worker,
--- a/src/core/evacuate/evacuation_planner.ts
+++ b/src/core/evacuate/evacuation_planner.ts
@@ -2,6 +2,7 @@
 import type { CellEffect } from "../cell/cell_effect.ts";
 import { chooseWorker } from "../cell/choose_worker.ts";
 import { FillerView } from "../cell/filler_view.ts";
+import { PendingMoves } from "../cell/pending_moves.ts";
 import type { Task } from "../cell/task.ts";
 import type { TaskGroup } from "../cell/task_group.ts";
 import type { Worker } from "../cell/worker.ts";
@@ -12,15 +13,6 @@
 /** Choosing workers for a whole data centre at each tick would cost too much. */
 const planIntervalMs = 100;
 const maxMovesPerPlan = 8;
-/** A move that has not ended by then no longer holds its target. */
-const maxMoveMs = 3_000;
-
-interface Move {
-  readonly target: Worker;
-  readonly run: number;
-  readonly sinceMs: number;
-}
-
 /**
  * Decides which running tasks leave an evacuated data centre. Handles the load
  * of a data centre that goes to the others: a task is stopped only where another
@@ -28,7 +20,7 @@
  * a time.
  */
 export class EvacuationPlanner {
-  readonly #moves = new Map<Task, Move>();
+  readonly #moves = new PendingMoves();
   #plannedAtMs = -Infinity;
   #wasEvacuating = false;
 
@@ -38,15 +30,12 @@
   *plan(cell: Cell, nowMs: number): Generator<CellEffect, void> {
     if (nowMs - this.#plannedAtMs < planIntervalMs) return;
     this.#plannedAtMs = nowMs;
-    this.#dropEndedMoves(nowMs);
     const isEvacuating = cell.evacuatedZones.size > 0;
     if (!isEvacuating && !this.#wasEvacuating) return;
     this.#wasEvacuating = isEvacuating;
     const leaving = leavingOrder(cell.workers.values(), this.evacuateMs);
     reserveForServices(cell, leaving);
-    const targets = new Set(
-      [...this.#moves.values()].map(({ target }) => target),
-    );
+    const targets = this.#moves.targets(nowMs);
     const unplaceable = new Set<TaskGroup>();
     let moveCount = 0;
     for (const task of leaving) {
@@ -61,19 +50,10 @@
       }
       moveCount += 1;
       targets.add(target);
-      this.#moves.set(task, { target, run: task.run, sinceMs: nowMs });
+      this.#moves.add(task, target, nowMs);
       yield* cell.stopRun(task, "evacuate", nowMs);
     }
   }
-
-  #dropEndedMoves(nowMs: number): void {
-    for (const [task, { run, sinceMs }] of this.#moves) {
-      const isPlaced = task.run !== run && task.claim !== undefined;
-      if (isPlaced || task.isDone || nowMs - sinceMs > maxMoveMs) {
-        this.#moves.delete(task);
-      }
-    }
-  }
 }
 
 function chooseTarget(
--- a/tests/capacity_test.ts
+++ b/tests/capacity_test.ts
@@ -1,6 +1,8 @@
 import { expect } from "chai";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
+import type { SidecarReport } from "../src/core/cell/sidecar_report.ts";
 import { CellFixture } from "./cell_fixture.ts";
+import { CrashFixture } from "./crash_fixture.ts";
 import { GateFixture } from "./gate_fixture.ts";
 
 const mb = 1_048_576;
@@ -120,4 +122,54 @@
     fixture.advance(100);
     expect(fixture.newStarts()).to.have.length(2);
   });
+
+  const service = CellFixture.step({
+    count: 3,
+    isService: true,
+    resources: resourcesOf(1_000),
+  });
+  const rooms = [
+    { spare: 3_000, moved: 1, name: "one at a time, where others have room" },
+    { spare: 500, moved: 0, name: "not while no other has room" },
+  ];
+  for (const { spare, moved, name } of rooms) {
+    // A worker that had shrunk kept its services, though others had room.
+    it(`moves services away: ${name}`, () => {
+      const fixture = new CellFixture();
+      const other = { capacity: { ...large, cpuMilli: spare } };
+      const serveOn = (node: string, change: Partial<SidecarReport>) => {
+        const running = fixture.runningOn(node)
+          .map((run) => ({ ...run, percent: 100 }));
+        fixture.reportWorker(node, { running, ...change });
+      };
+      serveOn("w", { capacity: large });
+      fixture.submit("s", [service]);
+      fixture.advance();
+      fixture.newStarts();
+      serveOn("other", other);
+      serveOn("w", { capacity: small });
+      fixture.advance(100);
+      expect(fixture.newStops()).to.have.length(moved);
+      // The one that moves is away, and no more than one may be.
+      serveOn("w", { capacity: small });
+      fixture.advance(100);
+      expect(fixture.newStops()).to.eql([]);
+      serveOn("w", { capacity: large });
+      fixture.advance(100);
+      expect(fixture.newStops()).to.eql([]);
+    });
+  }
+
+  it("serves on the others within 2 s what does not fit any more", () => {
+    const fleet = new CrashFixture(["w1", "w2", "w3"]);
+    fleet.submit("s", [{ ...service, count: 6, mostAway: 2 }]);
+    fleet.play(2_000);
+    fleet.capacities.set("w1", small);
+    fleet.play(2_000);
+    const counts = ["w1", "w2", "w3"].map((node) =>
+      fleet.fixture.runsOn(node).length
+    );
+    expect(counts[0]).to.be.at.most(2);
+    expect(counts.reduce((sum, count) => sum + count)).to.equal(6);
+  });
 });
--- a/tests/crash_fixture.ts
+++ b/tests/crash_fixture.ts
@@ -1,3 +1,4 @@
+import type { Resources } from "../src/schema/resources.ts";
 import { decodeJob } from "../src/core/cell/decode_job.ts";
 import { encodeJob } from "../src/core/cell/encode_job.ts";
 import type { JobProgressRow } from "../src/core/cell/job_progress_row.ts";
@@ -26,6 +27,8 @@
   readonly deadly = new Set<string>();
   /** How often each task was started. */
   readonly startCounts = new Map<string, number>();
+  /** The capacities of workers that differ from the usual one. */
+  readonly capacities = new Map<string, Resources>();
   /** How long after its start such a task crashes its worker. */
   crashAfterMs = 0;
   /** How many of the next crashes the worker's sidecar is restarted after. */
@@ -64,6 +67,7 @@
       startingUp,
       crashedStarts,
       isLifeBeforeUnknown,
+      ...this.#capacityOf(node),
       ...change,
     };
     this.fixture.reportWorker(node, report);
@@ -166,7 +170,8 @@
     const running = this.#runningOn(node).filter(({ task }) => task !== name);
     this.#beganAtMs.delete(name);
     const startingUp = this.#startingUpOn(node);
-    const report = { life, running, startingUp };
+    const capacity = this.#capacityOf(node);
+    const report = { life, running, startingUp, ...capacity };
     this.fixture.endRun(node, name, run, outcome, "", report);
   }
 
@@ -175,6 +180,11 @@
     return this.fixture.nowMs - (this.#beganAtMs.get(task) ?? Infinity);
   }
 
+  #capacityOf(node: string): Partial<SidecarReport> {
+    const capacity = this.capacities.get(node);
+    return capacity === undefined ? {} : { capacity };
+  }
+
   #startingUpOn(node: string): string[] {
     return this.#runningOn(node)
       .filter(({ task }) => this.#ageMs(task) < startupMs)
@@ -184,7 +194,11 @@
   #runningOn(node: string): RunStatus[] {
     return this.fixture.runningOn(node)
       .filter(({ task }) => this.#beganAtMs.has(task))
-      .map((status) => ({ ...status, percent: 50 }));
+      .map((status) => {
+        const { isService } = this.fixture.cell.task(status.task)!.group
+          .definition;
+        return { ...status, percent: isService ? 100 : 50 };
+      });
   }
 
   #replaceKeeper(): void {
