--- a/bench/load_bench.ts
+++ b/bench/load_bench.ts
@@ -1,16 +1,18 @@
 import { LoadModel } from "../stand_ins/load/load_model.ts";
 import type { LoadOptions } from "../stand_ins/load/load_options.ts";
 import type { LoadResult } from "../stand_ins/load/load_result.ts";
+import { shiftedLoad } from "../stand_ins/load/shifted_load.ts";
 import { siteLoad } from "../stand_ins/load/site_load.ts";
 
 /**
  * Plays loads of the users' shape on virtual time and prints what callers got,
  * as means over the seeds.
  *
- *   node build/bench/load_bench.mjs [WORKERS] [SEEDS]
+ *   node build/bench/load_bench.mjs [WORKERS] [SEEDS] [site | shifted]
  */
 const workers = Number(process.argv[2] ?? 11);
 const seeds = Number(process.argv[3] ?? 8);
+const newLoad = process.argv[4] === "shifted" ? shiftedLoad : siteLoad;
 
 const cases: readonly [name: string, change: Partial<LoadOptions>][] = [
   ["quiet", {}],
@@ -48,7 +50,7 @@
 for (const [name, change] of cases) {
   const results: LoadResult[] = [];
   for (let seed = 1; seed <= seeds; seed++) {
-    results.push(new LoadModel(siteLoad(seed, workers, change)).run());
+    results.push(new LoadModel(newLoad(seed, workers, change)).run());
   }
   const cells = Object.values(columns).map((read) => {
     const mean = results.reduce((sum, each) => sum + read(each), 0) / seeds;
