--- a/src/adapters/undici_parts.d.ts
+++ b/src/adapters/undici_parts.d.ts
@@ -8,7 +8,7 @@
 declare module "undici/lib/api/api-request.js" {
   import type { Dispatcher } from "undici";
   export default function request(
-    this: Dispatcher,
+    this: Pick<Dispatcher, "dispatch">,
     options: Dispatcher.RequestOptions,
   ): Promise<Dispatcher.ResponseData>;
 }
