--- a/tests/cell_fixture.ts
+++ b/tests/cell_fixture.ts
@@ -16,8 +16,7 @@
 import type { StepDefinition } from "../src/core/jobs/step_definition.ts";
 import type { Task } from "../src/core/cell/task.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
-
-const bytesPerMb = 1_048_576;
+import { idleReport } from "./idle_report.ts";
 
 /**
  * A cell on virtual time. It collects the effects that the cell returns; tests
@@ -69,26 +68,7 @@
 
   /** Sends the cell a report of a worker. */
   reportWorker(node: string, change: Partial<SidecarReport> = {}): void {
-    const report: SidecarReport = {
-      life: `${node}@1` as RunnerLife,
-      pool: "pool",
-      zone: "z",
-      rack: "r1",
-      labels: ["a", "r1"],
-      capacity: {
-        cpuMilli: 4_000,
-        memoryBytes: 4_000 * bytesPerMb,
-        accelerators: 0,
-      },
-      isDraining: false,
-      isUp: true,
-      isLapsed: false,
-      running: [],
-      ends: [],
-      unexplained: 0,
-      unsettled: [],
-      ...change,
-    };
+    const report = idleReport(node, change);
     this.collect(this.cell.handleReport(node as NodeId, report, this.nowMs));
   }
 
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -8,30 +8,15 @@
 import type { SidecarReport } from "../src/core/cell/sidecar_report.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
 import type { NodeId } from "../src/core/jobs/node_id.ts";
-import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
 import { CellFixture } from "./cell_fixture.ts";
+import { idleReport } from "./idle_report.ts";
 
 const log = new Logger("silent", {});
 const node = "w" as NodeId;
-const life = "w@1" as RunnerLife;
-const workerReport: SidecarReport = {
-  life,
-  pool: "pool",
-  zone: "z",
-  rack: "r",
-  labels: [],
-  capacity: { cpuMilli: 4_000, memoryBytes: 2 ** 32, accelerators: 0 },
-  isDraining: false,
-  isUp: true,
-  isLapsed: false,
-  running: [],
-  ends: [],
-  unexplained: 0,
-  unsettled: [],
-};
+const workerReport = idleReport("w");
 
 /** A session with one worker that counts its cell's ticks. */
 async function startSession() {
--- a/tests/mixed_builds_test.ts
+++ b/tests/mixed_builds_test.ts
@@ -11,6 +11,7 @@
 import { isKeeperMessage } from "../src/link/is_keeper_message.ts";
 import { isPeerMessage } from "../src/link/is_peer_message.ts";
 import { CellFixture } from "./cell_fixture.ts";
+import { idleReport } from "./idle_report.ts";
 
 const log = new Logger("silent", {});
 const { step } = CellFixture;
@@ -79,21 +80,7 @@
 });
 
 describe("a message of another build", () => {
-  const report = {
-    life: "w@1",
-    pool: "p",
-    zone: "z",
-    rack: "r",
-    labels: [],
-    capacity: { cpuMilli: 1, memoryBytes: 1, accelerators: 0 },
-    isDraining: false,
-    isUp: true,
-    isLapsed: false,
-    running: [],
-    ends: [],
-    unexplained: 0,
-    unsettled: [],
-  };
+  const report = idleReport("w");
   const cases = [
     { name: "a report of the build before", check: isPeerMessage, report },
     {
