--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -275,6 +275,7 @@
   }
 
   #handleEvent(event) {
+    if (this.isClosed) return;
     const atMs = performance.now() - this.#startedAtMs;
     const item = { ...event, atMs };
     this.events.push(item);
@@ -370,7 +371,10 @@
  * not, and 2 if it could not run.
  */
 export async function runCase(deployment, play, limitMs = 110_000) {
+  let hasEnded = false;
   const end = async (code, line) => {
+    if (hasEnded) return;
+    hasEnded = true;
     deployment.note(line);
     console.log(line);
     await deployment.close();
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -10,6 +10,8 @@
 
 export class Runner {
   #child;
+  /** Called after a life has ended. */
+  onLost = () => {};
   /** The runs that the present life has, by task. */
   #running = new Map();
 
@@ -36,15 +38,20 @@
       });
     });
     child.removeAllListeners("exit");
+    child.once("exit", () => this.#lose());
   }
 
   /** Ends the present life at once, as a crash does. */
   async crash() {
     await this.close();
+  }
+
+  #lose() {
     for (const run of this.#running.values()) {
       this.onEvent({ ...run, kind: "lost", runner: this.name, detail: "" });
     }
     this.#running.clear();
+    this.onLost();
   }
 
   /** Stands still, and answers nothing. */
--- a/review/lib/runner_main.mjs
+++ b/review/lib/runner_main.mjs
@@ -1,7 +1,7 @@
 // A stand-in of a runner: runs tasks, holds leases and lists ends, as
 // PROTOCOL.md says. The spec of a job tells it what its tasks do:
 // {"ms": work in ms, "end": "done" or "failed", "figure": the fifth entry of
-// its row}; without "ms" they last.
+// its row, "crashMs": when the task crashes the runner}; without "ms" they last.
 // A process is one life; it tells its parent what it sees.
 import { Buffer } from "node:buffer";
 import { createServer } from "node:http";
@@ -131,6 +131,10 @@
     }
     const { ms = Infinity, end = "done", figure = 0 } = JSON.parse(body.spec);
     const item = { task, run, began: performance.now(), ms, end, figure };
+    const { crashMs } = JSON.parse(body.spec);
+    if (crashMs !== undefined) {
+      setTimeout(() => process.kill(process.pid, "SIGKILL"), crashMs);
+    }
     this.running.set(task, item);
     this.#tell("start", item, body.checkpoint ?? "");
     this.#answer(response, 200, {});
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -73,8 +73,10 @@
       const keyEnd = 1 + record[0];
       const key = record.toString("utf8", 1, keyEnd);
       const value = record.subarray(keyEnd);
-      if (value.length === 0) topic.newest.delete(key);
-      else {
+      if (value.length === 0) {
+        topic.newest.delete(key);
+        topic.sorted = undefined;
+      } else {
         topic.newest.set(key, { key, value, offset: topic.records.length });
       }
       topic.records.push(record);
@@ -182,7 +184,11 @@
 
   #newest(topic, query, response) {
     const after = query.get("dependsOn") ?? "";
-    const keys = [...topic.newest.keys()].filter((key) => key > after).sort();
+    if (topic.sorted?.length !== topic.newest.size) {
+      topic.sorted = [...topic.newest.keys()].sort();
+    }
+    const first = indexAfter(topic.sorted, after);
+    const keys = topic.sorted.slice(first, first + pageItems + 1);
     const items = [];
     let bytes = 0;
     for (const key of keys) {
@@ -197,6 +203,18 @@
   }
 }
 
+/** The index of the first of the sorted keys that is greater than a key. */
+function indexAfter(sorted, key) {
+  let low = 0;
+  let high = sorted.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (sorted[middle] > key) high = middle;
+    else low = middle + 1;
+  }
+  return low;
+}
+
 function split(body) {
   const records = [];
   let position = 0;
