--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -2,8 +2,8 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { Advisor } from "../lib/advisor.mjs";
-import { Deployment, route, runCase } from "../lib/deployment.mjs";
+import { Advisor } from "../advisor.mjs";
+import { Deployment, route, runCase } from "../deployment.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
 const folder = dirname(fileURLToPath(import.meta.url));
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # there is nothing to compile, so this only checks that they can be read.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in lib/*.mjs [1-5]/case.mjs; do node --check "$file"; done
+for file in *.mjs [1-5]/case.mjs; do node --check "$file"; done
--- a/review/lib/deployment.mjs
+++ b/review/deployment.mjs
@@ -20,7 +20,7 @@
 import { Runner } from "./runner.mjs";
 import { Store } from "./store.mjs";
 
-const root = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
+const root = resolve(dirname(fileURLToPath(import.meta.url)), "..");
 const zones = ["ikeja", "yaba", "surulere"];
 const ports = {
   store: 8169,
