--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -12,7 +12,7 @@
 import type { KeeperLink } from "./keeper_link.ts";
 import type { KeeperSessionOptions } from "./keeper_session_options.ts";
 import { EvacuationControl } from "./evacuation_control.ts";
-import { requestTickets } from "./request_tickets.ts";
+import { queryAdvisor } from "./query_advisor.ts";
 import { runEffects } from "./run_effects.ts";
 import type { DeferredEffect } from "./deferred_effect.ts";
 import { loadJob } from "./load_job.ts";
@@ -236,9 +236,7 @@
   }
 
   async #ask(effect: Extract<CellEffect, { kind: "ask" }>): Promise<void> {
-    const tickets = await requestTickets(effect, this.options);
-    if (tickets === undefined || this.#isClosed) return;
-    this.cell.advice.storeAnswer(effect.step, tickets);
+    await queryAdvisor(effect, this.cell.advice, this.options);
     this.#flushSoon();
   }
 
--- a/src/core/cell/apply_refusal.ts
+++ b/src/core/cell/apply_refusal.ts
@@ -18,7 +18,7 @@
   if (reason === "unhealthy" || reason === "no_room") {
     worker.suspendedUntilMs = nowMs + refusalPauseMs;
   }
-  if (reason === "ticket") cell.advice.invalidate(task.group);
+  if (reason === "ticket") cell.advice.dropTicket(task);
   if (reason === "other_life") {
     // A run that the next life was found to have is claimed for that life.
     if (task.claim?.life !== life) return;
--- a/src/core/cell/cell_effect.ts
+++ b/src/core/cell/cell_effect.ts
@@ -44,6 +44,7 @@
     readonly kind: "ask";
     readonly step: string;
     readonly lives: readonly RunnerLife[];
+    readonly timeoutMs: number;
   }
   /** Log and count what was decided, with what decided it. */
   | {
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -58,6 +58,7 @@
     if (group.definition.isGang) yield* placeGang(cell, group, queue, nowMs);
     else yield* placeTasks(cell, group, queue, nowMs);
   }
+  yield* cell.advice.queryNext(cell.workers, nowMs);
 }
 
 /**
@@ -100,12 +101,7 @@
   queue: Queue,
   nowMs: number,
 ): Effects {
-  const tickets = yield* cell.advice.ticketsFor(
-    group,
-    queue,
-    cell.workers.values(),
-    nowMs,
-  );
+  const tickets = cell.advice.ticketsFor(group, queue, nowMs);
   const { job } = group;
   for (const task of group.tasks) {
     if (!isWaiting(task)) continue;
@@ -113,6 +109,7 @@
     const mayRelax = isRelaxed(job, nowMs) && !job.hasClaims;
     const worker = chooseForTask(cell, task, queue, tickets, mayRelax);
     if (worker === undefined) {
+      cell.advice.noteUnplaced(task, queue, nowMs);
       noteIdle(job, nowMs);
       if (!isIsolated(task)) return;
       // An isolated task waits for a worker of its own, the others need not.
@@ -161,12 +158,7 @@
   const checkpoint = group.tasks.find((task) => task.checkpoint !== "")
     ?.checkpoint ?? "";
   const claimed: [Worker, Task][] = [];
-  const tickets = yield* cell.advice.ticketsFor(
-    group,
-    queue,
-    cell.workers.values(),
-    nowMs,
-  );
+  const tickets = cell.advice.ticketsFor(group, queue, nowMs);
   // Claims of this attempt do not count: they are undone unless all fit.
   const mayRelax = isRelaxed(group.job, nowMs) && !group.job.hasClaims;
   for (const task of group.tasks) {
@@ -189,6 +181,7 @@
   }
   if (claimed.length < group.tasks.length) {
     for (const [worker, task] of claimed) undoClaim(worker, task);
+    cell.advice.noteUnplaced(group.tasks[claimed.length]!, queue, nowMs);
     reserveQuietWorker(cell, group, queue, nowMs);
     cell.demand.noteGangUnplaced(group, queue, nowMs, mayRelax);
     noteIdle(group.job, nowMs);
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -486,13 +486,13 @@
     expect(fixture.newStarts()).to.eql([]);
     const queries = fixture.effects.filter(({ kind }) => kind === "ask");
     expect(queries).to.eql([
-      { kind: "ask", step: "j.0.0", lives: ["w@1", "v@1"] },
+      { kind: "ask", step: "j.0.0", lives: ["w@1", "v@1"], timeoutMs: 2_240 },
     ]);
   });
 
   it("starts a task on an advised worker, with its ticket", () => {
     const fixture = advisedFixture();
-    fixture.cell.advice.storeAnswer(
+    fixture.cell.advice.recordAnswer(
       "j.0.0",
       new Map([["v@1" as RunnerLife, "t1"]]),
     );
@@ -507,7 +507,7 @@
 
   it("queries the advisor again after a ticket was refused", () => {
     const fixture = advisedFixture();
-    fixture.cell.advice.storeAnswer(
+    fixture.cell.advice.recordAnswer(
       "j.0.0",
       new Map([["v@1" as RunnerLife, "t1"]]),
     );
--- a/tests/full_scan_placement.ts
+++ b/tests/full_scan_placement.ts
@@ -49,6 +49,7 @@
     if (group.definition.isGang) yield* placeGang(cell, group, queue, nowMs);
     else yield* placeTasks(cell, group, queue, nowMs);
   }
+  yield* cell.advice.queryNext(cell.workers, nowMs);
 }
 
 /**
@@ -70,18 +71,14 @@
   queue: Queue,
   nowMs: number,
 ): Effects {
-  const tickets = yield* cell.advice.ticketsFor(
-    group,
-    queue,
-    cell.workers.values(),
-    nowMs,
-  );
+  const tickets = cell.advice.ticketsFor(group, queue, nowMs);
   const { job } = group;
   for (const task of group.tasks) {
     if (!isWaiting(task)) continue;
     const mayRelax = isRelaxed(job, nowMs) && !hasClaims(job);
     const worker = chooseForTask(cell, task, queue, nowMs, tickets, mayRelax);
     if (worker === undefined) {
+      cell.advice.noteUnplaced(task, queue, nowMs);
       noteIdle(job, nowMs);
       if (task.crashes < 2) return;
       reserveQuietWorker(cell, group, queue, nowMs);
@@ -132,12 +129,7 @@
   const checkpoint = group.tasks.find((task) => task.checkpoint !== "")
     ?.checkpoint ?? "";
   const claimed: [Worker, Task][] = [];
-  const tickets = yield* cell.advice.ticketsFor(
-    group,
-    queue,
-    cell.workers.values(),
-    nowMs,
-  );
+  const tickets = cell.advice.ticketsFor(group, queue, nowMs);
   // Claims of this attempt do not count: they are undone unless all fit.
   const mayRelax = isRelaxed(group.job, nowMs) && !hasClaims(group.job);
   for (const task of group.tasks) {
@@ -149,6 +141,7 @@
   }
   if (claimed.length < group.tasks.length) {
     for (const [worker, task] of claimed) undoClaim(worker, task);
+    cell.advice.noteUnplaced(group.tasks[claimed.length]!, queue, nowMs);
     reserveQuietWorker(cell, group, queue, nowMs);
     noteIdle(group.job, nowMs);
     return;
--- a/tests/platform/decode_test.ts
+++ b/tests/platform/decode_test.ts
@@ -342,7 +342,7 @@
 describe("a deployment without an advisor", () => {
   it("fails queries for advice with a clear message", async () => {
     const advisor = new AdvisorHttpClient("");
-    const message = await advisor.requestTickets("j.0.0", []).catch((
+    const message = await advisor.requestTickets("j.0.0", [], 100).catch((
       cause: Error,
     ) => cause.message);
     expect(message).to.equal("no advisor is set");
--- a/tests/random_cell_load.ts
+++ b/tests/random_cell_load.ts
@@ -274,10 +274,16 @@
   /** Answers some of the queries to the advisor that the last tick sent. */
   #answerQueries(): void {
     for (const effect of this.fixtures[0]!.effects) {
-      if (effect.kind !== "ask" || this.#chance(0.3)) continue;
+      if (effect.kind !== "ask") continue;
+      if (this.#chance(0.3)) {
+        this.#all(({ cell, nowMs }) =>
+          cell.advice.recordFailure(effect.step, nowMs)
+        );
+        continue;
+      }
       const lives = effect.lives.filter(() => this.#chance(0.6));
       const tickets = new Map(lives.map((life) => [life, `t-${life}`]));
-      this.#all(({ cell }) => cell.advice.storeAnswer(effect.step, tickets));
+      this.#all(({ cell }) => cell.advice.recordAnswer(effect.step, tickets));
     }
   }
 
