--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -1,4 +1,4 @@
-import { Cell } from "../core/cell/cell.ts";
+import type { Cell } from "../core/cell/cell.ts";
 import type { CellEffect } from "../core/cell/cell_effect.ts";
 import type { SidecarReport } from "../core/cell/sidecar_report.ts";
 import { applyRefusal } from "../core/cell/apply_refusal.ts";
@@ -14,6 +14,8 @@
 import { EvacuationControl } from "./evacuation_control.ts";
 import { queryAdvisor } from "./query_advisor.ts";
 import { runEffects } from "./run_effects.ts";
+import { createCell } from "./create_cell.ts";
+import { dropUnstored } from "./drop_unstored.ts";
 import type { DeferredEffect } from "./deferred_effect.ts";
 import { loadJob } from "./load_job.ts";
 import { needsConfirmation } from "./needs_confirmation.ts";
@@ -25,10 +27,6 @@
 import { UnsavedRows } from "./unsaved_rows.ts";
 
 const tickIntervalMs = 50;
-/** A run is stuck after this share of its expected time without progress. */
-const stuckFactor = 0.5;
-/** The shortest time without progress after which a run is stuck. */
-const stuckMinMs = 1_800;
 
 /** A keeper's epoch: from taking over the cell's stream until it is closed. */
 export class KeeperSession {
@@ -47,7 +45,7 @@
 
   constructor(readonly options: KeeperSessionOptions) {
     const { epoch, bounds, clock, links, log, metrics, writer } = options;
-    this.cell = new Cell({ stuckFactor, stuckMinMs, ...options.unevenLoad });
+    this.cell = createCell(options);
     this.#openedAtMs = clock.nowMs();
     this.#leases = new LeaseTracker(writer, bounds.maxHoldMs, clock);
     this.#termLog = new TermLog(epoch, log, metrics, clock);
@@ -282,16 +280,17 @@
       this.#apply(effect);
     }
     this.#evacuation?.update();
-    const rows = this.#unsaved.take();
+    const rows = this.#unsaved.take(writer.limits);
     const isStartDue = this.#evacuation?.hasDueStarts ?? false;
     if (rows.length === 0 && this.#deferred.length === 0 && !isStartDue) return;
     const deferred = this.#deferred.splice(0);
     if (rows.length === 0 && needsConfirmation(deferred)) {
       rows.push(writer.heartbeatRow());
     }
-    writer.write(rows, () => {
+    writer.write(rows, (rejected) => {
       if (this.#isClosed) return;
-      const due = this.#evacuation?.release(deferred) ?? deferred;
+      const stored = dropUnstored(deferred, rejected, this.cell);
+      const due = this.#evacuation?.release(stored) ?? stored;
       runEffects(due, this.cell, this.options);
     });
   }
--- a/src/cellhost/row_writer.ts
+++ b/src/cellhost/row_writer.ts
@@ -1,5 +1,9 @@
 import type { Clock } from "../core/clock/clock.ts";
 import type { Row } from "../core/store/row.ts";
+import { defaultStoreLimits } from "../core/store/default_store_limits.ts";
+import { isStorable } from "../core/store/is_storable.ts";
+import { rowBytes } from "../core/store/row_bytes.ts";
+import type { StoreLimits } from "../core/store/store_limits.ts";
 import type { Store } from "../core/store/store.ts";
 import type { Logger } from "../adapters/logger.ts";
 
@@ -9,12 +13,21 @@
 const retryPauseMs = 25;
 /** An idle writer appends a heartbeat at this interval, to show it is alive. */
 const heartbeatIntervalMs = 400;
-const maxBatchBytes = 1_000_000;
+/** The share of what the store accepts in an append that a batch uses. */
+const batchShare = 0.5;
+
+/** Receives the keys of the rows that the store will not take. */
+type StoredCallback = (rejected: ReadonlySet<string>) => void;
+type Outcome =
+  | { readonly kind: "stored"; readonly end: number }
+  | { readonly kind: "rejected" }
+  | { readonly kind: "deposed" };
 
 /**
  * The only writer of a stream in its epoch. Batches are appended one at a time
  * with sequence numbers, so that a retry when an answer was lost stores nothing
- * twice. A writer with a higher epoch fences this one off for good.
+ * twice. A writer with a higher epoch fences this one off for good. A row that
+ * the store rejects for good is left out, so that it holds up no other.
  */
 export class RowWriter {
   /** When the last successful append was sent, by the monotonic clock. */
@@ -26,7 +39,9 @@
   confirmedAtWallMs = 0;
   isDeposed = false;
   readonly #rows = new Map<string, string | undefined>();
-  #callbacks: (() => void)[] = [];
+  #callbacks: StoredCallback[] = [];
+  /** The keys whose last row was rejected. */
+  readonly #rejectedKeys = new Set<string>();
   #sequence = 0;
   #isBusy = false;
   #timer: NodeJS.Timeout | undefined;
@@ -39,6 +54,7 @@
     readonly onDeposed: () => void,
     readonly clock: Clock,
     readonly log: Logger,
+    readonly limits: StoreLimits = defaultStoreLimits,
   ) {}
 
   /** Whether the store seems to be away, as the appends show. */
@@ -51,11 +67,19 @@
    * has succeeded. Returns the stream's end, or undefined if deposed.
    */
   async takeOver(): Promise<number | undefined> {
-    return await this.#append([this.heartbeatRow()]);
+    while (!this.isDeposed) {
+      const outcome = await this.#append([this.heartbeatRow()]);
+      if (outcome.kind === "stored") return outcome.end;
+      await this.clock.sleep(retryPauseMs);
+    }
+    return undefined;
   }
 
-  /** Stores rows; calls back once all rows written so far are stored. */
-  write(rows: readonly Row[], onStored: () => void): void {
+  /**
+   * Stores rows; calls back once all rows written so far are stored, but for
+   * those that the store rejects for good.
+   */
+  write(rows: readonly Row[], onStored: StoredCallback): void {
     for (const { key, value } of rows) this.#rows.set(key, value);
     this.#callbacks.push(onStored);
     void this.#drain();
@@ -83,14 +107,12 @@
       this.#callbacks = [];
       const rows = [...this.#rows].map(([key, value]) => ({ key, value }));
       this.#rows.clear();
-      for (const batch of batches(rows)) {
-        const end = await this.#append(batch);
-        if (end === undefined) {
-          this.#isBusy = false;
-          return;
-        }
+      const rejected = await this.#storeAll(rows);
+      if (rejected === undefined) {
+        this.#isBusy = false;
+        return;
       }
-      for (const onStored of callbacks) onStored();
+      for (const onStored of callbacks) onStored(rejected);
     }
     this.#isBusy = false;
     if (this.isDeposed) return;
@@ -99,45 +121,81 @@
     }, heartbeatIntervalMs);
   }
 
-  /**
-   * Retries until the rows are stored or this writer is deposed. Returns the
-   * stream's end, or undefined if deposed.
-   */
-  async #append(rows: readonly Row[]): Promise<number | undefined> {
-    this.#sequence += 1;
+  /** Returns the keys of the rows rejected for good; undefined if deposed. */
+  async #storeAll(rows: readonly Row[]): Promise<Set<string> | undefined> {
+    const rejected = new Set<string>();
+    const fitting = rows.filter((row) => {
+      if (isStorable(row, this.limits)) return true;
+      rejected.add(row.key);
+      this.#noteRejected(row, "too large");
+      return false;
+    });
+    for (const batch of batches(fitting, this.limits.callBytes * batchShare)) {
+      const outcome = await this.#append(batch);
+      if (outcome.kind === "deposed") return undefined;
+      // One row of a rejected batch is at fault, so each is then tried alone.
+      const isRejected = outcome.kind === "rejected";
+      for (const row of isRejected ? batch : []) {
+        const alone = await this.#append([row]);
+        if (alone.kind === "deposed") return undefined;
+        if (alone.kind === "stored") continue;
+        rejected.add(row.key);
+        this.#noteRejected(row, "rejected");
+      }
+    }
+    for (const { key } of rows) {
+      if (!rejected.has(key)) this.#rejectedKeys.delete(key);
+    }
+    return rejected;
+  }
+
+  /** Logs a rejected row, once until a row of its key is stored. */
+  #noteRejected(row: Row, reason: string): void {
+    const { key } = row;
+    if (this.#rejectedKeys.has(key)) return;
+    this.#rejectedKeys.add(key);
+    this.log.error("row_rejected", { key, reason, bytes: rowBytes(row) });
+  }
+
+  /** Retries until the rows are stored, rejected, or this writer is deposed. */
+  async #append(rows: readonly Row[]): Promise<Outcome> {
     while (!this.isDeposed) {
       const sentAtMs = this.clock.nowMs();
       const sentAtWallMs = this.clock.wallMs();
       const { epoch } = this;
+      const sequence = this.#sequence + 1;
       const result = await this.store.append(this.stream, rows, {
         kind: "writer",
         writer: this.stream,
         epoch,
-        sequence: this.#sequence,
+        sequence,
       }, appendTimeoutMs);
       if (result.isOk) {
         this.confirmedAtMs = sentAtMs;
         this.confirmedAtWallMs = sentAtWallMs;
-        return result.value.end;
+        this.#sequence = sequence;
+        return { kind: "stored", end: result.value.end };
       }
       const { error } = result;
       if (error.kind === "fenced" || error.kind === "sequence") {
         // A sequence mismatch means that another writer uses this epoch too.
         this.depose(error.kind);
-        return undefined;
+        return { kind: "deposed" };
       }
+      if (error.kind === "rejected") return { kind: "rejected" };
       await this.clock.sleep(retryPauseMs);
     }
-    return undefined;
+    return { kind: "deposed" };
   }
 }
 
-function* batches(rows: readonly Row[]): Generator<Row[]> {
+/** Splits rows into batches below a size. */
+function* batches(rows: readonly Row[], maxBytes: number): Generator<Row[]> {
   let batch: Row[] = [];
   let size = 0;
   for (const row of rows) {
-    const bytes = row.key.length + (row.value?.length ?? 0);
-    if (size + bytes > maxBatchBytes && batch.length > 0) {
+    const bytes = rowBytes(row);
+    if (size + bytes > maxBytes && batch.length > 0) {
       yield batch;
       batch = [];
       size = 0;
--- a/src/cellhost/unsaved_rows.ts
+++ b/src/cellhost/unsaved_rows.ts
@@ -4,6 +4,9 @@
 import type { RunTimeRow } from "../core/estimate/run_time_row.ts";
 import type { PressureRow } from "../core/interfere/pressure_row.ts";
 import type { Row } from "../core/store/row.ts";
+import { defaultStoreLimits } from "../core/store/default_store_limits.ts";
+import { isStorable } from "../core/store/is_storable.ts";
+import type { StoreLimits } from "../core/store/store_limits.ts";
 import { learnedKey } from "./learned_key.ts";
 import { progressKey } from "./progress_key.ts";
 import { runTimesKey } from "./run_times_key.ts";
@@ -37,11 +40,8 @@
   }
 
   /** Removes and returns all rows. */
-  take(): Row[] {
-    const rows = [...this.#jobs].map((job) => ({
-      key: progressKey(job.definition.id),
-      value: JSON.stringify(encodeJob(job)),
-    }));
+  take(limits = defaultStoreLimits): Row[] {
+    const rows = [...this.#jobs].map((job) => encodeRow(job, limits));
     this.#jobs.clear();
     if (this.#learned !== undefined) {
       rows.push({ key: learnedKey, value: JSON.stringify(this.#learned) });
@@ -54,3 +54,12 @@
     return rows;
   }
 }
+
+/** Encodes a job's row, without checkpoints if it would be too large. */
+function encodeRow(job: Job, limits: StoreLimits): Row {
+  const key = progressKey(job.definition.id);
+  const row = { key, value: JSON.stringify(encodeJob(job)) };
+  if (isStorable(row, limits)) return row;
+  const smaller = encodeJob(job, { withCheckpoints: false });
+  return { key, value: JSON.stringify(smaller) };
+}
--- a/src/core/cell/cell_options.ts
+++ b/src/core/cell/cell_options.ts
@@ -7,6 +7,8 @@
   readonly stuckFactor: number;
   /** The shortest time without progress before a run counts as stuck. */
   readonly stuckMinMs: number;
+  /** The most bytes of a row that the cell has saved; no limit if undefined. */
+  readonly maxRowBytes?: number | undefined;
   /** Replaces the placement of waiting tasks, in tests. */
   readonly place?: typeof placeWaitingTasks | undefined;
 }
--- a/src/core/cell/encode_job.ts
+++ b/src/core/cell/encode_job.ts
@@ -6,14 +6,25 @@
 type GroupRow = JobProgressRow["o"][number][1][number];
 type TaskRow = Exclude<GroupRow, 0 | 1>[number];
 
+interface EncodingOptions {
+  /** Without them the row is smaller, but interrupted runs begin anew. */
+  readonly withCheckpoints: boolean;
+}
+
 /** Encodes a job's progress as its row in the store. */
-export function encodeJob(job: Job): JobProgressRow {
+export function encodeJob(
+  job: Job,
+  options: EncodingOptions = { withCheckpoints: true },
+): JobProgressRow {
   const workers = new Map<string, number>();
   const open: [number, GroupRow[]][] = [];
   const isFinished = job.outcome === "completed" || job.outcome === "failed";
   if (!isFinished) {
     for (const { number, groups } of job.openOccurrences.values()) {
-      open.push([number, groups.map((group) => encodeGroup(group, workers))]);
+      open.push([
+        number,
+        groups.map((group) => encodeGroup(group, workers, options)),
+      ]);
     }
   }
   return {
@@ -25,15 +36,24 @@
   };
 }
 
-function encodeGroup(group: TaskGroup, workers: Map<string, number>): GroupRow {
+function encodeGroup(
+  group: TaskGroup,
+  workers: Map<string, number>,
+  options: EncodingOptions,
+): GroupRow {
   if (group.unfinishedCount === 0) return 1;
-  const rows = group.tasks.map((task) => encodeTask(task, workers));
+  const rows = group.tasks.map((task) => encodeTask(task, workers, options));
   return rows.every((row) => row === 0) ? 0 : rows;
 }
 
-function encodeTask(task: Task, workers: Map<string, number>): TaskRow {
+function encodeTask(
+  task: Task,
+  workers: Map<string, number>,
+  { withCheckpoints }: EncodingOptions,
+): TaskRow {
   if (task.isDone) return 1;
-  const { claim, run, failures, crashes, checkpoint } = task;
+  const { claim, run, failures, crashes } = task;
+  const checkpoint = withCheckpoints ? task.checkpoint : "";
   if (run === 0) return 0;
   const start = [run, failures, checkpoint] as const;
   if (claim === undefined) {
@@ -42,7 +62,7 @@
   const key = `${claim.node} ${claim.life}`;
   const worker = workers.get(key) ?? workers.size;
   workers.set(key, worker);
-  const { startCheckpoint } = claim;
+  const startCheckpoint = withCheckpoints ? claim.startCheckpoint : "";
   if (crashes > 0) return [...start, worker, startCheckpoint, crashes];
   return startCheckpoint === ""
     ? [...start, worker]
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -236,6 +236,7 @@
       () => this.#handleDeposed(epoch),
       systemClock,
       this.log,
+      this.options.storeLimits,
     );
     const end = await writer.takeOver();
     const isCurrent = () =>
--- a/src/nodes/node_options.ts
+++ b/src/nodes/node_options.ts
@@ -1,5 +1,6 @@
 import type { KeeperBounds } from "../cellhost/keeper_bounds.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
+import type { StoreLimits } from "../core/store/store_limits.ts";
 import type { HardLoad } from "./hard_load.ts";
 
 /** The options that entries and sidecars start with. */
@@ -18,4 +19,5 @@
   readonly strength: number;
   /** In how many streams jobs are stored; more than one for failover. */
   readonly submissionStreams: number;
+  readonly storeLimits: StoreLimits;
 }
--- a/stand_ins/store/store_model.ts
+++ b/stand_ins/store/store_model.ts
@@ -3,6 +3,10 @@
 import type { NewestPage } from "../../src/core/store/newest_page.ts";
 import type { Row } from "../../src/core/store/row.ts";
 import type { RowPage } from "../../src/core/store/row_page.ts";
+import { defaultStoreLimits } from "../../src/core/store/default_store_limits.ts";
+import { isStorable } from "../../src/core/store/is_storable.ts";
+import { rowBytes } from "../../src/core/store/row_bytes.ts";
+import type { StoreLimits } from "../../src/core/store/store_limits.ts";
 import type { Store } from "../../src/core/store/store.ts";
 import type { StoreFailure } from "../../src/core/store/store_failure.ts";
 import type { StoreResult } from "../../src/core/store/store_result.ts";
@@ -40,6 +44,10 @@
   isDown = false;
   /** The streams that cannot be reached, and how calls to them fail. */
   readonly lostStreams = new Map<string, "refused" | "hung">();
+  /** Larger records are rejected, and larger appends. */
+  limits: StoreLimits = defaultStoreLimits;
+  /** The keys whose rows are rejected for good. */
+  readonly rejectedKeys = new Set<string>();
   appendCount = 0;
   #delayed: (() => void)[] = [];
   readonly #streams = new Map<string, Stream>();
@@ -113,6 +121,7 @@
   ): StoreResult<AppendResult> {
     const target = this.#stream(stream);
     const offset = target.first + target.rows.length;
+    if (!this.#accepts(rows)) return err({ kind: "rejected", detail: "size" });
     if (guard.kind === "at" && guard.end !== offset) {
       return err({ kind: "conflict", end: offset });
     }
@@ -127,6 +136,16 @@
     return ok(appended);
   }
 
+  #accepts(rows: readonly Row[]): boolean {
+    let bytes = 0;
+    for (const row of rows) {
+      const isRejected = this.rejectedKeys.has(row.key);
+      if (isRejected || !isStorable(row, this.limits)) return false;
+      bytes += rowBytes(row);
+    }
+    return bytes <= this.limits.callBytes;
+  }
+
   /**
    * Checks a writer's epoch and sequence. Returns an error, or the earlier
    * answer to a repeated append, or nothing if the append is new.
--- a/tests/entry_admission_test.ts
+++ b/tests/entry_admission_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { defaultStoreLimits } from "../src/core/store/default_store_limits.ts";
 import { Logger } from "../src/adapters/logger.ts";
 import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
 import { systemClock } from "../src/adapters/system_clock.ts";
@@ -62,6 +63,7 @@
     strength: 1,
     hardLoad: { ...noHardLoad, ...hardLoad },
     submissionStreams: 1,
+    storeLimits: defaultStoreLimits,
   };
   const advisor = { requestTickets: () => Promise.reject(new Error("none")) };
   const metrics = new PrometheusMetrics();
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -6,9 +6,11 @@
 import { KeeperSession } from "../src/cellhost/keeper_session.ts";
 import { RowWriter } from "../src/cellhost/row_writer.ts";
 import type { SidecarReport } from "../src/core/cell/sidecar_report.ts";
+import type { JobDefinition } from "../src/core/jobs/job_definition.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
 import type { NodeId } from "../src/core/jobs/node_id.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
+import type { KeeperMessage } from "../src/link/keeper_message.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
 import { CellFixture } from "./cell_fixture.ts";
@@ -18,22 +20,34 @@
 const node = "w" as NodeId;
 const workerReport = idleReport("w");
 
+function jobOf(id: string, receivedMs: number): JobDefinition {
+  return {
+    id: id as JobId,
+    queue: "q",
+    payload: "",
+    steps: [CellFixture.step()],
+    schedule: undefined,
+    receivedMs,
+  };
+}
+
 /** A session with one worker that counts its cell's ticks. */
-async function startSession() {
+async function startSession(store = new StoreModel()) {
   const clock = new VirtualClock();
+  const sent: KeeperMessage[] = [];
   const links: KeeperLinks = {
     onEntryConnected: () => {},
     onMessage: () => {},
     onSidecarLost: () => {},
     set: () => {},
-    send: () => {},
+    send: (_node, message) => sent.push(message),
     sendToEntries: () => {},
     hasEntry: () => true,
     close: () => {},
   };
   const row = () => ({ key: "keeper", value: "{}" });
   const writer = new RowWriter(
-    new StoreModel(),
+    store,
     "cell",
     1,
     row,
@@ -75,19 +89,36 @@
     targetMs: 500,
     advice: undefined,
   }]);
-  session.submit({
-    id: "j" as JobId,
-    queue: "q",
-    payload: "",
-    steps: [CellFixture.step()],
-    schedule: undefined,
-    receivedMs: clock.wallMs(),
-  });
+  session.submit(jobOf("j", clock.wallMs()));
   report();
   await clock.advance(1);
-  return { session, clock, counts, report };
+  return { session, clock, counts, report, sent };
 }
 
+// Guards against a start whose claim is not stored, and against one job that
+// holds up all others.
+describe("a job whose progress the store rejects", () => {
+  it("starts nothing, and holds up no other job", async () => {
+    const store = new StoreModel();
+    store.rejectedKeys.add("job j");
+    const { session, clock, sent } = await startSession(store);
+    await clock.advance(200);
+    session.submit(jobOf("other", clock.wallMs()));
+    await clock.advance(200);
+    const starts = sent.flatMap((message) =>
+      message.kind === "orders" ? message.starts.map(({ task }) => task) : []
+    );
+    expect(starts).to.eql(["other.0.0.0"]);
+    expect(session.cell.unreadable.stepOf("j.0.0.0" as TaskName)).to.not.equal(
+      undefined,
+    );
+    expect([...session.cell.worker(node).claims.keys()]).to.eql([
+      "other.0.0.0",
+    ]);
+    session.close();
+  });
+});
+
 describe("a keeper's cell decides", () => {
   const running = {
     task: "j.0.0.0" as TaskName,
--- a/tests/outage_fixture.ts
+++ b/tests/outage_fixture.ts
@@ -30,8 +30,8 @@
   mode: OutageMode | undefined;
   /** Whether appends are refused while reads are served. */
   refusesAppends = false;
-  /** Append with such a key is rejected as malformed. */
-  readonly rejectedKeys = new Set<string>();
+  /** The only limit is `maxAppendBytes`. */
+  override limits = { recordBytes: Infinity, callBytes: Infinity };
   /** After how long the next append ends without answer; 0 if it does not. */
   nextAppendLostAfterMs = 0;
   /** The keys of each append that was sent. */
--- a/tests/restarted_entry_test.ts
+++ b/tests/restarted_entry_test.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import { defaultStoreLimits } from "../src/core/store/default_store_limits.ts";
 import { expect } from "chai";
 import { Logger } from "../src/adapters/logger.ts";
 import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
@@ -50,6 +51,7 @@
     strength: 1,
     hardLoad: parseHardLoad(new Map()),
     submissionStreams: streams.length,
+    storeLimits: defaultStoreLimits,
   };
   const advisor = { requestTickets: () => Promise.reject(new Error("none")) };
   const metrics = new PrometheusMetrics();
