--- a/src/core/estimate/run_time_estimator.ts
+++ b/src/core/estimate/run_time_estimator.ts
@@ -5,6 +5,8 @@
 import type { Worker } from "../cell/worker.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
+import { jsonBytes } from "../check/json_bytes.ts";
+import { takeNewest } from "../interfere/take_newest.ts";
 import { GroupTimes } from "./group_times.ts";
 import { kindOf } from "./kind_of.ts";
 import { KindTimes } from "./kind_times.ts";
@@ -119,11 +121,10 @@
     return this.#kinds.get(kindOf(group))?.trust ?? 1;
   }
 
-  /** Returns what was learned, for `restore`. */
-  encode(): RunTimeRow {
-    return {
-      kinds: [...this.#kinds].map(([kind, times]) => times.encode(kind)),
-    };
+  /** Returns what was learned, for `restore`, in at most so many bytes of JSON. */
+  encode(maxBytes = Infinity): RunTimeRow {
+    const kinds = [...this.#kinds].map(([kind, times]) => times.encode(kind));
+    return { kinds: takeNewest(kinds, maxBytes - jsonBytes({ kinds: [] })) };
   }
 
   /** Adds what an earlier keeper learned. */
--- a/src/core/interfere/pressure_model.ts
+++ b/src/core/interfere/pressure_model.ts
@@ -1,5 +1,7 @@
 import type { FillerUse } from "./filler_use.ts";
 import { ImagePressures } from "./image_pressures.ts";
+import { jsonBytes } from "../check/json_bytes.ts";
+import { takeNewest } from "./take_newest.ts";
 import { loadFromLatency } from "./load_from_latency.ts";
 import { unknownPressure } from "./unknown_pressure.ts";
 import type { PressureRow } from "./pressure_row.ts";
@@ -42,7 +44,7 @@
 export class PressureModel {
   readonly #services = new Map<string, ServiceModel>();
   readonly #loads = new Map<string, number>();
-  /** The filler images that have run beside services. */
+  /** The filler images that ran beside services, the one used last at the end. */
   readonly fillerImages = new Set<string>();
   /** How many samples it has learned from. */
   sampleCount = 0;
@@ -102,19 +104,29 @@
     this.changeCount += 1;
   }
 
-  /** Returns what was learned, for `restore`. */
-  encode(): PressureRow {
-    const fillers = [...this.fillerImages];
-    return {
-      fillers,
-      services: [...this.#services].map(([image, { floor, pressures }]) => [
+  /**
+   * Returns what was learned, for `restore`, in at most so many bytes of JSON.
+   * What was used last takes precedence.
+   */
+  encode(maxBytes = Infinity): PressureRow {
+    const fillers = takeNewest(this.fillerImages, maxBytes / 4);
+    const loads = takeNewest(
+      [...this.#loads].map(([job, load]) => [job, rounded(load)] as const),
+      maxBytes / 4,
+    );
+    const services = [...this.#services].map((
+      [image, { floor, pressures }],
+    ) =>
+      [
         image,
         rounded(floor),
         fillers.map((filler) => rounded(pressures.pressureOf(filler))),
         fillers.map((filler) => rounded(pressures.varianceOf(filler))),
-      ]),
-      loads: [...this.#loads].map(([job, load]) => [job, rounded(load)]),
-    };
+      ] as const
+    );
+    const row = { fillers, services: [], loads };
+    const restBytes = maxBytes - jsonBytes(row);
+    return { ...row, services: takeNewest(services, restBytes) };
   }
 
   /** Adds what an earlier keeper learned. */
@@ -135,7 +147,9 @@
   }
 
   #addFiller(image: string): void {
-    if (this.fillerImages.size < maxFillers) this.fillerImages.add(image);
+    this.fillerImages.delete(image);
+    evictOldest(this.fillerImages, maxFillers);
+    this.fillerImages.add(image);
   }
 
   /** Sets a job's load; the job set longest ago gives way to a new one. */
@@ -146,10 +160,10 @@
   }
 
   #modelOf(service: string): ServiceModel {
-    const known = this.#services.get(service);
-    if (known !== undefined) return known;
+    const model = this.#services.get(service) ??
+      { floor: initialFloor, pressures: new ImagePressures() };
+    this.#services.delete(service);
     evictOldest(this.#services, maxServices);
-    const model = { floor: initialFloor, pressures: new ImagePressures() };
     this.#services.set(service, model);
     return model;
   }
@@ -159,7 +173,10 @@
   return Math.round(value * storedSteps) / storedSteps;
 }
 
-function evictOldest(entries: Map<string, unknown>, maxSize: number): void {
+function evictOldest(
+  entries: Map<string, unknown> | Set<string>,
+  maxSize: number,
+): void {
   const [oldest] = entries.keys();
   if (entries.size >= maxSize && oldest !== undefined) entries.delete(oldest);
 }
