A large job's progress row stays within the store's limit

Cause: a job's row grows with its tasks that have begun and with their checkpoints, by 11 to 50 bytes each, and nothing bounds it.

Fix: countAllowedBegins bounds how many tasks may have begun by the size of the row; the others wait. Occurrences are opened while at most 20,000 tasks are open. A job of more than 30,000 tasks, or one larger than a record, is answered 400 at once; joined submissions are measured in bytes.

--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -6,6 +6,12 @@
 import type { Occurrence } from "./occurrence.ts";
 import type { Task } from "./task.ts";
 
+/**
+ * No further occurrence is opened beside so many tasks. It bounds memory, and
+ * the size of the job's row.
+ */
+const maxOpenTasks = 20_000;
+
 /** A job and its progress, as its keeper knows them. */
 export class Job {
   /** For each step, the expected time from its start to the end of the job. */
@@ -26,6 +32,8 @@
   unknownFields: Readonly<Record<string, unknown>> = {};
   /** How often its claims, ends or open occurrences have changed. */
   changeCount = 0;
+  /** How many tasks an occurrence has. */
+  #taskCount = 0;
   #waitingGroups: readonly TaskGroup[] = [];
   #hasClaims = false;
   /** The change counts for which these two were found. */
@@ -34,6 +42,12 @@
 
   constructor(readonly definition: JobDefinition) {
     this.criticalPathsMs = criticalPaths(definition.steps);
+    for (const { count } of definition.steps) this.#taskCount += count;
+  }
+
+  /** How many tasks its open occurrences have. */
+  get openTaskCount(): number {
+    return this.openOccurrences.size * this.#taskCount;
   }
 
   /** How many times its steps run in all. */
@@ -53,12 +67,16 @@
     return schedule.firstMs + occurrence * schedule.intervalMs;
   }
 
-  /** Opens each occurrence that is due; returns whether there was any. */
+  /**
+   * Opens each occurrence that is due, as far as there are not too many tasks
+   * open; returns whether there was any.
+   */
   openDueOccurrences(wallMs: number): boolean {
     const firstNumber = this.nextOccurrence;
     while (
       this.outcome === undefined &&
       this.nextOccurrence < this.occurrenceCount &&
+      this.#hasRoomForOccurrence &&
       (this.definition.schedule === undefined ||
         this.dueAtMs(this.nextOccurrence) <= wallMs)
     ) {
@@ -67,6 +85,11 @@
     return this.nextOccurrence !== firstNumber;
   }
 
+  get #hasRoomForOccurrence(): boolean {
+    return this.openOccurrences.size === 0 ||
+      this.openTaskCount + this.#taskCount <= maxOpenTasks;
+  }
+
   /** Opens an occurrence, whether it is due or not. */
   openOccurrence(number: number): Occurrence {
     this.changeCount += 1;
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -4,6 +4,7 @@
 import type { CellEffect } from "./cell_effect.ts";
 import { chooseWorker } from "./choose_worker.ts";
 import { isIsolated } from "./is_isolated.ts";
+import { countAllowedBegins } from "./count_allowed_begins.ts";
 import type { Job } from "./job.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import type { TaskGroup } from "./task_group.ts";
@@ -103,8 +104,10 @@
 ): Effects {
   const tickets = cell.advice.ticketsFor(group, queue, nowMs);
   const { job } = group;
+  let allowedBegins = countAllowedBegins(job, cell.options.maxRowBytes);
   for (const task of group.tasks) {
     if (!isWaiting(task)) continue;
+    if (task.run === 0 && allowedBegins <= 0) continue;
     if (cell.statistics.attempts?.mayStart(group) === false) return;
     const mayRelax = isRelaxed(job, nowMs) && !job.hasClaims;
     const worker = chooseForTask(cell, task, queue, tickets, mayRelax);
@@ -116,6 +119,7 @@
       reserveQuietWorker(cell, group, queue, nowMs);
       continue;
     }
+    if (task.run === 0) allowedBegins -= 1;
     yield* claimAndStart(worker, task, task.run + 1, nowMs, tickets);
     job.idleSinceMs = undefined;
   }
@@ -154,6 +158,7 @@
   nowMs: number,
 ): Effects {
   if (group.tasks.some((task) => !isWaiting(task))) return;
+  if (!mayGangBegin(group, cell.options.maxRowBytes)) return;
   const run = Math.max(...group.tasks.map((task) => task.run)) + 1;
   const checkpoint = group.tasks.find((task) => task.checkpoint !== "")
     ?.checkpoint ?? "";
@@ -245,6 +250,12 @@
   yield { kind: "start", node: worker.node, command: buildStart(task) };
 }
 
+/** Whether the row of the gang's job would stay within its limit. */
+function mayGangBegin({ job, tasks }: TaskGroup, maxRowBytes?: number) {
+  const fresh = tasks.filter(({ run }) => run === 0).length;
+  return !job.hasClaims || fresh <= countAllowedBegins(job, maxRowBytes);
+}
+
 function isWaiting(task: Task): boolean {
   return !task.isDone && task.claim === undefined;
 }
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -7,6 +7,8 @@
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
 import { describeSteps } from "../core/jobs/describe_steps.ts";
+import type { Row } from "../core/store/row.ts";
+import { isStorable } from "../core/store/is_storable.ts";
 import { JobAdmission } from "./job_admission.ts";
 import type { CallerTime } from "./caller_time.ts";
 import type { EntryNode } from "./entry_node.ts";
@@ -47,6 +49,11 @@
     );
   }
 
+  /** Whether the store cannot hold a job. */
+  isTooLarge(job: JobDefinition): boolean {
+    return !isStorable(rowOf(job), this.entry.options.storeLimits);
+  }
+
   /** Stores a new job. Submitting a known id again changes nothing. */
   async submit(job: JobDefinition, time: CallerTime): Promise<StoreOutcome> {
     const { id, queue } = job;
@@ -62,8 +69,7 @@
       const { retryAfterMs } = refusal;
       return { kind: "refused", reason: "overload", retryAfterMs };
     }
-    const row = { key: id, value: JSON.stringify(definition) };
-    const outcome = await this.storer.store(row, time);
+    const outcome = await this.storer.store(rowOf(definition), time);
     const { kind } = outcome;
     if (kind === "stored") directory.submit(definition);
     this.metrics.count("requests", { call: "submit", outcome: kind });
@@ -129,3 +135,7 @@
     return [...this.entry.directory.waiting(queue)].length;
   }
 }
+
+function rowOf(definition: JobDefinition): Row {
+  return { key: definition.id, value: JSON.stringify(definition) };
+}
--- a/src/nodes/submission_writer.ts
+++ b/src/nodes/submission_writer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../core/clock/clock.ts";
 import type { AppendResult } from "../core/store/append_result.ts";
 import type { Row } from "../core/store/row.ts";
+import { rowBytes } from "../core/store/row_bytes.ts";
 import type { Store } from "../core/store/store.ts";
 import type { StoreResult } from "../core/store/store_result.ts";
 
@@ -117,7 +118,7 @@
   let bytes = 0;
   let count = 0;
   for (const { row } of pending) {
-    bytes += row.key.length + (row.value?.length ?? 0);
+    bytes += rowBytes(row);
     if (count > 0 && bytes > maxBatchBytes) break;
     count += 1;
   }
--- a/tests/platform/decode_test.ts
+++ b/tests/platform/decode_test.ts
@@ -26,6 +26,14 @@
     },
     { name: "rejects a non-object", body: 7, fault: "body" },
     { name: "rejects 0 steps", body: { spec: "x", steps: [] }, fault: "steps" },
+    {
+      name: "rejects more tasks than a keeper can hold",
+      body: {
+        spec: "x",
+        steps: Array.from({ length: 4 }, () => ({ ...step, count: 10_000 })),
+      },
+      fault: "steps",
+    },
     { name: "rejects a missing spec", body: { steps: [step] }, fault: "spec" },
     {
       name: "rejects a step that depends on itself",
