An odd row of another program ends no process, and keeps no key

Cause: rows were only checked to be objects, "since only the system's own processes write rows". A value of no use then failed far away: connect() throws at such a port, criticalPaths at missing steps, a count of Infinity fills the heap.

Fix: parseRow is the one place where a row becomes a value, by a schema of the library, for each stream; nesting is limited. RowReader logs a row that cannot be read once for its key, bounded, and the rest of the page is applied. An unreadable progress row replaces none that was read, and its job is left alone if there is none: it may run. Rows of a state of a later build count as before. A job's row counts only under its own key. A member stores its row again while no keeper connects.

--- a/src/cellhost/election.ts
+++ b/src/cellhost/election.ts
@@ -3,7 +3,8 @@
 import type { Store } from "../core/store/store.ts";
 import type { Logger } from "../adapters/logger.ts";
 import type { ElectionRow } from "./election_row.ts";
-import { parseJsonRow } from "./parse_json_row.ts";
+import { WinnerRow } from "../schema/rows/winner_row.ts";
+import { RowReader } from "./row_reader.ts";
 import { StreamTail } from "./stream_tail.ts";
 import { streams } from "./streams.ts";
 
@@ -26,6 +27,7 @@
   epoch = 0;
   winner: ElectionRow | undefined;
   onWinner: (epoch: number, winner: ElectionRow) => void = () => {};
+  readonly #reader: RowReader;
   #isCampaigning = false;
 
   constructor(
@@ -33,6 +35,7 @@
     readonly self: ElectionRow,
     readonly log: Logger,
   ) {
+    this.#reader = new RowReader(streams.epochs, log);
     const onRows = (rows: readonly StoredRow[]) => this.#applyRows(rows);
     const options = { waitMs: readWaitMs, pauseMs: 0 };
     this.tail = new StreamTail(store, streams.epochs, options, onRows, log);
@@ -75,9 +78,10 @@
   }
 
   #applyRows(rows: readonly StoredRow[]): void {
-    for (const { key, value, offset } of rows) {
-      if (key !== cellKey || value === undefined) continue;
-      const winner = parseJsonRow<ElectionRow>(value, key, this.log);
+    for (const row of rows) {
+      const { key, offset } = row;
+      if (key !== cellKey) continue;
+      const winner = this.#reader.read(WinnerRow, row);
       if (winner === undefined || offset < this.epoch) continue;
       this.epoch = offset + 1;
       this.winner = winner;
--- a/src/cellhost/job_directory.ts
+++ b/src/cellhost/job_directory.ts
@@ -2,19 +2,23 @@
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
-import { isRunTimeRow } from "../core/estimate/is_run_time_row.ts";
 import type { RunTimeRow } from "../core/estimate/run_time_row.ts";
-import { isPressureRow } from "../core/interfere/is_pressure_row.ts";
 import type { PressureRow } from "../core/interfere/pressure_row.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Logger } from "../adapters/logger.ts";
+import { JobRow } from "../schema/rows/job_row.ts";
+import { LearnedRow } from "../schema/rows/learned_row.ts";
+import { ProgressRow } from "../schema/rows/progress_row.ts";
+import { RunTimesRow } from "../schema/rows/run_times_row.ts";
 import { cancellationKey } from "./cancellation_key.ts";
 import { learnedKey } from "./learned_key.ts";
-import { parseJsonRow } from "./parse_json_row.ts";
-import { progressKey } from "./progress_key.ts";
+import { jobOfProgressKey } from "./job_of_progress_key.ts";
+import { RowReader } from "./row_reader.ts";
 import { runTimesKey } from "./run_times_key.ts";
+import { streams } from "./streams.ts";
 
-const progressPrefix = progressKey("" as JobId);
+/** Stands for a row that cannot be read: its job is left alone. */
+const unreadableRow = { s: "unreadable" } as unknown as JobProgressRow;
 
 /** The order of a job's states; a job never returns to one of lower rank. */
 const stateRank: Readonly<Record<JobState, number>> = {
@@ -35,11 +39,18 @@
   #learned: string | undefined;
   /** What the keepers have learned of run times, unparsed. */
   #runTimes: string | undefined;
+  /** Jobs of which no progress row could be read, but there is one. */
+  readonly #unreadable = new Set<JobId>();
   readonly #states = new Map<JobId, JobState>();
+  readonly #jobReader: RowReader;
+  readonly #cellReader: RowReader;
   onSubmitted: (definition: JobDefinition) => void = () => {};
   onCancelled: (id: JobId) => void = () => {};
 
-  constructor(readonly log: Logger) {}
+  constructor(readonly log: Logger) {
+    this.#jobReader = new RowReader(streams.jobs, log);
+    this.#cellReader = new RowReader(streams.cell, log);
+  }
 
   /** A job's state; undefined if no such job was submitted. */
   state(id: JobId): JobState | undefined {
@@ -49,12 +60,14 @@
 
   /** What the keepers have learned of interference, if it was stored. */
   get learned(): PressureRow | undefined {
-    return this.#parseLearned(learnedKey, this.#learned, isPressureRow);
+    const row = { key: learnedKey, value: this.#learned };
+    return this.#cellReader.read(LearnedRow, row);
   }
 
   /** What the keepers have learned of run times, if it was stored. */
   get runTimes(): RunTimeRow | undefined {
-    return this.#parseLearned(runTimesKey, this.#runTimes, isRunTimeRow);
+    const row = { key: runTimesKey, value: this.#runTimes };
+    return this.#cellReader.read(RunTimesRow, row);
   }
 
   /** Whether the job of each progress row is known. */
@@ -62,6 +75,18 @@
     return [...this.rows.keys()].every((id) => this.definitions.has(id));
   }
 
+  /** A job's progress; one that cannot be loaded if no row could be read. */
+  progressOf(id: JobId): JobProgressRow | undefined {
+    return this.rows.get(id) ??
+      (this.#unreadable.has(id) ? unreadableRow : undefined);
+  }
+
+  /** Forgets all progress, to read it again. */
+  clearProgress(): void {
+    this.rows.clear();
+    this.#unreadable.clear();
+  }
+
   /** The ids of the queue's jobs that have not started. */
   *waiting(queue: string): Generator<JobId> {
     for (const [id, definition] of this.definitions) {
@@ -94,49 +119,44 @@
 
   /** Applies rows of the stream of submitted jobs. */
   applyJobRows(rows: readonly StoredRow[]): void {
-    for (const { key, value } of rows) {
+    for (const row of rows) {
+      const { key, value } = row;
       if (value === undefined) this.#remove(key);
       else if (key === cancellationKey(key as JobId)) {
         this.cancel(key.slice(0, -1) as JobId);
       } else {
-        const definition = parseJsonRow<JobDefinition>(value, key, this.log);
-        if (definition !== undefined) this.submit(definition);
+        const definition = this.#jobReader.read(JobRow, row);
+        // Under the key of another job it would take that job's place.
+        if (definition?.id === key) this.submit(definition);
       }
     }
   }
 
   /** Applies the progress rows of the keeper's stream. */
   applyProgressRows(rows: readonly StoredRow[]): void {
-    for (const { key, value } of rows) {
+    for (const row of rows) {
+      const { key, value } = row;
       if (key === learnedKey) this.#learned = value;
       if (key === runTimesKey) this.#runTimes = value;
-      const id = key.slice(progressPrefix.length) as JobId;
-      if (!key.startsWith(progressPrefix)) continue;
+      const id = jobOfProgressKey(key);
+      if (id === undefined) continue;
       if (value === undefined) {
         this.rows.delete(id);
+        this.#unreadable.delete(id);
         continue;
       }
-      const row = parseJsonRow<JobProgressRow>(value, key, this.log);
-      if (row !== undefined) this.#applyProgressRow(id, row);
+      const progress = this.#cellReader.read(ProgressRow, row);
+      if (progress !== undefined) this.#applyProgressRow(id, progress);
+      // The progress known last still holds; without any, the job may run.
+      else if (!this.rows.has(id)) this.#unreadable.add(id);
     }
   }
 
-  #parseLearned<T>(
-    key: string,
-    value: string | undefined,
-    isRow: (value: unknown) => value is T,
-  ): T | undefined {
-    if (value === undefined) return undefined;
-    const row = parseJsonRow<unknown>(value, key, this.log);
-    if (row === undefined || isRow(row)) return row;
-    this.log.warn("row_ignored", { key, reason: "shape" });
-    return undefined;
-  }
-
   #applyProgressRow(id: JobId, row: JobProgressRow): void {
     this.rows.set(id, row);
+    this.#unreadable.delete(id);
     if (row.s === "r") this.advance(id, "running");
-    else if (row.s !== "q") this.advance(id, row.s);
+    else if (row.s !== "q" && row.s in stateRank) this.advance(id, row.s);
   }
 
   #remove(key: string): void {
@@ -144,6 +164,7 @@
     this.definitions.delete(id);
     this.cancelled.delete(id);
     this.rows.delete(id);
+    this.#unreadable.delete(id);
     this.#states.delete(id);
   }
 }
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -69,9 +69,9 @@
     const { clock, directory, log } = this.options;
     const nowMs = clock.nowMs();
     this.setQueues(queues);
-    const { definitions, rows, cancelled, learned } = directory;
+    const { definitions, cancelled, learned } = directory;
     for (const [id, definition] of definitions) {
-      loadJob(this.cell, definition, rows.get(id), nowMs, log);
+      loadJob(this.cell, definition, directory.progressOf(id), nowMs, log);
     }
     if (learned !== undefined) this.cell.restoreLearned(learned);
     this.cell.statistics.restore(directory.runTimes);
@@ -101,7 +101,7 @@
 
   submit(job: JobDefinition): void {
     const { clock, directory, load, log } = this.options;
-    const row = directory.rows.get(job.id);
+    const row = directory.progressOf(job.id);
     if (row === undefined) {
       load?.noteSubmitted(this.cell, job);
       this.#applyAll(this.cell.submit(job, clock.wallMs()));
--- a/src/cellhost/peer_link.ts
+++ b/src/cellhost/peer_link.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { Channel } from "../link/channel.ts";
@@ -37,7 +37,15 @@
   open(): void {
     if (this.#isClosed) return;
     const { host, port } = this.row;
-    const socket = connect({ host, port });
+    let socket: Socket;
+    try {
+      socket = connect({ host, port });
+    } catch (cause) {
+      const reason = (cause as Error).message;
+      this.log.warn("member_unreachable", { node: this.node, reason });
+      this.#scheduleRetry();
+      return;
+    }
     const timer = setTimeout(() => socket.destroy(), connectTimeoutMs);
     socket.once("connect", () => {
       clearTimeout(timer);
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -15,6 +15,9 @@
   "cancelled",
 ]);
 
+/** More tasks of several occurrences are not open at a time. */
+const maxOpenTasks = 100_000;
+
 /** Restores a job from its definition and its progress row, if it has one. */
 export function decodeJob(
   definition: JobDefinition,
@@ -25,10 +28,22 @@
   if (row === undefined) return job;
   const { s: state, n: next, w: workers, o: open, ...unknownFields } = row;
   if (!knownStates.has(state)) throw new Error(`unknown state "${state}"`);
+  const numbers = new Set(open.map(([number]) => number));
+  if (numbers.size < open.length) throw new Error("an occurrence stands twice");
+  const { count = 1 } = definition.schedule ?? {};
+  if (Math.max(next, ...numbers) > count) {
+    throw new Error("too many occurrences");
+  }
+  if (open.length > 1 && open.length * job.taskCount > maxOpenTasks) {
+    throw new Error("too many tasks are open");
+  }
   job.unknownFields = unknownFields;
   job.hasStarted = state !== "q";
   if (state !== "q" && state !== "r") job.outcome = state;
   for (const [number, groups] of open) {
+    if (groups.length !== definition.steps.length) {
+      throw new Error("it has other steps");
+    }
     const occurrence = job.openOccurrence(number);
     occurrence.groups.forEach((group, step) => {
       restoreGroup(group, groups[step] ?? 0, workers, nowMs);
@@ -52,6 +67,9 @@
 ): void {
   // 0 and 1 stand for a whole group or task; see job_progress_row.ts.
   if (rows === 0) return;
+  if (rows !== 1 && rows.length !== group.tasks.length) {
+    throw new Error("a step has other tasks");
+  }
   for (const task of group.tasks) {
     const row = rows === 1 ? 1 : rows[task.index] ?? 0;
     if (row === 0) continue;
--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -16,6 +16,8 @@
 export class Job {
   /** For each step, the expected time from its start to the end of the job. */
   readonly criticalPathsMs: readonly number[];
+  /** How many tasks an occurrence has. */
+  readonly taskCount: number;
   /** The occurrences that are due and not finished, by number. */
   readonly openOccurrences = new Map<number, Occurrence>();
   /** The number of the first occurrence that has not been opened. */
@@ -32,8 +34,6 @@
   unknownFields: Readonly<Record<string, unknown>> = {};
   /** How often its claims, ends or open occurrences have changed. */
   changeCount = 0;
-  /** How many tasks an occurrence has. */
-  #taskCount = 0;
   #waitingGroups: readonly TaskGroup[] = [];
   #hasClaims = false;
   /** The change counts for which these two were found. */
@@ -42,12 +42,13 @@
 
   constructor(readonly definition: JobDefinition) {
     this.criticalPathsMs = criticalPaths(definition.steps);
-    for (const { count } of definition.steps) this.#taskCount += count;
+    const counts = definition.steps.map(({ count }) => count);
+    this.taskCount = counts.reduce((sum, count) => sum + count, 0);
   }
 
   /** How many tasks its open occurrences have. */
   get openTaskCount(): number {
-    return this.openOccurrences.size * this.#taskCount;
+    return this.openOccurrences.size * this.taskCount;
   }
 
   /** How many times its steps run in all. */
@@ -87,7 +88,7 @@
 
   get #hasRoomForOccurrence(): boolean {
     return this.openOccurrences.size === 0 ||
-      this.openTaskCount + this.#taskCount <= maxOpenTasks;
+      this.openTaskCount + this.taskCount <= maxOpenTasks;
   }
 
   /** Opens an occurrence, whether it is due or not. */
--- a/src/nodes/create_peers_tail.ts
+++ b/src/nodes/create_peers_tail.ts
@@ -1,10 +1,10 @@
 import type { Logger } from "../adapters/logger.ts";
 import type { KeeperSession } from "../cellhost/keeper_session.ts";
-import { parseJsonRow } from "../cellhost/parse_json_row.ts";
-import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
+import { RowReader } from "../cellhost/row_reader.ts";
 import { StreamTail } from "../cellhost/stream_tail.ts";
 import { streams } from "../cellhost/streams.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
+import { MemberRow } from "../schema/rows/member_row.ts";
 import type { Store } from "../core/store/store.ts";
 
 const waitMs = 2_000;
@@ -16,12 +16,13 @@
   store: Store,
   log: Logger,
 ): StreamTail {
+  const reader = new RowReader(streams.members, log);
   const options = { waitMs, pauseMs: 0 };
   return new StreamTail(store, streams.members, options, (rows) => {
-    for (const { key, value } of rows) {
-      if (value === undefined || key === keeper) continue;
-      const row = parseJsonRow<PeerAddressRow>(value, key, log);
-      if (row !== undefined) session.setPeer(key as NodeId, row);
+    for (const row of rows) {
+      if (row.key === keeper) continue;
+      const member = reader.read(MemberRow, row);
+      if (member !== undefined) session.setPeer(row.key as NodeId, member);
     }
   }, log);
 }
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -17,7 +17,7 @@
 import { campaignReason } from "../cellhost/campaign_reason.ts";
 import type { Store } from "../core/store/store.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
-import { announcePeer } from "./announce_peer.ts";
+import { PeerAnnouncer } from "./peer_announcer.ts";
 import { createCellTail } from "./create_cell_tail.ts";
 import { EntryLoad } from "./entry_load.ts";
 import { createPeersTail } from "./create_peers_tail.ts";
@@ -49,6 +49,7 @@
   #peersTail: StreamTail | undefined;
   #session: KeeperSession | undefined;
   readonly #server: PeerServer;
+  #announcer: PeerAnnouncer | undefined;
   #queues: readonly Queue[] = [];
   #keeperConnectedAtMs = 0;
   /** The connected keeper with the highest epoch. */
@@ -115,7 +116,15 @@
     const { node, host, peerPort: port, incarnation, strength } = this.options;
     await this.#server.listen(host, port);
     const row = { role: "entry", host, port, incarnation, strength } as const;
-    void announcePeer(this.store, node, row, this.log);
+    this.#announcer = new PeerAnnouncer(
+      this.store,
+      node,
+      row,
+      () => this.#session !== undefined || this.#server.openChannels > 0,
+      systemClock,
+      this.log,
+    );
+    void this.#announcer.run();
     this.jobTails.run();
     void this.#cellTail.run();
     void this.#election.tail.run();
@@ -146,6 +155,7 @@
 
   close(): void {
     this.#isClosed = true;
+    this.#announcer?.stop();
     this.#endSession();
     this.#server.close();
     this.jobTails.stop();
@@ -296,7 +306,7 @@
     this.#session = undefined;
     this.#peersTail?.stop();
     session.close();
-    this.directory.rows.clear();
+    this.directory.clearProgress();
     this.#cellTail = createCellTail(this.store, this.directory, this.log);
     if (!this.#isClosed) void this.#cellTail.run();
   }
--- /dev/null
+++ b/src/nodes/peer_announcer.ts
@@ -0,0 +1,70 @@
+import type { Logger } from "../adapters/logger.ts";
+import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
+import { streams } from "../cellhost/streams.ts";
+import type { Clock } from "../core/clock/clock.ts";
+import type { NodeId } from "../core/jobs/node_id.ts";
+import type { Store } from "../core/store/store.ts";
+
+const appendTimeoutMs = 1_000;
+const retryPauseMs = 150;
+/** A failure is logged at the first attempt and then at each of this many. */
+const attemptsPerLog = 20;
+const checkIntervalMs = 500;
+/** Without a keeper for this long, its row may have been overwritten. */
+const repeatAfterMs = 3_000;
+
+/**
+ * Stores the address at which this process accepts its keeper's connection, and
+ * stores it again while no keeper has connected: another program may have
+ * written a row under its key.
+ */
+export class PeerAnnouncer {
+  #isStopped = false;
+
+  constructor(
+    readonly store: Store,
+    readonly node: NodeId,
+    readonly row: PeerAddressRow,
+    readonly hasKeeper: () => boolean,
+    readonly clock: Clock,
+    readonly log: Logger,
+  ) {}
+
+  async run(): Promise<void> {
+    await this.#announce();
+    let seenAtMs = this.clock.nowMs();
+    while (!this.#isStopped) {
+      await this.clock.sleep(checkIntervalMs);
+      const nowMs = this.clock.nowMs();
+      if (this.hasKeeper()) seenAtMs = nowMs;
+      if (nowMs - seenAtMs < repeatAfterMs) continue;
+      await this.#announce();
+      seenAtMs = this.clock.nowMs();
+    }
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #announce(): Promise<void> {
+    const rows = [{ key: this.node, value: JSON.stringify(this.row) }];
+    for (let attempt = 1; !this.#isStopped; attempt++) {
+      const result = await this.store.append(
+        streams.members,
+        rows,
+        { kind: "none" },
+        appendTimeoutMs,
+      );
+      if (result.isOk) {
+        this.log.info("member_announced", { attempt });
+        return;
+      }
+      if (attempt % attemptsPerLog === 1) {
+        const reason = result.error.kind;
+        this.log.warn("member_unannounced", { attempt, reason });
+      }
+      await this.clock.sleep(retryPauseMs);
+    }
+  }
+}
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -1,11 +1,10 @@
-import type { NodeId } from "../core/jobs/node_id.ts";
 import type { Store } from "../core/store/store.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { acceptKeeper } from "../gate/accept_keeper.ts";
 import { Gate } from "../gate/gate.ts";
 import type { RunnerClient } from "../gate/runner_client.ts";
-import { announcePeer } from "./announce_peer.ts";
+import { PeerAnnouncer } from "./peer_announcer.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { NodeOptions } from "./node_options.ts";
 
@@ -13,6 +12,7 @@
 export class SidecarNode {
   readonly gate: Gate;
   readonly #server: PeerServer;
+  #announcer: PeerAnnouncer | undefined;
 
   constructor(
     readonly options: NodeOptions,
@@ -43,7 +43,15 @@
       incarnation,
       strength,
     } as const;
-    void announcePeer(this.store, node as NodeId, row, this.log);
+    this.#announcer = new PeerAnnouncer(
+      this.store,
+      node,
+      row,
+      () => this.#server.openChannels > 0,
+      systemClock,
+      this.log,
+    );
+    void this.#announcer.run();
     void this.gate.run();
   }
 
@@ -53,6 +61,7 @@
    */
   close(): void {
     this.gate.stop();
+    this.#announcer?.stop();
     this.#server.close();
   }
 }
--- a/src/ops/describe_job.ts
+++ b/src/ops/describe_job.ts
@@ -1,4 +1,5 @@
 import { decodeJob } from "../core/cell/decode_job.ts";
+import type { Job } from "../core/cell/job.ts";
 import type { JobProgressRow } from "../core/cell/job_progress_row.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
@@ -10,8 +11,11 @@
   row: JobProgressRow | undefined,
   state: JobState,
 ): JobDetails {
-  const job = decodeJob(definition, row, 0);
   const { id, queue, receivedMs } = definition;
+  const job = tryDecode(definition, row);
+  if (job === undefined) {
+    return { id, queue, state, receivedMs, steps: [], tasks: [] };
+  }
   const steps = [...job.openOccurrences.values()].flatMap((
     { number, groups },
   ) =>
@@ -35,3 +39,15 @@
     }));
   return { id, queue, state, receivedMs, steps, tasks };
 }
+
+/** Decodes a job; undefined if its row cannot be read. */
+function tryDecode(
+  definition: JobDefinition,
+  row: JobProgressRow | undefined,
+): Job | undefined {
+  try {
+    return decodeJob(definition, row, 0);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/ops/platform_view.ts
+++ b/src/ops/platform_view.ts
@@ -1,8 +1,11 @@
-import type { ElectionRow } from "../cellhost/election_row.ts";
+import type { GenericSchema } from "valibot";
 import type { JobDirectory } from "../cellhost/job_directory.ts";
 import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
+import { MemberRow } from "../schema/rows/member_row.ts";
+import { parseRow } from "../schema/rows/parse_row.ts";
+import { WinnerRow } from "../schema/rows/winner_row.ts";
 import type { JobDetails } from "./job_details.ts";
 import { describeJob } from "./describe_job.ts";
 
@@ -32,7 +35,7 @@
     const definition = this.directory.definitions.get(id);
     const state = this.directory.state(id);
     if (definition === undefined || state === undefined) return undefined;
-    return describeJob(definition, this.directory.rows.get(id), state);
+    return describeJob(definition, this.directory.progressOf(id), state);
   }
 
   /** Returns all jobs, the oldest first. */
@@ -48,11 +51,11 @@
       .sort((a, b) => b.offset - a.offset);
     const winner = newest === undefined
       ? undefined
-      : parseValue<ElectionRow>(this.electionRows, newest.key);
+      : parseValue(WinnerRow, this.electionRows, newest.key);
     const jobs: Record<string, number> = {};
     for (const { state } of this.jobs()) jobs[state] = (jobs[state] ?? 0) + 1;
     const members = [...this.peerRows.keys()].sort().flatMap((node) => {
-      const row = parseValue<PeerAddressRow>(this.peerRows, node);
+      const row = parseValue(MemberRow, this.peerRows, node);
       return row === undefined ? [] : [{ node, ...row }];
     });
     // An election row's offset plus one is the epoch that it began.
@@ -65,7 +68,14 @@
   }
 }
 
-function parseValue<T>(rows: Rows, key: string): T | undefined {
+/** The value of a row; undefined if it has none, or cannot be read. */
+function parseValue<T>(
+  schema: GenericSchema<unknown, T>,
+  rows: Rows,
+  key: string,
+): T | undefined {
   const value = rows.get(key)?.value;
-  return value === undefined ? undefined : JSON.parse(value) as T;
+  return value === undefined
+    ? undefined
+    : parseRow(schema, value).unwrapOr(undefined);
 }
--- a/src/ops/read_evacuations.ts
+++ b/src/ops/read_evacuations.ts
@@ -1,9 +1,11 @@
 import { err, ok, type Result } from "true-myth/result";
+import { unknown } from "valibot";
 import { evacuationRowKey } from "../cellhost/evacuation_row_key.ts";
 import { streams } from "../cellhost/streams.ts";
 import { EvacuationRows } from "../core/evacuate/evacuation_rows.ts";
 import type { Store } from "../core/store/store.ts";
 import type { StoreFailure } from "../core/store/store_failure.ts";
+import { parseRow } from "../schema/rows/parse_row.ts";
 import { readNewestRows } from "./read_newest_rows.ts";
 
 interface Evacuations {
@@ -28,6 +30,8 @@
     if (change.kind === "ignored") ignored.push(change.key);
   }
   const value = cell.value.get(evacuationRowKey)?.value;
-  const observed: unknown = value === undefined ? undefined : JSON.parse(value);
+  const observed = value === undefined
+    ? undefined
+    : parseRow(unknown(), value).unwrapOr(undefined);
   return ok({ requested: [...rows.zones], ignored, observed });
 }
