--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -1,10 +1,15 @@
 import type { Logger } from "../adapters/logger.ts";
 import type { Clock } from "../core/clock/clock.ts";
+import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { RunStatus } from "../core/jobs/run_status.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
+import { applyKeeperMessage } from "./apply_keeper_message.ts";
+import { describeRunner } from "./describe_runner.ts";
 import { EndLedger } from "./end_ledger.ts";
 import type { GateContext } from "./gate_context.ts";
+import { LifeEvidence } from "./life_evidence.ts";
+import { KeeperAttachment } from "./keeper_attachment.ts";
 import { lifeOf } from "./life_of.ts";
 import { PaceController } from "./pace_controller.ts";
 import { RunTracker } from "./run_tracker.ts";
@@ -15,6 +20,7 @@
 import { RunnerLease } from "./runner_lease.ts";
 import type { RunnerPollResult } from "./runner_poll_result.ts";
 import { StartWindow } from "./start_window.ts";
+import { WakeablePause } from "./wakeable_pause.ts";
 
 /** How long a poll waits at the runner for a run to end. */
 const pollWaitMs = 400;
@@ -39,19 +45,17 @@
   readonly startWindow: StartWindow;
   readonly #tracker: RunTracker;
   readonly #paceController: PaceController;
-  /** The newest connection of a keeper. */
-  #attached: Send | undefined;
-  /** The same connection, once a first poll is done and it gets reports. */
-  #send: Send | undefined;
+  readonly #keeper = new KeeperAttachment();
   #reportNumber = 0;
   #reportedAtMs = -Infinity;
   #endLedger = new EndLedger();
   /** Whether a next life of the runner has answered. */
   #hasNextLife = false;
   readonly #health = new RunnerHealth();
+  readonly #lifeEvidence = new LifeEvidence();
   #appliedPollSentAtMs = -Infinity;
   #running: readonly RunStatus[] = [];
-  #wake: () => void = () => {};
+  readonly #pause: WakeablePause;
 
   constructor(
     readonly runner: RunnerClient,
@@ -61,6 +65,7 @@
     evacuateMs?: number,
   ) {
     this.startWindow = new StartWindow(evacuateMs);
+    this.#pause = new WakeablePause(clock);
     this.lease = new RunnerLease(maxHoldMs, clock.nowMs());
     this.#tracker = new RunTracker(this);
     this.#paceController = new PaceController(this, this.#tracker);
@@ -70,15 +75,45 @@
     return this.#health.isUp;
   }
 
-  /** Handles a heartbeat; one of an earlier life or out of order is ignored. */
+  /**
+   * Handles a heartbeat; one of an earlier life or out of order is ignored. One
+   * of another life counts only if the known life does not answer any more,
+   * since another program may have sent it.
+   */
   handleHeartbeat(heartbeat: RunnerHeartbeat): void {
     const { lastHeartbeat: known } = this;
-    if (known !== undefined && heartbeat.bornMs < known.bornMs) return;
-    const isSameLife = known?.bornMs === heartbeat.bornMs;
-    if (isSameLife && heartbeat.sequence < known.sequence) return;
+    if (known === undefined || this.#isKnownLife(heartbeat)) {
+      this.#applyHeartbeat(heartbeat);
+    } else if (!this.#lifeEvidence.mayYield(known, heartbeat)) return;
+    else if (this.isUp) void this.#checkLife(known, heartbeat);
+    else this.#applyHeartbeat(heartbeat);
+  }
+
+  /** Applies a heartbeat of another life unless the known life answers. */
+  async #checkLife(
+    known: RunnerHeartbeat,
+    heartbeat: RunnerHeartbeat,
+  ): Promise<void> {
+    const isAnswered = await this.#poll(0);
+    if (!this.#isKnownLife(known)) return;
+    if (isAnswered) {
+      const life = lifeOf(heartbeat);
+      this.log.warn("heartbeat_ignored", { life, reason: "not the runner's" });
+    } else if (!this.isUp) this.#applyHeartbeat(heartbeat);
+  }
+
+  #isKnownLife(heartbeat: RunnerHeartbeat): boolean {
+    const { lastHeartbeat: known } = this;
+    return known !== undefined && lifeOf(known) === lifeOf(heartbeat);
+  }
+
+  #applyHeartbeat(heartbeat: RunnerHeartbeat): void {
+    const isFirst = this.lastHeartbeat === undefined;
+    const isSameLife = this.#isKnownLife(heartbeat);
+    if (isSameLife && !this.#lifeEvidence.isNewer(heartbeat)) return;
     this.lastHeartbeat = heartbeat;
     if (isSameLife) this.#tracker.fitStarts(heartbeat.capacity);
-    else this.#beginLife(heartbeat, known !== undefined && !this.isDraining);
+    else this.#beginLife(heartbeat, !isFirst && !this.isDraining);
     if (!heartbeat.isDraining || this.isDraining) return;
     this.isDraining = true;
     this.log.info("runner_draining", { life: lifeOf(heartbeat) });
@@ -102,68 +137,45 @@
     if (epoch < this.epoch) return false;
     this.epoch = epoch;
     this.startWindow.reset(this.clock.nowMs());
-    this.#attached = send;
-    this.#send = undefined;
+    this.#keeper.attach(send);
     void this.#poll(0).then(() => {
-      if (this.#attached !== send) return;
-      this.#send = send;
-      this.#sendReport();
+      if (this.#keeper.begin(send)) this.#sendReport();
     });
     return true;
   }
 
   /** Whether this is the newest connection of a keeper. */
   isAttached(send: Send): boolean {
-    return this.#attached === send;
+    return this.#keeper.isAttached(send);
   }
 
   /** Drops a closed connection, unless a newer one has replaced it. */
   detachKeeper(send: Send): void {
-    if (send !== this.#attached) return;
-    this.#attached = undefined;
-    this.#send = undefined;
+    this.#keeper.detach(send);
   }
 
   /** Handles a message from the keeper. */
   handleMessage(message: KeeperMessage): void {
-    switch (message.kind) {
-      case "renew":
-        this.lease.renew(message.report);
-        this.startWindow.renew(message.report, message.operatorAgeMs);
-        this.#paceController.pressures = message.pressures;
-        break;
-      case "evacuated":
-        this.startWindow.setEvacuated(message.isEvacuated);
-        if (message.isEvacuated) this.#tracker.giveUpStarts("evacuated");
-        break;
-      case "orders":
-        for (const command of message.stops) this.#tracker.stop(command);
-        for (const command of message.starts) this.#tracker.start(command);
-        break;
-      case "known":
-        for (const command of message.runs) this.#tracker.addCommand(command);
-        break;
-      case "forget":
-        if (
-          this.lastHeartbeat === undefined ||
-          message.life !== lifeOf(this.lastHeartbeat)
-        ) {
-          break;
-        }
-        this.#endLedger.setStored(message.end);
-        this.#wake();
-        break;
-      case "noted":
-        for (const run of message.refusals) this.#tracker.refused.remove(run);
-        break;
-    }
+    applyKeeperMessage(message, {
+      lease: this.lease,
+      startWindow: this.startWindow,
+      tracker: this.#tracker,
+      paceController: this.#paceController,
+      setStored: (life, end) => this.#setStored(life, end),
+    });
+  }
+
+  #setStored(life: RunnerLife, end: number): void {
+    if (!this.lastHeartbeat || life !== lifeOf(this.lastHeartbeat)) return;
+    this.#endLedger.setStored(end);
+    this.#pause.wake();
   }
 
   /** Polls the runner and sends reports until stopped. */
   async run(): Promise<void> {
     while (!this.isStopped) {
       if (this.lastHeartbeat === undefined || this.epoch === 0) {
-        await this.#pause(failedPollPauseMs);
+        await this.#pause.sleep(failedPollPauseMs);
         continue;
       }
       const isAnswered = await this.#poll(pollWaitMs);
@@ -171,9 +183,9 @@
       const isReportDue =
         this.clock.nowMs() - this.#reportedAtMs >= reportIntervalMs;
       if (isReportDue || this.#tracker.hasUnconfirmedStop) this.#sendReport();
-      if (!isAnswered) await this.#pause(failedPollPauseMs);
+      if (!isAnswered) await this.#pause.sleep(failedPollPauseMs);
       else if (this.#endLedger.ends.length > 0) {
-        await this.#pause(pendingEndsPauseMs);
+        await this.#pause.sleep(pendingEndsPauseMs);
       }
     }
   }
@@ -181,11 +193,11 @@
   /** Stops the loop of `run`. */
   stop(): void {
     this.isStopped = true;
-    this.#wake();
+    this.#pause.wake();
   }
 
   send(message: PeerMessage): void {
-    this.#send?.(message);
+    this.#keeper.send(message);
   }
 
   recordClock(answer: RunnerResult<unknown>): void {
@@ -210,6 +222,7 @@
     this.lease.reset(this.clock.nowMs());
     this.#endLedger = new EndLedger();
     this.#hasNextLife = false;
+    this.#lifeEvidence.reset(heartbeat.sequence);
     this.#running = [];
     this.#health.reset();
     this.isDraining = heartbeat.isDraining;
@@ -233,13 +246,16 @@
       leaseEndClockMs: this.lease.grant(),
       waitMs,
     });
-    if (this.lastHeartbeat?.bornMs !== heartbeat.bornMs) return false;
+    if (!this.#isKnownLife(heartbeat)) return false;
     if (!answer.isOk || answer.value.bornMs !== heartbeat.bornMs) {
       this.#hasNextLife ||= answer.isOk;
-      this.#handleFailedPoll(answer.isOk ? "other_life" : answer.failure);
+      const failure = answer.isOk ? "other_life" : answer.failure;
+      if (failure === "other_life") this.#lifeEvidence.contradict();
+      this.#handleFailedPoll(failure);
       return false;
     }
     this.#hasNextLife = false;
+    this.#lifeEvidence.confirm();
     this.#endLedger.confirm(forgetUpTo, this.clock.nowMs());
     if (this.#health.recordAnswer()) {
       this.log.info("runner_up", { life: lifeOf(heartbeat) });
@@ -268,23 +284,18 @@
 
   #sendReport(): void {
     const { lastHeartbeat: heartbeat } = this;
-    if (this.#send === undefined || heartbeat === undefined) return;
+    if (!this.#keeper.isReporting || heartbeat === undefined) return;
     const nowMs = this.clock.nowMs();
     this.#reportNumber += 1;
     this.#reportedAtMs = nowMs;
     this.#endLedger.setReported();
     this.startWindow.recordReport(this.#reportNumber, nowMs);
     if (this.isUp) this.lease.recordReport(this.#reportNumber, nowMs);
-    this.#send({
+    this.#keeper.send({
       kind: "report",
       number: this.#reportNumber,
       report: {
-        life: lifeOf(heartbeat),
-        pool: heartbeat.pool,
-        zone: heartbeat.zone,
-        rack: heartbeat.rack,
-        labels: heartbeat.labels,
-        capacity: heartbeat.capacity,
+        ...describeRunner(heartbeat),
         coldForMs: this.startWindow.evacuateMs && heartbeat.coldForMs,
         isDraining: this.isDraining,
         isUp: this.#health.isUp,
@@ -305,12 +316,4 @@
     if (this.isUp || this.#hasNextLife) return false;
     return this.lease.hasLapsed(nowMs) && this.#tracker.abandonStarts();
   }
-
-  /** Sleeps for the time, or until `#wake` is called. */
-  async #pause(pauseMs: number): Promise<void> {
-    const woken = new Promise<void>((resolve) => {
-      this.#wake = resolve;
-    });
-    await Promise.race([this.clock.sleep(pauseMs), woken]);
-  }
 }
--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -104,8 +104,16 @@
 
   #deliver(line: string): void {
     const message = parse(line);
-    if (this.isMessage(message)) this.onMessage(message);
-    else this.close("malformed message");
+    if (!this.isMessage(message)) {
+      this.close("malformed message");
+      return;
+    }
+    try {
+      this.onMessage(message);
+    } catch (cause) {
+      // The peer connects again and sends its state anew.
+      this.close(`message failed: ${(cause as Error).message}`);
+    }
   }
 }
 
--- a/src/link/is_peer_message.ts
+++ b/src/link/is_peer_message.ts
@@ -44,7 +44,8 @@
 }
 
 function isStatus(value: unknown): boolean {
-  return isRunId(value) && isText(value.checkpoint);
+  return isRunId(value) && isText(value.checkpoint) &&
+    Number.isFinite(value.percent) && Number.isFinite(value.figure);
 }
 
 function isEnd(value: unknown): boolean {
--- a/tests/gate_fixture.ts
+++ b/tests/gate_fixture.ts
@@ -63,6 +63,7 @@
     sequence: number,
     isDraining = false,
     cpuMilli = 4_000,
+    changed: { readonly bornMs?: number; readonly instance?: string } = {},
   ): void {
     const { instance, bornMs } = this.runner;
     this.gate.handleHeartbeat({
@@ -79,6 +80,7 @@
       },
       isDraining,
       sequence,
+      ...changed,
     });
   }
 
--- a/tests/gate_test.ts
+++ b/tests/gate_test.ts
@@ -355,6 +355,88 @@
   });
 });
 
+// Guards against a heartbeat of another program that costs a runner its work.
+describe("a gate believes a heartbeat of another life", () => {
+  const cases: {
+    name: string;
+    changed: { bornMs?: number; instance?: string };
+    isRestarted: boolean;
+    isSilent?: boolean;
+    isBelieved: boolean;
+  }[] = [
+    {
+      name: "not while the known life answers",
+      changed: { bornMs: 99_000 },
+      isRestarted: false,
+      isBelieved: false,
+    },
+    {
+      name: "not of another instance while the known one answers",
+      changed: { bornMs: 99_000, instance: "stranger" },
+      isRestarted: false,
+      isBelieved: false,
+    },
+    {
+      name: "once that life answers",
+      changed: {},
+      isRestarted: true,
+      isBelieved: true,
+    },
+    {
+      name: "once the known life has been silent",
+      changed: { bornMs: 99_000 },
+      isRestarted: false,
+      isSilent: true,
+      isBelieved: true,
+    },
+  ];
+  for (const { name, changed, isRestarted, isSilent, isBelieved } of cases) {
+    it(name, async () => {
+      const fixture = new GateFixture();
+      await fixture.start();
+      fixture.sendStarts(fixture.startCommand());
+      await fixture.clock.advance(500);
+      const known = fixture.lastReport()?.life;
+      if (isRestarted) fixture.runner.restart();
+      if (isSilent === true) {
+        fixture.runner.isSilent = true;
+        await fixture.clock.advance(2_000);
+      }
+      fixture.sendHeartbeat(50, false, 4_000, changed);
+      await fixture.clock.advance(1_000);
+      expect(fixture.lastReport()?.life === known).to.equal(!isBelieved);
+      if (!isBelieved) {
+        expect(fixture.lastReport()?.running).to.have.length(1);
+        expect(fixture.lastReport()?.isUp).to.equal(true);
+      }
+      fixture.gate.stop();
+    });
+  }
+
+  it("of an earlier life, if only that one answers", async () => {
+    const fixture = new GateFixture();
+    fixture.sendHeartbeat(1, false, 4_000, { bornMs: 99_000 });
+    await fixture.start();
+    fixture.sendHeartbeat(7);
+    await fixture.clock.advance(1_000);
+    expect(fixture.lastReport()?.life).to.equal(`i-1@${fixture.runner.bornMs}`);
+    expect(fixture.lastReport()?.isUp).to.equal(true);
+    fixture.gate.stop();
+  });
+
+  it("and outvotes a sequence number that only one heartbeat had", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    fixture.sendHeartbeat(Number.MAX_SAFE_INTEGER);
+    for (const sequence of [3, 4, 5, 6]) {
+      fixture.sendHeartbeat(sequence, false, 2_000);
+    }
+    await fixture.clock.advance(1_000);
+    expect(fixture.lastReport()?.capacity.cpuMilli).to.equal(2_000);
+    fixture.gate.stop();
+  });
+});
+
 describe("a gate that polls a next life before its heartbeat", () => {
   const cases = [
     { name: "after a poll that this life answered", silentMs: 0 },
--- a/tests/soak/soak_process.ts
+++ b/tests/soak/soak_process.ts
@@ -8,8 +8,11 @@
 export class SoakProcess {
   /** What the next start runs. */
   program = currentProgram;
+  /** How often it has ended without a signal from here. */
+  ownEnds = 0;
   #child: ChildProcess | undefined;
   #isClosed = false;
+  #isSignalled = false;
 
   constructor(
     readonly name: string,
@@ -33,11 +36,14 @@
     child.stdout?.pipe(logFile);
     child.stderr?.pipe(logFile, { end: false });
     child.once("exit", () => {
+      if (!this.#isSignalled && !this.#isClosed) this.ownEnds += 1;
+      this.#isSignalled = false;
       setTimeout(() => this.start(), restartDelayMs);
     });
   }
 
   signal(name: NodeJS.Signals): void {
+    this.#isSignalled = true;
     this.#child?.kill(name);
   }
 
