--- a/src/cellhost/job_directory.ts
+++ b/src/cellhost/job_directory.ts
@@ -1,6 +1,7 @@
 import type { JobProgressRow } from "../core/cell/job_progress_row.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
+import type { Queue } from "../core/jobs/queue.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
 import type { RunTimeRow } from "../core/estimate/run_time_row.ts";
 import type { PressureRow } from "../core/interfere/pressure_row.ts";
@@ -9,10 +10,12 @@
 import { JobRow } from "../schema/rows/job_row.ts";
 import { LearnedRow } from "../schema/rows/learned_row.ts";
 import { ProgressRow } from "../schema/rows/progress_row.ts";
+import { QueuesRow } from "../schema/rows/queues_row.ts";
 import { RunTimesRow } from "../schema/rows/run_times_row.ts";
 import { cancellationKey } from "./cancellation_key.ts";
 import { learnedKey } from "./learned_key.ts";
 import { jobOfProgressKey } from "./job_of_progress_key.ts";
+import { queuesKey } from "./queues_key.ts";
 import { RowReader } from "./row_reader.ts";
 import { runTimesKey } from "./run_times_key.ts";
 import { streams } from "./streams.ts";
@@ -39,6 +42,8 @@
   #learned: string | undefined;
   /** What the keepers have learned of run times, unparsed. */
   #runTimes: string | undefined;
+  /** The queues that the keepers knew, unparsed. */
+  #queues: string | undefined;
   /** Jobs of which no progress row could be read, but there is one. */
   readonly #unreadable = new Set<JobId>();
   readonly #states = new Map<JobId, JobState>();
@@ -70,6 +75,12 @@
     return this.#cellReader.read(RunTimesRow, row);
   }
 
+  /** The queues that the newest keeper knew. */
+  get queues(): readonly Queue[] {
+    const row = { key: queuesKey, value: this.#queues };
+    return this.#cellReader.read(QueuesRow, row)?.queues ?? [];
+  }
+
   /** Whether the job of each progress row is known. */
   get isComplete(): boolean {
     return [...this.rows.keys()].every((id) => this.definitions.has(id));
@@ -138,6 +149,7 @@
       const { key, value } = row;
       if (key === learnedKey) this.#learned = value;
       if (key === runTimesKey) this.#runTimes = value;
+      if (key === queuesKey) this.#queues = value;
       const id = jobOfProgressKey(key);
       if (id === undefined) continue;
       if (value === undefined) {
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -13,6 +13,7 @@
 import type { KeeperSessionOptions } from "./keeper_session_options.ts";
 import { EvacuationControl } from "./evacuation_control.ts";
 import { queryAdvisor } from "./query_advisor.ts";
+import { QueueRegister } from "./queue_register.ts";
 import { runEffects } from "./run_effects.ts";
 import { createCell } from "./create_cell.ts";
 import { dropUnstored } from "./drop_unstored.ts";
@@ -32,6 +33,7 @@
 export class KeeperSession {
   readonly cell: Cell;
   readonly #leases: LeaseTracker;
+  readonly #queues: QueueRegister;
   readonly #termLog: TermLog;
   /** Undefined if the deployment evacuates no data centres. */
   readonly #evacuation: EvacuationControl | undefined;
@@ -46,6 +48,7 @@
   constructor(readonly options: KeeperSessionOptions) {
     const { epoch, bounds, clock, links, log, metrics, writer } = options;
     this.cell = createCell(options);
+    this.#queues = new QueueRegister(this.cell, log);
     this.#openedAtMs = clock.nowMs();
     this.#leases = new LeaseTracker(writer, bounds.maxHoldMs, clock);
     this.#termLog = new TermLog(epoch, log, metrics, clock);
@@ -65,29 +68,27 @@
   }
 
   /** Loads the cell's jobs, claims and cancellations from the directory. */
-  load(queues: Iterable<Queue>): void {
+  load(queues: Iterable<Queue> | undefined): void {
     const { clock, directory, log } = this.options;
     const nowMs = clock.nowMs();
-    this.setQueues(queues);
-    const { definitions, cancelled, learned } = directory;
-    for (const [id, definition] of definitions) {
+    this.#queues.restore(directory.queues);
+    const { cancelled, learned } = directory;
+    for (const [id, definition] of directory.definitions) {
       loadJob(this.cell, definition, directory.progressOf(id), nowMs, log);
     }
     if (learned !== undefined) this.cell.restoreLearned(learned);
     this.cell.statistics.restore(directory.runTimes);
     for (const id of cancelled) this.#applyAll(this.cell.cancel(id, nowMs));
-    for (const worker of this.cell.workers.values()) {
-      this.#leases.inherit(worker.node);
-    }
-    for (const job of this.cell.liveJobs) {
-      job.openDueOccurrences(clock.wallMs());
-    }
+    for (const worker of this.cell.workers.keys()) this.#leases.inherit(worker);
+    const wallMs = clock.wallMs();
+    for (const job of this.cell.liveJobs) job.openDueOccurrences(wallMs);
+    if (queues !== undefined) this.setQueues(queues);
     this.#termLog.begin(this.cell);
   }
 
   /** Applies the current configuration's queues. Removed ones are kept. */
   setQueues(queues: Iterable<Queue>): void {
-    for (const queue of queues) this.cell.queues.set(queue.name, queue);
+    this.#queues.configure(queues);
     this.#flushSoon();
   }
 
@@ -281,6 +282,7 @@
     }
     this.#evacuation?.update();
     const rows = this.#unsaved.take(writer.limits);
+    rows.push(...this.#queues.takeRows());
     const isStartDue = this.#evacuation?.hasDueStarts ?? false;
     if (rows.length === 0 && this.#deferred.length === 0 && !isStartDue) return;
     const deferred = this.#deferred.splice(0);
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -48,6 +48,8 @@
  */
 export class Cell {
   readonly queues = new Map<string, Queue>();
+  /** Whether the queues are those of a configuration; else nothing is placed. */
+  isConfigured = true;
   readonly jobs = new Map<JobId, Job>();
   /** The jobs without an outcome. */
   readonly liveJobs = new Set<Job>();
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -33,6 +33,7 @@
   nowMs: number,
   wallMs: number,
 ): Effects {
+  if (!cell.isConfigured) return;
   const waiting: Urgency[] = [];
   const unplaceable = new Set<TaskGroup>();
   const isSettling = isCellSettling(cell, nowMs);
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -50,7 +50,8 @@
   #session: KeeperSession | undefined;
   readonly #server: PeerServer;
   #announcer: PeerAnnouncer | undefined;
-  #queues: readonly Queue[] = [];
+  /** Undefined until a configuration has been read. */
+  #queues: readonly Queue[] | undefined;
   #keeperConnectedAtMs = 0;
   /** The connected keeper with the highest epoch. */
   #keeper: { readonly epoch: number } | undefined;
