--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -161,6 +161,7 @@
   #receive(link: KeeperLink, message: PeerMessage): void {
     if (this.#isClosed) return;
     const { clock, writer } = this.options;
+    const nowMs = clock.nowMs();
     const { node } = link;
     switch (message.kind) {
       case "report":
@@ -170,14 +171,12 @@
         if (message.epoch > this.epoch) writer.depose("superseded");
         return;
       case "started":
-        this.cell.markStarted(node, message.task, message.run, clock.nowMs());
+        this.#applyAll(this.cell.markStarted(node, message, nowMs), false);
         return;
       case "refused": {
         const worker = this.cell.worker(node);
         this.#termLog.recordRefusal(node, message);
-        this.#applyAll(
-          applyRefusal(this.cell, worker, message, clock.nowMs()),
-        );
+        this.#applyAll(applyRefusal(this.cell, worker, message, nowMs));
         link.send({ kind: "noted", refusals: [runIdOf(message)] });
         return;
       }
--- a/src/core/cell/apply_run_end.ts
+++ b/src/core/cell/apply_run_end.ts
@@ -28,6 +28,9 @@
   const { group } = task;
   const { job } = group;
   updateHealth(cell, worker, task, end, nowMs);
+  // A runner lists the ends of what it has begun, numbered from 1.
+  const isListed = end.number > 0;
+  if (isListed && job.outcome === undefined) yield* cell.noteBegun(job);
   if (end.outcome === "done") {
     yield* cell.statistics.recordDone(task, nowMs, cell.beganAtMs);
   }
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -3,6 +3,7 @@
 import type { JobId } from "../jobs/job_id.ts";
 import type { NodeId } from "../jobs/node_id.ts";
 import { parseTaskName } from "../jobs/parse_task_name.ts";
+import type { RunId } from "../jobs/run_id.ts";
 import type { Queue } from "../jobs/queue.ts";
 import type { TaskName } from "../jobs/task_name.ts";
 import { AdviceCache } from "./advice_cache.ts";
@@ -183,15 +184,26 @@
   }
 
   /** Marks a claimed run as running. */
-  markStarted(node: NodeId, name: TaskName, run: number, nowMs: number): void {
-    const claim = this.workers.get(node)?.claimedTask(name, run)?.claim;
-    if (claim?.phase !== "starting") return;
+  *markStarted(node: NodeId, run: RunId, nowMs: number): Effects {
+    const task = this.workers.get(node)?.claimedTask(run.task, run.run);
+    const claim = task?.claim;
+    if (task === undefined || claim === undefined) return;
+    yield* this.noteBegun(task.group.job);
+    if (claim.phase !== "starting") return;
     claim.hasBegun = true;
     claim.phase = "running";
     claim.phaseSinceMs = nowMs;
     claim.progressAtMs = nowMs;
   }
 
+  /** Publishes, the first time, that a runner has begun a task of the job. */
+  *noteBegun(job: Job): Effects {
+    if (job.hasBegun) return;
+    job.hasBegun = true;
+    this.saveSoon(job);
+    yield { kind: "show", job: job.definition.id, state: job.state };
+  }
+
   /**
    * Marks a start, whose claim is stored, as ordered. Returns false if it must
    * not leave for its worker, since the claim has gone in the meantime.
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -38,7 +38,7 @@
     throw new Error("too many tasks are open");
   }
   job.unknownFields = unknownFields;
-  job.hasStarted = state !== "q";
+  job.hasBegun = state !== "q";
   if (state !== "q" && state !== "r") job.outcome = state;
   for (const [number, groups] of open) {
     if (groups.length !== definition.steps.length) {
@@ -56,6 +56,7 @@
     }
   }
   job.nextOccurrence = Math.max(job.nextOccurrence, next);
+  job.hasStarted = job.hasBegun || [...job.tasks()].some(({ run }) => run > 0);
   return job;
 }
 
--- a/src/core/cell/encode_job.ts
+++ b/src/core/cell/encode_job.ts
@@ -29,7 +29,7 @@
   }
   return {
     ...job.unknownFields,
-    s: job.outcome ?? (job.hasStarted ? "r" : "q"),
+    s: job.outcome ?? (job.hasBegun ? "r" : "q"),
     n: job.nextOccurrence,
     w: [...workers.keys()].map((key) => splitWorkerKey(key)),
     o: open,
--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -22,8 +22,10 @@
   readonly openOccurrences = new Map<number, Occurrence>();
   /** The number of the first occurrence that has not been opened. */
   nextOccurrence = 0;
-  /** Whether any run of it was ever started. */
+  /** Whether any task of it was ever placed on a worker. */
   hasStarted = false;
+  /** Whether a runner has begun a task of it, as far as is known. */
+  hasBegun = false;
   /**
    * Since when it has no run though a task of it waits for a worker, by the
    * keeper's monotonic clock.
@@ -58,7 +60,7 @@
 
   /** Its state, as reported to callers. */
   get state(): JobState {
-    return this.outcome ?? (this.hasStarted ? "running" : "queued");
+    return this.outcome ?? (this.hasBegun ? "running" : "queued");
   }
 
   /** When an occurrence is due, by the wall clock. */
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -242,12 +242,8 @@
 function* startRun(worker: Worker, task: Task): Effects {
   if (isIsolated(task)) worker.quiet = undefined;
   const { job } = task.group;
-  const hadStarted = job.hasStarted;
   job.hasStarted = true;
   yield { kind: "save", job };
-  if (!hadStarted) {
-    yield { kind: "show", job: job.definition.id, state: job.state };
-  }
   yield { kind: "start", node: worker.node, command: buildStart(task) };
 }
 
--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -39,7 +39,7 @@
       continue;
     }
     cell.recordCheckpoint(task, status.checkpoint);
-    cell.markStarted(worker.node, name, status.run, nowMs);
+    yield* cell.markStarted(worker.node, status, nowMs);
     recordProgress(task, status.percent, nowMs);
     settleRun(cell, worker, task, status);
   }
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -586,10 +586,12 @@
 describe("a checkpoint", () => {
   it("is stored within a second even if nothing else changes", () => {
     const fixture = fixtureWith(["w"], [step({ savesProgress: true })]);
+    fixture.reportWorker("w", { running: fixture.runningOn("w") });
     fixture.advance(1_000);
     fixture.effects = [];
     const running = fixture.runningOn("w").map((run) => ({
       ...run,
+      percent: 50,
       checkpoint: "c1",
     }));
     fixture.reportWorker("w", { running });
