--- a/src/cellhost/queue_register.ts
+++ b/src/cellhost/queue_register.ts
@@ -17,7 +17,9 @@
 export class QueueRegister {
   #configured: ReadonlySet<string> = new Set();
   readonly #unknown = new Set<string>();
-  #isStored = true;
+  #isChanged = false;
+  /** The value of the row that was taken last. */
+  #taken = "";
 
   constructor(readonly cell: Cell, readonly log: Logger) {
     cell.isConfigured = false;
@@ -40,14 +42,14 @@
       cell.queues.set(queue.name, queue);
     }
     this.#configured = names;
-    this.#isStored = false;
+    this.#isChanged = true;
     this.#logUnknown();
   }
 
-  /** The rows to store, if they may have changed. */
+  /** The row to store, if it has changed. */
   takeRows(): Row[] {
-    if (this.#isStored) return [];
-    this.#isStored = true;
+    if (!this.#isChanged) return [];
+    this.#isChanged = false;
     const live = new Set(
       [...this.cell.liveJobs].map(({ definition }) => definition.queue),
     );
@@ -59,7 +61,10 @@
     );
     const queues = [...this.cell.queues.values()]
       .filter(({ name }) => needed(name) || idle.has(name));
-    return [{ key: queuesKey, value: JSON.stringify({ queues }) }];
+    const value = JSON.stringify({ queues });
+    if (value === this.#taken) return [];
+    this.#taken = value;
+    return [{ key: queuesKey, value }];
   }
 
   /** Logs the queues of jobs that wait since nothing is known of their queue. */
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -75,11 +75,7 @@
     return this.#health.isUp;
   }
 
-  /**
-   * Handles a heartbeat; one of an earlier life or out of order is ignored. One
-   * of another life counts only if the known life does not answer any more,
-   * since another program may have sent it.
-   */
+  /** Handles a heartbeat, unless it is out of order or not the runner's. */
   handleHeartbeat(heartbeat: RunnerHeartbeat): void {
     const { lastHeartbeat: known } = this;
     if (known === undefined || this.#isKnownLife(heartbeat)) {
@@ -89,12 +85,17 @@
     else this.#applyHeartbeat(heartbeat);
   }
 
-  /** Applies a heartbeat of another life unless the known life answers. */
+  /**
+   * Applies a heartbeat of another life unless the known life answers: another
+   * program may have sent it.
+   */
   async #checkLife(
     known: RunnerHeartbeat,
     heartbeat: RunnerHeartbeat,
   ): Promise<void> {
-    const isAnswered = await this.#poll(0);
+    // One poll without answer does not yet tell that the life has ended.
+    const isAnswered = await this.#poll(0) ||
+      (this.isUp && await this.#poll(0));
     if (!this.#isKnownLife(known)) return;
     if (isAnswered) {
       const life = lifeOf(heartbeat);
