--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -85,10 +85,7 @@
     else this.#applyHeartbeat(heartbeat);
   }
 
-  /**
-   * Applies a heartbeat of another life unless the known life answers: another
-   * program may have sent it.
-   */
+  /** Applies a heartbeat of another life unless the known life answers. */
   async #checkLife(
     known: RunnerHeartbeat,
     heartbeat: RunnerHeartbeat,
