A runner that left counts as ended once it refuses connections

Cause: a gate reported the runs of a runner as gone only when its lease had certainly ended, up to `maxHoldMs` after the last renewal (10 s on the shifted site), also when the runner itself had announced that it exits.

Evidence: lapse_test, "a runner that leaves is reported as ended: it has exited" failed before (isLapsed false after 1 s).

Why it works: the announcement comes from the runner, and a refused connection shows that it has been carried out. A refused connection alone still counts for nothing, since a partition may refuse it, nor do both while a start has no answer, which a next life of the same id could execute.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -8,6 +8,7 @@
 import { describeRunner } from "./describe_runner.ts";
 import { EndLedger } from "./end_ledger.ts";
 import type { GateContext } from "./gate_context.ts";
+import { LifeEnd } from "./life_end.ts";
 import { LifeEvidence } from "./life_evidence.ts";
 import { KeeperAttachment } from "./keeper_attachment.ts";
 import { lifeOf } from "./life_of.ts";
@@ -37,6 +38,8 @@
  * long as the keeper renews it. It starts no run for which there is no room.
  */
 export class Gate implements GateContext {
+  /** Called when a life of the runner has ended after it had left. */
+  onEnded: (life: RunnerLife) => void = () => {};
   lastHeartbeat: RunnerHeartbeat | undefined;
   epoch = 0;
   isDraining = false;
@@ -49,9 +52,8 @@
   #reportNumber = 0;
   #reportedAtMs = -Infinity;
   #endLedger = new EndLedger();
-  /** Whether a next life of the runner has answered. */
-  #hasNextLife = false;
   readonly #health = new RunnerHealth();
+  readonly #lifeEnd: LifeEnd;
   readonly #lifeEvidence = new LifeEvidence();
   #appliedPollSentAtMs = -Infinity;
   #running: readonly RunStatus[] = [];
@@ -68,6 +70,7 @@
     this.#pause = new WakeablePause(clock);
     this.lease = new RunnerLease(maxHoldMs, clock.nowMs());
     this.#tracker = new RunTracker(this);
+    this.#lifeEnd = new LifeEnd(this.#health, this.lease, this.#tracker);
     this.#paceController = new PaceController(this, this.#tracker);
   }
 
@@ -122,7 +125,7 @@
   handleLeave(instance: string): void {
     if (this.lastHeartbeat?.instance !== instance) return;
     this.isDraining = true;
-    this.#health.isUp = false;
+    this.#lifeEnd.recordLeave();
     this.log.info("runner_left", { instance });
     this.#sendReport();
   }
@@ -202,8 +205,9 @@
     if (answer.clockMs === undefined) return;
     const { clock } = this.lease;
     const nowMs = this.clock.nowMs();
-    if (clock.isOfNextLife(answer.clockMs, nowMs)) this.#hasNextLife = true;
-    else clock.applyReading(answer.clockMs, nowMs);
+    if (clock.isOfNextLife(answer.clockMs, nowMs)) {
+      this.#lifeEnd.hasNextLife = true;
+    } else clock.applyReading(answer.clockMs, nowMs);
   }
 
   pollNow(): Promise<boolean> {
@@ -219,7 +223,7 @@
     this.#paceController.reset();
     this.lease.reset(this.clock.nowMs());
     this.#endLedger = new EndLedger();
-    this.#hasNextLife = false;
+    this.#lifeEnd.reset();
     this.#lifeEvidence.reset(heartbeat.sequence);
     this.#running = [];
     this.#health.reset();
@@ -246,13 +250,13 @@
     });
     if (!this.#isKnownLife(heartbeat)) return false;
     if (!answer.isOk || answer.value.bornMs !== heartbeat.bornMs) {
-      this.#hasNextLife ||= answer.isOk;
+      this.#lifeEnd.hasNextLife ||= answer.isOk;
       const failure = answer.isOk ? "other_life" : answer.failure;
       if (failure === "other_life") this.#lifeEvidence.contradict();
       this.#handleFailedPoll(failure);
       return false;
     }
-    this.#hasNextLife = false;
+    this.#lifeEnd.hasNextLife = false;
     this.#lifeEvidence.confirm();
     this.#endLedger.confirm(forgetUpTo, this.clock.nowMs());
     if (this.#health.recordAnswer()) {
@@ -265,9 +269,14 @@
 
   #handleFailedPoll(failure: string): void {
     this.#endLedger.doubt();
-    if (!this.#health.recordFailure(failure)) return;
-    this.log.warn("runner_down", { failure });
-    this.#sendReport();
+    const isNewlyDown = this.#health.recordFailure(failure);
+    if (isNewlyDown) this.log.warn("runner_down", { failure });
+    const isNewlyEnded = this.#lifeEnd.isNewlyEnded(this.clock.nowMs());
+    if (isNewlyDown || isNewlyEnded) this.#sendReport();
+    if (!isNewlyEnded) return;
+    const life = lifeOf(this.lastHeartbeat!);
+    this.log.info("runner_ended", { life });
+    this.onEnded(life);
   }
 
   /** Applies an answer, unless one to a later poll has overtaken it. */
@@ -298,20 +307,11 @@
         isDraining: this.isDraining,
         isUp: this.#health.isUp,
         isGone: this.#health.isGone,
-        isLapsed: this.#hasLapsed(nowMs),
+        isLapsed: this.#lifeEnd.hasLapsed(nowMs),
         running: this.#running,
         ends: this.#endLedger.ends,
         ...this.#tracker.report(this.#health.isGone),
       },
     });
   }
-
-  /**
-   * Whether nothing that was started here runs any more, or ever will. A next
-   * life of the runner may have taken starts that were meant for this one.
-   */
-  #hasLapsed(nowMs: number): boolean {
-    if (this.isUp || this.#hasNextLife) return false;
-    return this.lease.hasLapsed(nowMs) && this.#tracker.abandonStarts();
-  }
 }
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -38,7 +38,7 @@
 export class RunTracker {
   readonly runs = new Map<string, Run>();
   readonly refused = new RefusedStarts();
-  readonly #unanswered = new UnansweredStarts();
+  readonly unanswered = new UnansweredStarts();
   readonly #evidence = new CrashEvidence();
 
   constructor(readonly context: GateContext) {}
@@ -72,7 +72,7 @@
       this.context.isDraining,
       isAfterCrash ? startingUp : undefined,
     );
-    const mayStart = this.#unanswered.runs(this.context.clock.nowMs());
+    const mayStart = this.unanswered.runs(this.context.clock.nowMs());
     for (const [key, run] of this.runs) {
       if (run.phase === "starting") mayStart.set(key, run);
     }
@@ -233,7 +233,7 @@
       if (answer.failure === "unknown") {
         run.isStartUncertain = true;
         run.hasBegun ||= answer.isBroken ?? false;
-        this.#unanswered.record(run, context.clock.nowMs());
+        this.unanswered.record(run, context.clock.nowMs());
         const { task } = run;
         context.log.warn("start_unanswered", { task, run: run.run });
         await awaitKnownLife(context, () => this.#mayRepeat(run, arrivedAtMs));
--- a/src/gate/unanswered_starts.ts
+++ b/src/gate/unanswered_starts.ts
@@ -13,6 +13,12 @@
     this.#starts.set(runKey(run), { run, atMs: nowMs });
   }
 
+  /** Whether any start may still be executed. */
+  hasAny(nowMs: number): boolean {
+    this.#dropOld(nowMs);
+    return this.#starts.size > 0;
+  }
+
   /** The runs, by key. */
   runs(nowMs: number): Map<string, Run> {
     this.#dropOld(nowMs);
--- a/stand_ins/runner/runner_model.ts
+++ b/stand_ins/runner/runner_model.ts
@@ -50,6 +50,8 @@
   isFencing = true;
   /** Whether no call is answered. */
   isSilent = false;
+  /** Whether its process has exited, so that connections are refused. */
+  hasExited = false;
   /** Whether late commands are also applied in a life after the one addressed. */
   reachesNextLife = false;
   /** The end of the lease, by its own clock. */
@@ -80,6 +82,7 @@
 
   /** Simulates a crash and a restart under the same id. */
   restart(): void {
+    this.hasExited = false;
     this.bornMs += 1_000;
     this.#bornAtMs = this.clock.nowMs();
     this.running.clear();
@@ -91,6 +94,13 @@
     for (const wake of this.#waiting) wake();
   }
 
+  /** Ends its process, with all runs. */
+  exit(): void {
+    this.hasExited = true;
+    for (const task of [...this.running.keys()]) this.end(task, "stopped");
+    for (const wake of this.#waiting) wake();
+  }
+
   /** Applies the commands that were delayed. */
   applyDelayed(): void {
     for (const apply of this.#delayed.splice(0)) apply();
@@ -174,11 +184,14 @@
   ): Promise<RunnerResult<RunnerPollResult>> {
     if (this.isSilent) return await this.#timeOut();
     await this.clock.sleep(latencyMs);
+    if (this.hasExited) return this.#failure("refused");
     const calledBornMs = this.bornMs;
     if (this.ends.length === 0) await this.#waitForEnd(command.waitMs);
     if (this.isSilent) return await this.#timeOut();
     // A waiting call breaks off with the life that it waits at.
-    if (calledBornMs !== this.bornMs) return this.#failure("unknown");
+    if (calledBornMs !== this.bornMs || this.hasExited) {
+      return this.#failure("unknown");
+    }
     if (this.#isFenced(command.epoch)) return this.#failure("fenced");
     this.endIfLapsed();
     this.#extendLease(command.leaseEndClockMs ?? 0);
@@ -244,6 +257,7 @@
     if (fault === "lost") applyIfCurrent();
     if (fault !== undefined) return await this.#timeOut();
     await this.clock.sleep(latencyMs);
+    if (this.hasExited) return this.#failure("refused");
     const failure = applyIfCurrent();
     if (failure !== undefined) return this.#failure(failure);
     return { isOk: true, value: undefined, clockMs: this.clockMs };
@@ -255,7 +269,8 @@
   }
 
   #failure<T>(failure: RunnerFailure): RunnerResult<T> {
-    const clockMs = failure === "unknown" ? undefined : this.clockMs;
+    const isAnswered = failure !== "unknown" && failure !== "refused";
+    const clockMs = isAnswered ? this.clockMs : undefined;
     return { isOk: false, failure, clockMs };
   }
 }
--- a/tests/lapse_test.ts
+++ b/tests/lapse_test.ts
@@ -45,3 +45,30 @@
     fixture.gate.stop();
   });
 });
+
+describe("a runner that leaves", () => {
+  // Guards against claims that wait for a lease though nothing runs any more.
+  const cases = [
+    { name: "has exited", hasLeft: true, hasExited: true, isLapsed: true },
+    { name: "still answers", hasLeft: true, hasExited: false, isLapsed: false },
+    {
+      name: "only refuses connections",
+      hasLeft: false,
+      hasExited: true,
+      isLapsed: false,
+    },
+  ];
+  for (const { name, hasLeft, hasExited, isLapsed } of cases) {
+    it(`is reported as ended, or not: it ${name}`, async () => {
+      const fixture = new GateFixture();
+      await fixture.start();
+      fixture.sendStarts(fixture.startCommand());
+      await fixture.clock.advance(1_000);
+      if (hasLeft) fixture.gate.handleLeave(fixture.runner.instance);
+      if (hasExited) fixture.runner.exit();
+      await fixture.clock.advance(1_000);
+      expect(fixture.lastReport()?.isLapsed).to.equal(isLapsed);
+      fixture.gate.stop();
+    });
+  }
+});
