A life of a runner that has ended is stored, so that no later keeper waits for it

Callers saw: tasks that last had no run for many seconds after all entries had been killed while runners left.

Cause: that a runner had left was known to its sidecar alone, and the sidecar exits soon after it.

Why it works: the sidecar stores the ended life in its row of `members`, and waits for that, within its grace period, before it exits. Every keeper, present or later, reads these rows. A life that has ended never begins again, so a claim in it can be released at any time.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -14,6 +14,7 @@
 import { EvacuationControl } from "./evacuation_control.ts";
 import { queryAdvisor } from "./query_advisor.ts";
 import { QueueRegister } from "./queue_register.ts";
+import { releaseLostWorkers } from "./release_lost_workers.ts";
 import { runEffects } from "./run_effects.ts";
 import { createCell } from "./create_cell.ts";
 import { dropUnstored } from "./drop_unstored.ts";
@@ -121,6 +122,9 @@
   /** Connects to a peer, or to the new address of a known one. */
   setPeer(node: NodeId, row: PeerAddressRow): void {
     this.options.links.set(node, row);
+    if (row.endedLife === undefined) return;
+    this.cell.worker(node).endedLife = row.endedLife;
+    this.#flushSoon();
   }
 
   get epoch(): number {
@@ -272,7 +276,9 @@
     if (this.#isClosed) return;
     const { clock, load, writer } = this.options;
     const nowMs = clock.nowMs();
-    this.#releaseLostWorkers(nowMs);
+    const { cell } = this;
+    const lost = releaseLostWorkers(cell, this.#leases, this.#termLog, nowMs);
+    for (const effect of lost) this.#apply(effect);
     this.#unsureNotice.sendIfDue(nowMs);
     this.#termLog.recordState(this.cell);
     load?.update(this.cell);
@@ -296,17 +302,6 @@
     });
   }
 
-  /** Releases the claims of workers whose leases have certainly expired. */
-  #releaseLostWorkers(nowMs: number): void {
-    for (const worker of this.cell.workers.values()) {
-      if (worker.isReconciled || worker.claims.size === 0) continue;
-      if (!this.#leases.hasExpired(worker.node)) continue;
-      this.#termLog.recordLostWorker(worker);
-      const effects = this.cell.handleWorkerLost(worker.node, nowMs);
-      for (const effect of effects) this.#apply(effect);
-    }
-  }
-
   #sendStates(link: KeeperLink): void {
     const { directory } = this.options;
     const jobs = [...this.cell.jobs.keys()]
--- /dev/null
+++ b/src/cellhost/release_lost_workers.ts
@@ -0,0 +1,21 @@
+import type { Cell } from "../core/cell/cell.ts";
+import type { CellEffect } from "../core/cell/cell_effect.ts";
+import { releaseEndedLife } from "../core/cell/release_ended_life.ts";
+import type { LeaseTracker } from "./lease_tracker.ts";
+import type { TermLog } from "./term_log.ts";
+
+/** Releases the claims of workers on which certainly nothing runs any more. */
+export function* releaseLostWorkers(
+  cell: Cell,
+  leases: LeaseTracker,
+  termLog: TermLog,
+  nowMs: number,
+): Generator<CellEffect, void> {
+  for (const worker of cell.workers.values()) {
+    if (worker.isReconciled || worker.claims.size === 0) continue;
+    if (leases.hasExpired(worker.node)) {
+      termLog.recordLostWorker(worker);
+      yield* cell.handleWorkerLost(worker.node, nowMs);
+    } else yield* releaseEndedLife(cell, worker, nowMs);
+  }
+}
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -4,6 +4,7 @@
 import type { Resources } from "../../schema/resources.ts";
 import type { SpeedState } from "../estimate/speed_state.ts";
 import type { NodeId } from "../jobs/node_id.ts";
+import type { RunnerLife } from "../jobs/runner_life.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
 import { isIsolated } from "./is_isolated.ts";
@@ -25,6 +26,8 @@
    * the runs of its current life.
    */
   isReconciled = false;
+  /** A life of its runner that has ended for good, if its sidecar told of one. */
+  endedLife: RunnerLife | undefined;
   /** Whether its data centre is evacuated, so that nothing may start on it. */
   isEvacuated = false;
   /** What new fillers must leave free for services that have to move. */
--- a/src/nodes/peer_announcer.ts
+++ b/src/nodes/peer_announcer.ts
@@ -3,6 +3,7 @@
 import { streams } from "../cellhost/streams.ts";
 import type { Clock } from "../core/clock/clock.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
+import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Store } from "../core/store/store.ts";
 
 const appendTimeoutMs = 1_000;
@@ -20,6 +21,7 @@
  */
 export class PeerAnnouncer {
   #isStopped = false;
+  #endedLife: RunnerLife | undefined;
 
   constructor(
     readonly store: Store,
@@ -47,9 +49,16 @@
     this.#isStopped = true;
   }
 
+  /** Stores that a life of the runner has ended; returns once it is stored. */
+  async announceEnd(life: RunnerLife): Promise<void> {
+    this.#endedLife = life;
+    await this.#announce();
+  }
+
   async #announce(): Promise<void> {
-    const rows = [{ key: this.node, value: JSON.stringify(this.row) }];
     for (let attempt = 1; !this.#isStopped; attempt++) {
+      const row = { ...this.row, endedLife: this.#endedLife };
+      const rows = [{ key: this.node, value: JSON.stringify(row) }];
       const result = await this.store.append(
         streams.members,
         rows,
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Store } from "../core/store/store.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import type { Logger } from "../adapters/logger.ts";
@@ -13,6 +14,8 @@
   readonly gate: Gate;
   readonly #server: PeerServer;
   #announcer: PeerAnnouncer | undefined;
+  /** Resolves once it is stored that the runner's life has ended. */
+  readonly #endStored: Promise<void>;
 
   constructor(
     readonly options: NodeOptions,
@@ -27,6 +30,10 @@
       log,
       options.bounds.evacuateMs,
     );
+    this.#endStored = new Promise((resolve) => {
+      this.gate.onEnded = (life) =>
+        void this.#announcer?.announceEnd(life).then(resolve);
+    });
     this.#server = new PeerServer((channel, hello) =>
       acceptKeeper(this.gate, channel, hello, log)
     );
@@ -55,6 +62,15 @@
     void this.gate.run();
   }
 
+  /**
+   * Waits, if the runner is leaving too, until it is stored that its life has
+   * ended: no later process may be there to tell.
+   */
+  async awaitRunnerEnd(maxMs: number): Promise<void> {
+    if (!this.gate.isDraining) return;
+    await Promise.race([this.#endStored, sleep(maxMs)]);
+  }
+
   /**
    * Stops the sidecar. The runner's lease is left to run on, so that a new
    * process may take it over.
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -9,6 +9,7 @@
 import type { JobDefinition } from "../src/core/jobs/job_definition.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
 import type { NodeId } from "../src/core/jobs/node_id.ts";
+import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
 import type { KeeperMessage } from "../src/link/keeper_message.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
@@ -92,9 +93,46 @@
   session.submit(jobOf("j", clock.wallMs()));
   report();
   await clock.advance(1);
-  return { session, clock, counts, report, sent };
+  return { session, clock, counts, report, sent, links };
 }
 
+// Guards against claims of a worker that has left, which wait for a lease.
+describe("the task of a worker whose sidecar has gone", () => {
+  const other = "v" as NodeId;
+  const cases = [
+    { name: "at once if its life has ended", life: "w@1", isStarted: true },
+    { name: "later if another life has", life: "w@0", isStarted: false },
+    { name: "later if nothing is known", life: undefined, isStarted: false },
+  ];
+  for (const { name, life, isStarted } of cases) {
+    it(`runs elsewhere ${name}`, async () => {
+      const { session, clock, links, sent } = await startSession();
+      await clock.advance(100);
+      links.onSidecarLost(node);
+      links.onMessage({ node: other, send: () => {} }, {
+        kind: "report",
+        number: 1,
+        report: idleReport("v"),
+      });
+      sent.length = 0;
+      session.setPeer(node, {
+        role: "sidecar",
+        host: "",
+        port: 1,
+        incarnation: "1",
+        strength: 1,
+        endedLife: life as RunnerLife | undefined,
+      });
+      await clock.advance(200);
+      const starts = sent.flatMap((message) =>
+        message.kind === "orders" ? message.starts : []
+      );
+      expect(starts.length > 0).to.equal(isStarted);
+      session.close();
+    });
+  }
+});
+
 // Guards against a start whose claim is not stored, and against one job that
 // holds up all others.
 describe("a job whose progress the store rejects", () => {
