Each task of a service is placed in relaxed mode by its own wait

Cause: placement ignores suspensions and speed only for a job that has had no run for 1.8 s, measured by the job. What is promised for tasks that last is each task's.

Why it works: a task of a service notes since when it has found no worker, and is relaxed by that. Other tasks are still relaxed with their job: their attempts are limited, and a suspended worker would use them up.

--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -5,7 +5,6 @@
 import { chooseWorker } from "./choose_worker.ts";
 import { isIsolated } from "./is_isolated.ts";
 import { countAllowedBegins } from "./count_allowed_begins.ts";
-import type { Job } from "./job.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import type { TaskGroup } from "./task_group.ts";
 import { reserveQuietWorker } from "./reserve_quiet_worker.ts";
@@ -15,7 +14,7 @@
 import { urgencyOf } from "./urgency_of.ts";
 import type { Worker } from "./worker.ts";
 
-/** A job without a run for this long is placed in relaxed mode. */
+/** What has waited without a run for this long is placed in relaxed mode. */
 const maxIdleMs = 1_800;
 /** How long fillers wait at most for the first reports of all workers. */
 const maxSettlingMs = 1_200;
@@ -45,7 +44,7 @@
     for (const group of job.waitingGroups) {
       if (isSettling && group.definition.isFiller) continue;
       if (!isPlaceable(cell, group, queue, nowMs)) {
-        noteIdle(job, nowMs);
+        noteIdle(group, nowMs);
         if (!cell.order.comparesAll) continue;
         unplaceable.add(group);
       }
@@ -74,8 +73,8 @@
   nowMs: number,
 ): boolean {
   if (queue.advice !== undefined) return true;
-  const { job, definition } = group;
-  const mayRelax = isRelaxed(job, nowMs) && !job.hasClaims;
+  const { definition } = group;
+  const mayRelax = mayRelaxAny(group, nowMs);
   if (definition.isGang) {
     return cell.demand.mayTryGang(group, queue, nowMs, mayRelax);
   }
@@ -110,11 +109,13 @@
     if (!isWaiting(task)) continue;
     if (task.run === 0 && allowedBegins <= 0) continue;
     if (cell.statistics.attempts?.mayStart(group) === false) return;
-    const mayRelax = isRelaxed(job, nowMs) && !job.hasClaims;
+    const mayRelax = mayRelaxTask(task, nowMs);
     const worker = chooseForTask(cell, task, queue, tickets, mayRelax);
     if (worker === undefined) {
       cell.advice.noteUnplaced(task, queue, nowMs);
-      noteIdle(job, nowMs);
+      noteIdleTask(task, nowMs);
+      // Another task of a service may have waited for longer.
+      if (!isIsolated(task) && group.definition.isService) continue;
       if (!isIsolated(task)) return;
       // An isolated task waits for a worker of its own, the others need not.
       reserveQuietWorker(cell, group, queue, nowMs);
@@ -140,15 +141,37 @@
   return best === undefined && mayRelax ? choose("relaxed") : best;
 }
 
-/** Whether a job has waited without a run for so long that it is relaxed. */
-function isRelaxed({ idleSinceMs }: Job, nowMs: number): boolean {
-  return idleSinceMs !== undefined && nowMs - idleSinceMs >= maxIdleMs;
+/**
+ * Whether a task is placed in relaxed mode. Each task of a service is to run, so
+ * each is relaxed by its own wait; other tasks only if their job has no run.
+ */
+function mayRelaxTask({ group, idleSinceMs }: Task, nowMs: number): boolean {
+  if (group.definition.isService) return isOverdue(idleSinceMs, nowMs);
+  return isOverdue(group.job.idleSinceMs, nowMs) && !group.job.hasClaims;
 }
 
-/** Notes since when a job that found no worker has had no run. */
-function noteIdle(job: Job, nowMs: number): void {
+/** Whether a waiting task of the group is placed in relaxed mode. */
+function mayRelaxAny({ tasks }: TaskGroup, nowMs: number): boolean {
+  return tasks.some((task) => isWaiting(task) && mayRelaxTask(task, nowMs));
+}
+
+function isOverdue(sinceMs: number | undefined, nowMs: number): boolean {
+  return sinceMs !== undefined && nowMs - sinceMs >= maxIdleMs;
+}
+
+/** Notes since when a task has found no worker, and its job has had no run. */
+function noteIdleTask(task: Task, nowMs: number): void {
+  const { definition, job } = task.group;
   if (job.hasClaims) job.idleSinceMs = undefined;
   else job.idleSinceMs ??= nowMs;
+  if (definition.isService) task.idleSinceMs ??= nowMs;
+}
+
+/** Notes the same for the waiting tasks of a group. */
+function noteIdle({ tasks }: TaskGroup, nowMs: number): void {
+  for (const task of tasks) {
+    if (isWaiting(task)) noteIdleTask(task, nowMs);
+  }
 }
 
 /** Places all tasks of a gang at once, or none. */
@@ -166,7 +189,7 @@
   const claimed: [Worker, Task][] = [];
   const tickets = cell.advice.ticketsFor(group, queue, nowMs);
   // Claims of this attempt do not count: they are undone unless all fit.
-  const mayRelax = isRelaxed(group.job, nowMs) && !group.job.hasClaims;
+  const mayRelax = mayRelaxAny(group, nowMs);
   for (const task of group.tasks) {
     // Claims on trial must not mark workers as full, so that all are scanned.
     const choose = (mode: PlacementMode) =>
@@ -190,7 +213,7 @@
     cell.advice.noteUnplaced(group.tasks[claimed.length]!, queue, nowMs);
     reserveQuietWorker(cell, group, queue, nowMs);
     cell.demand.noteGangUnplaced(group, queue, nowMs, mayRelax);
-    noteIdle(group.job, nowMs);
+    noteIdle(group, nowMs);
     return;
   }
   group.job.idleSinceMs = undefined;
@@ -240,6 +263,7 @@
 
 /** Saves the claim and starts its run. */
 function* startRun(worker: Worker, task: Task): Effects {
+  task.idleSinceMs = undefined;
   if (isIsolated(task)) worker.quiet = undefined;
   const { job } = task.group;
   job.hasStarted = true;
--- a/src/core/cell/task.ts
+++ b/src/core/cell/task.ts
@@ -20,6 +20,11 @@
   checkpoint: string;
   isDone: boolean;
   claim: Claim | undefined;
+  /**
+   * Since when a task of a service has found no worker, by the keeper's
+   * monotonic clock.
+   */
+  idleSinceMs: number | undefined;
   /** The worker where the last run failed, lapsed or got stuck. */
   avoidedWorker: NodeId | undefined;
 }
