Runs are not stopped to move while the store does not take their next claims

Cause: a stop leaves at once, the start after it only when the claim is stored. A keeper that could not write stopped runs on draining, shrunk or evacuated workers all the same, and the fillers that disturb a service.

Evidence: keeper_session_test, "a run on a draining worker stays while the store is down" failed before (one stop 1.6 s into the outage).

Why it works: such a run goes on instead, and is moved once the store has answered again. Stops that are not moves are unchanged: cancelled jobs, stray runs, runs without progress and starts in evacuated data centres.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -277,6 +277,7 @@
     const { clock, load, writer } = this.options;
     const nowMs = clock.nowMs();
     const { cell } = this;
+    cell.mayMove = !writer.isUnsure(nowMs);
     const lost = releaseLostWorkers(cell, this.#leases, this.#termLog, nowMs);
     for (const effect of lost) this.#apply(effect);
     this.#unsureNotice.sendIfDue(nowMs);
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -12,14 +12,13 @@
 import { reconcileRuns } from "./reconcile_runs.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { Job } from "./job.ts";
+import { RunMoves } from "./run_moves.ts";
 import { releaseClaimsOfOtherLives } from "./release_claims_of_other_lives.ts";
 import type { EvacuationPlanner } from "../evacuate/evacuation_planner.ts";
 import { stopUnseenStart } from "../evacuate/stop_unseen_start.ts";
 import { DemandIndex } from "./demand_index.ts";
 import { LearnedRows } from "./learned_rows.ts";
-import { drainWorkers } from "./drain_workers.ts";
 import { openDueOccurrences } from "./open_due_occurrences.ts";
-import { OverfullRelief } from "./overfull_relief.ts";
 import { placeWaitingTasks } from "./place_waiting_tasks.ts";
 import { applyEnds } from "./apply_ends.ts";
 import { applyRefusal } from "./apply_refusal.ts";
@@ -66,13 +65,18 @@
   order: GroupOrder = new UrgencyOrder();
   readonly demand = new DemandIndex();
   readonly statistics: RunStatistics;
+  /**
+   * Whether runs are stopped to move. They would not run anywhere while the
+   * store does not take their next claims.
+   */
+  mayMove = true;
   /** When it first decided, by the keeper's monotonic clock. */
   beganAtMs = Infinity;
   /** Jobs that are saved at the next interval. */
   readonly #unsavedJobs = new Set<Job>();
   #checkpointsSavedAtMs = -Infinity;
   readonly #learnedRows = new LearnedRows();
-  readonly #overfullRelief = new OverfullRelief();
+  readonly #moves = new RunMoves();
 
   constructor(readonly options: CellOptions) {
     this.statistics = new RunStatistics(options);
@@ -158,8 +162,8 @@
     yield* reconcileRuns(this, worker, runs, nowMs);
     yield* this.statistics.observe(this, worker, runs, nowMs);
     worker.isReconciled = true;
-    if (!sampleWorker(worker, runs, this.pressure, nowMs)) return;
-    yield* moveFillers(this, worker, nowMs);
+    const isSampled = sampleWorker(worker, runs, this.pressure, nowMs);
+    if (isSampled && this.mayMove) yield* moveFillers(this, worker, nowMs);
   }
 
   /** Releases all claims of a worker whose lease has certainly expired. */
@@ -225,11 +229,7 @@
     yield* this.#saveCheckpoints(nowMs);
     yield* this.#learnedRows.take(this, nowMs);
     yield* stopStuckRuns(this, nowMs);
-    yield* drainWorkers(this, nowMs);
-    yield* this.#overfullRelief.relieve(this, nowMs);
-    if (this.evacuationPlanner !== undefined) {
-      yield* this.evacuationPlanner.plan(this, nowMs);
-    }
+    yield* this.#moves.plan(this, nowMs);
     yield* (this.options.place ?? placeWaitingTasks)(this, nowMs, wallMs);
   }
 
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -33,7 +33,10 @@
 }
 
 /** A session with one worker that counts its cell's ticks. */
-async function startSession(store = new StoreModel()) {
+async function startSession(
+  store = new StoreModel(),
+  steps = [CellFixture.step()],
+) {
   const clock = new VirtualClock();
   const sent: KeeperMessage[] = [];
   const links: KeeperLinks = {
@@ -90,7 +93,7 @@
     targetMs: 500,
     advice: undefined,
   }]);
-  session.submit(jobOf("j", clock.wallMs()));
+  session.submit({ ...jobOf("j", clock.wallMs()), steps });
   report();
   await clock.advance(1);
   return { session, clock, counts, report, sent, links };
@@ -133,6 +136,47 @@
   }
 });
 
+// Guards against a move that leaves a task without a run until the store is back.
+describe("a run on a draining worker", () => {
+  const running = {
+    task: "j.0.0.0" as TaskName,
+    run: 1,
+    checkpoint: "",
+    percent: 10,
+    figure: 0,
+  };
+  for (const isDown of [false, true]) {
+    const name = isDown ? "stays while the store is down" : "moves";
+    it(name, async () => {
+      const store = new StoreModel();
+      const { session, clock, links, report, sent } = await startSession(
+        store,
+        [CellFixture.step({ isService: true })],
+      );
+      report({ running: [running] });
+      links.onMessage({ node: "v" as NodeId, send: () => {} }, {
+        kind: "report",
+        number: 1,
+        report: idleReport("v"),
+      });
+      await clock.advance(100);
+      const countStops = () =>
+        sent.filter((message) =>
+          message.kind === "orders" && message.stops.length > 0
+        ).length;
+      store.isDown = isDown;
+      await clock.advance(1_500);
+      report({ running: [running], isDraining: true });
+      await clock.advance(100);
+      expect(countStops()).to.equal(isDown ? 0 : 1);
+      store.isDown = false;
+      await clock.advance(1_000);
+      expect(countStops()).to.equal(1);
+      session.close();
+    });
+  }
+});
+
 // Guards against a start whose claim is not stored, and against one job that
 // holds up all others.
 describe("a job whose progress the store rejects", () => {
