A report of a runner that does not answer renews no lease

Callers saw: tasks that last waited for longer than the lease of their runner.

Cause: a sidecar extends no lease while its runner does not answer, but the keeper counted the lease as renewed at each of its reports.

Evidence: keeper_session_test, "waits for the lease that the runner got, and no longer" failed before.

Why it works: only a report of a runner that answers counts as a renewal.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -201,8 +201,10 @@
     const isUnsure = isFirst || report.unexplained > 0;
     if (isUnsure && worker.isReconciled) this.#sendKnownRuns(link);
     const age = this.#evacuation?.recordReport(node);
+    this.#leases.recordReport(node);
     if (!this.#leases.mayRenew) return;
-    this.#leases.renew(node);
+    // A sidecar renews no lease of a runner that does not answer.
+    if (report.isUp) this.#leases.renew(node);
     const pressures = servicePressures(worker, this.cell.pressure);
     link.send({ kind: "renew", report: number, pressures, ...age });
     if (isFirst) this.#termLog.recordRenewal(this.cell);
--- a/src/cellhost/lease_tracker.ts
+++ b/src/cellhost/lease_tracker.ts
@@ -41,6 +41,12 @@
     this.#renewedAtMs.set(node, this.clock.nowMs() + confirmationValidMs);
   }
 
+  /** Records a report, after which no earlier keeper renews the lease. */
+  recordReport(node: NodeId): void {
+    const renewedAtMs = this.#renewedAtMs.get(node) ?? Infinity;
+    this.#renewedAtMs.set(node, Math.min(renewedAtMs, this.clock.nowMs()));
+  }
+
   /** Records that a worker's lease is renewed now. */
   renew(node: NodeId): void {
     this.#renewedAtMs.set(node, this.clock.nowMs());
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -136,6 +136,36 @@
   }
 });
 
+// Guards against a lease that seems renewed while its runner does not answer.
+describe("the task of a runner that does not answer", () => {
+  const downMs = 5_000;
+  const intervalMs = 450;
+  // The bound of `startSession`, and what is added for a slow clock.
+  const leaseMs = 6_500;
+
+  it("waits for the lease that the runner got, and no longer", async () => {
+    const { session, clock, links, report, sent } = await startSession();
+    await clock.advance(100);
+    for (let passedMs = 0; passedMs < downMs; passedMs += intervalMs) {
+      report({ isUp: false });
+      await clock.advance(intervalMs);
+    }
+    links.onSidecarLost(node);
+    links.onMessage({ node: "v" as NodeId, send: () => {} }, {
+      kind: "report",
+      number: 1,
+      report: idleReport("v"),
+    });
+    sent.length = 0;
+    await clock.advance(leaseMs - downMs);
+    const starts = sent.flatMap((message) =>
+      message.kind === "orders" ? message.starts : []
+    );
+    expect(starts).to.have.length(1);
+    session.close();
+  });
+});
+
 // Guards against a move that leaves a task without a run until the store is back.
 describe("a run on a draining worker", () => {
   const running = {
