A claim in a job that is read late is released once its lease has ended

Callers would see: a task that waits for ever.

Cause: a new keeper notes for each worker with claims when its lease may have been renewed last, once, as it begins. The claims of a job whose definition is read after that, on a worker that never reports, belonged to a worker of which nothing was noted, and whose lease therefore never ended.

Why it works: such a worker counts as one of an earlier keeper from the first time that its lease is asked for, as those known from the beginning do.

--- a/src/cellhost/lease_tracker.ts
+++ b/src/cellhost/lease_tracker.ts
@@ -58,7 +58,11 @@
    */
   hasExpired(node: NodeId): boolean {
     const renewedAtMs = this.#renewedAtMs.get(node);
-    if (renewedAtMs === undefined) return false;
+    if (renewedAtMs === undefined) {
+      // Claimed by an earlier keeper, in a job that was read late.
+      this.inherit(node);
+      return false;
+    }
     const maxLeaseMs = this.maxHoldMs * (1 + clockDrift) + marginMs;
     return this.clock.nowMs() - renewedAtMs >= maxLeaseMs;
   }
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -5,6 +5,7 @@
 import type { KeeperLinks } from "../src/cellhost/keeper_links.ts";
 import { KeeperSession } from "../src/cellhost/keeper_session.ts";
 import { RowWriter } from "../src/cellhost/row_writer.ts";
+import { encodeJob } from "../src/core/cell/encode_job.ts";
 import type { SidecarReport } from "../src/core/cell/sidecar_report.ts";
 import type { JobDefinition } from "../src/core/jobs/job_definition.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
@@ -166,6 +167,34 @@
   });
 });
 
+// Guards against a claim that nobody can release: its worker never reports.
+describe("the task of a job that is read after the takeover", () => {
+  it("runs once the lease of a worker without a report has ended", async () => {
+    const { session, clock, links, sent } = await startSession();
+    const earlier = new CellFixture();
+    earlier.reportWorker("gone");
+    earlier.submit("late", [CellFixture.step()]);
+    earlier.advance();
+    const { definition } = earlier.cell.jobs.get("late" as JobId)!;
+    const row = encodeJob(earlier.cell.jobs.get("late" as JobId)!);
+    session.options.directory.rows.set(definition.id, row);
+    session.submit(definition);
+    for (let passedMs = 0; passedMs < 16_000; passedMs += 500) {
+      links.onMessage({ node, send: () => {} }, {
+        kind: "report",
+        number: 1,
+        report: workerReport,
+      });
+      await clock.advance(500);
+    }
+    const names = sent.flatMap((message) =>
+      message.kind === "orders" ? message.starts.map(({ task }) => task) : []
+    );
+    expect(names).to.include("late.0.0.0");
+    session.close();
+  });
+});
+
 // Guards against a move that leaves a task without a run until the store is back.
 describe("a run on a draining worker", () => {
   const running = {
