--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -2,6 +2,8 @@
 import type { RunnerLife } from "../jobs/runner_life.ts";
 import { countTasksOn } from "./count_tasks_on.ts";
 import { hasCapacityFor } from "./has_capacity_for.ts";
+import { hasCpuForFiller } from "./has_cpu_for_filler.ts";
+import { isImpactAllowed } from "./is_impact_allowed.ts";
 import { mayStartBeside } from "./may_start_beside.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import { estimateFillerImpact } from "./estimate_filler_impact.ts";
@@ -9,8 +11,6 @@
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
-/** The highest `excess` of `FillerImpact` that strict placement allows. */
-const maxExcess = 0.03;
 /** Weight of the load that a filler adds to services. */
 const addedWeight = 2;
 /** Weight of the `excess` of `FillerImpact`. */
@@ -20,8 +20,6 @@
  * that suit any filler stay free for fillers that fit nowhere else.
  */
 const sensitivityWeight = 1;
-/** The share of its requested CPU that a filler must get in strict mode. */
-const minFillerCpuShare = 0.85;
 /** A worker whose runs take this many times the expected time is penalised. */
 const slownessThreshold = 2;
 const remoteRackPenalty = 2;
@@ -93,12 +91,12 @@
   view: FillerView,
   mode: PlacementMode,
 ): number {
-  const { demandedMilli: othersMilli, unusedMilli } = view.figuresOf(worker);
-  const { cpuMilli } = task.group.definition.resources;
-  const hasCpu = othersMilli + cpuMilli * minFillerCpuShare <= unusedMilli;
-  if (mode === "strict" && !hasCpu) return Infinity;
-  const { excess, added } = estimateFillerImpact(worker, task, view);
-  if (mode === "strict" && !(excess <= maxExcess)) return Infinity;
+  const figures = view.figuresOf(worker);
+  if (mode === "strict" && !hasCpuForFiller(task, figures)) return Infinity;
+  const impact = estimateFillerImpact(worker, task, view);
+  if (mode === "strict" && !isImpactAllowed(impact)) return Infinity;
+  const { demandedMilli: othersMilli, unusedMilli } = figures;
+  const { excess, added } = impact;
   return baseCost(task, worker) + excessWeight * excess +
     addedWeight * added + othersMilli / Math.max(1, unusedMilli) -
     sensitivityWeight * worker.fillerSensitivity;
