Only the tasks of services are walked over when a group finds no worker

Seen: with 300 workers and 399 jobs, a tick in which nothing has changed took 0.30 to 0.32 ms, where it had taken 0.15 to 0.19 ms before tasks of services were relaxed one by one (cell_cost_bench, alternating runs on a busy machine).

Cause: noteIdle and mayRelaxAny looked at each task of each waiting group at each tick, also of jobs for which only the job's own wait counts; a job of 30,000 tasks would have cost as many looks.

Result: 0.16 to 0.19 ms, as before (four alternating runs of 300 workers).

--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -151,7 +151,11 @@
 }
 
 /** Whether a waiting task of the group is placed in relaxed mode. */
-function mayRelaxAny({ tasks }: TaskGroup, nowMs: number): boolean {
+function mayRelaxAny(
+  { tasks, definition }: TaskGroup,
+  nowMs: number,
+): boolean {
+  if (!definition.isService) return mayRelaxTask(tasks[0]!, nowMs);
   return tasks.some((task) => isWaiting(task) && mayRelaxTask(task, nowMs));
 }
 
@@ -168,7 +172,12 @@
 }
 
 /** Notes the same for the waiting tasks of a group. */
-function noteIdle({ tasks }: TaskGroup, nowMs: number): void {
+function noteIdle({ tasks, definition }: TaskGroup, nowMs: number): void {
+  // Of other tasks only the job's wait counts.
+  if (!definition.isService) {
+    noteIdleTask(tasks[0]!, nowMs);
+    return;
+  }
   for (const task of tasks) {
     if (isWaiting(task)) noteIdleTask(task, nowMs);
   }
