For any task, why it does not run is known from its keeper's state

explainWaitingTask gives the reason, out of a closed set, and what decided it: for a task with a claim its phase and the state of its worker; without one, what placement would have done, down to how many workers each condition rules out first and how many would take the task in relaxed mode. It checks the conditions of placement themselves, so it cannot differ from them.

A task keeps how its last run ended, and a worker when it last reported.

--- a/src/core/cell/advice_cache.ts
+++ b/src/core/cell/advice_cache.ts
@@ -1,6 +1,7 @@
 import type { NodeId } from "../jobs/node_id.ts";
 import type { Queue } from "../jobs/queue.ts";
 import type { RunnerLife } from "../jobs/runner_life.ts";
+import type { AdviceState } from "./advice_state.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { chooseQueriedLives } from "./choose_queried_lives.ts";
 import { StepAdvice } from "./step_advice.ts";
@@ -61,6 +62,22 @@
     return advice.tickets(nowMs);
   }
 
+  /** What keeps a group from having more tickets, and those it has. */
+  describe(group: TaskGroup, nowMs: number): AdviceState {
+    const advice = this.#adviceByStep.get(stepKeyOf(group));
+    const restsUntilMs = advice?.restsUntilMs ?? -Infinity;
+    const pauseLeftMs = Math.max(0, this.#pausedUntilMs - nowMs);
+    const reason = advice?.isQueried
+      ? "advice_queried"
+      : pauseLeftMs > 0
+      ? "advice_paused"
+      : nowMs < restsUntilMs
+      ? "advice_rests"
+      : "advice_waits";
+    const tickets = advice?.tickets(nowMs) ?? new Map<RunnerLife, string>();
+    return { reason, tickets, pauseLeftMs, queryCount: this.#queryCount };
+  }
+
   /** Notes that a task found no worker, as far as tickets are known. */
   noteUnplaced(task: Task, queue: Queue, nowMs: number): void {
     if (queue.advice === undefined) return;
--- a/src/core/cell/apply_run_end.ts
+++ b/src/core/cell/apply_run_end.ts
@@ -2,6 +2,7 @@
 import type { RunEnd } from "../jobs/run_end.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
+import { noteLastRunEnd } from "./note_last_run_end.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
@@ -36,6 +37,7 @@
   }
   const { attempts } = cell.statistics;
   if (attempts) yield* attempts.recordEnd(worker, task, end.outcome, nowMs);
+  noteLastRunEnd(task, end, nowMs);
   task.claim = undefined;
   // A run that ends by itself has not crashed its worker.
   if (end.outcome === "done" || end.outcome === "failed") task.crashes = 0;
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -140,6 +140,7 @@
       this.statistics.forgetSpeed(worker);
     }
     worker.report = report;
+    worker.reportedAtMs = nowMs;
     worker.isEvacuated = this.evacuatedZones.has(report.zone);
     const runs = new Map(report.running.map((run) => [run.task, run]));
     for (const refusal of report.refusals ?? []) {
--- a/src/core/cell/explain_waiting_task.ts
+++ b/src/core/cell/explain_waiting_task.ts
@@ -33,7 +33,9 @@
   const { queue: name } = job.definition;
   if (!cell.isConfigured) return withoutClaim("not_configured", {});
   const queue = cell.queues.get(name);
-  if (queue === undefined) return withoutClaim("queue_unknown", { queue: name });
+  if (queue === undefined) {
+    return withoutClaim("queue_unknown", { queue: name });
+  }
   if (definition.isFiller && isCellSettling(cell, nowMs)) {
     const sinceMs = Math.round(nowMs - cell.beganAtMs);
     return withoutClaim("settling", { since_ms: sinceMs });
--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -203,6 +203,7 @@
       checkpoint: "",
       isDone: false,
       claim: undefined,
+      lastRunEnd: undefined,
       idleSinceMs: undefined,
       avoidedWorker: undefined,
     };
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -3,10 +3,12 @@
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import { chooseWorker } from "./choose_worker.ts";
+import { isCellSettling } from "./is_cell_settling.ts";
 import { isIsolated } from "./is_isolated.ts";
 import { countAllowedBegins } from "./count_allowed_begins.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import type { TaskGroup } from "./task_group.ts";
+import { relaxationWaitMs } from "./relaxation_wait_ms.ts";
 import { reserveQuietWorker } from "./reserve_quiet_worker.ts";
 import { buildStart } from "./build_start.ts";
 import type { Task } from "./task.ts";
@@ -14,11 +16,6 @@
 import { urgencyOf } from "./urgency_of.ts";
 import type { Worker } from "./worker.ts";
 
-/** What has waited without a run for this long is placed in relaxed mode. */
-const maxIdleMs = 1_800;
-/** How long fillers wait at most for the first reports of all workers. */
-const maxSettlingMs = 1_200;
-
 type Tickets = ReadonlyMap<RunnerLife, string> | undefined;
 type Effects = Generator<CellEffect, void>;
 
@@ -83,19 +80,6 @@
     (mayRelax && demand.hasWorker(group, queue, "relaxed"));
 }
 
-/**
- * Whether a new keeper still waits for workers with claims to report. After a
- * loss of all workers each report releases services, which need room without
- * fillers that disturb them; so services are placed first, on all workers.
- */
-function isCellSettling(cell: Cell, nowMs: number): boolean {
-  if (nowMs - cell.beganAtMs >= maxSettlingMs) return false;
-  for (const { isReconciled, claims } of cell.workers.values()) {
-    if (!isReconciled && claims.size > 0) return true;
-  }
-  return false;
-}
-
 function* placeTasks(
   cell: Cell,
   group: TaskGroup,
@@ -141,13 +125,9 @@
   return best === undefined && mayRelax ? choose("relaxed") : best;
 }
 
-/**
- * Whether a task is placed in relaxed mode. Each task of a service is to run, so
- * each is relaxed by its own wait; other tasks only if their job has no run.
- */
-function mayRelaxTask({ group, idleSinceMs }: Task, nowMs: number): boolean {
-  if (group.definition.isService) return isOverdue(idleSinceMs, nowMs);
-  return isOverdue(group.job.idleSinceMs, nowMs) && !group.job.hasClaims;
+/** Whether a task is placed in relaxed mode. */
+function mayRelaxTask(task: Task, nowMs: number): boolean {
+  return relaxationWaitMs(task, nowMs) === 0;
 }
 
 /** Whether a waiting task of the group is placed in relaxed mode. */
@@ -159,10 +139,6 @@
   return tasks.some((task) => isWaiting(task) && mayRelaxTask(task, nowMs));
 }
 
-function isOverdue(sinceMs: number | undefined, nowMs: number): boolean {
-  return sinceMs !== undefined && nowMs - sinceMs >= maxIdleMs;
-}
-
 /** Notes since when a task has found no worker, and its job has had no run. */
 function noteIdleTask(task: Task, nowMs: number): void {
   const { definition, job } = task.group;
--- a/src/core/cell/relaxation_wait_ms.ts
+++ b/src/core/cell/relaxation_wait_ms.ts
@@ -10,8 +10,8 @@
  */
 export function relaxationWaitMs(task: Task, nowMs: number): number {
   const { definition, job } = task.group;
-  if (!definition.isService && job.hasClaims) return Infinity;
   const { idleSinceMs } = definition.isService ? task : job;
   if (idleSinceMs === undefined) return Infinity;
+  if (!definition.isService && job.hasClaims) return Infinity;
   return Math.max(0, idleSinceMs + maxIdleMs - nowMs);
 }
--- a/src/core/cell/task.ts
+++ b/src/core/cell/task.ts
@@ -1,6 +1,7 @@
 import type { NodeId } from "../jobs/node_id.ts";
 import type { TaskName } from "../jobs/task_name.ts";
 import type { Claim } from "./claim.ts";
+import type { LastRunEnd } from "./last_run_end.ts";
 import type { TaskGroup } from "./task_group.ts";
 
 /** One task of a job, with its progress. */
@@ -20,6 +21,8 @@
   checkpoint: string;
   isDone: boolean;
   claim: Claim | undefined;
+  /** How its last run ended, as far as this keeper has seen it. */
+  lastRunEnd: LastRunEnd | undefined;
   /**
    * Since when a task of a service has found no worker, by the keeper's
    * monotonic clock.
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -21,6 +21,8 @@
   readonly order = workerCount++;
   /** The newest report of its sidecar. */
   report: SidecarReport | undefined;
+  /** When that came, by the keeper's monotonic clock. */
+  reportedAtMs = -Infinity;
   /**
    * Whether its sidecar is connected and the claims have been reconciled with
    * the runs of its current life.
