The keeper logs which tasks wait, and why

task_waits names a task that has not run for 2 s since its turn came or its last run ended, how that run ended, the reason, the worker and what decided; again when the reason changes, and each 5 s. Tasks of a step that wait for the same reason share a line that still names each task of a service. task_runs_again has the total wait. The gauge tasks_waiting counts by reason; the histogram service_restart_seconds has the times from the end of a service task's run to the beginning of the next.

Lines and work are bounded: at most 7 lines about waits in half a second, services first; the walk over tasks and the searches for a worker stop at a bound and go on half a second later. An error in the watch ends the watch, not the term.

--- a/bench/cell_cost_bench.ts
+++ b/bench/cell_cost_bench.ts
@@ -1,3 +1,9 @@
+import { Logger } from "../src/adapters/logger.ts";
+import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
+import { systemClock } from "../src/adapters/system_clock.ts";
+import { LeaseTracker } from "../src/cellhost/lease_tracker.ts";
+import type { RowWriter } from "../src/cellhost/row_writer.ts";
+import { WaitingWatch } from "../src/cellhost/waiting_watch.ts";
 import { Cell } from "../src/core/cell/cell.ts";
 import type { CellEffect } from "../src/core/cell/cell_effect.ts";
 import type { Worker } from "../src/core/cell/worker.ts";
@@ -16,7 +22,8 @@
  *
  * "unchanged": a tick without any report; "reported": a tick after unchanged
  * reports; "report": one of these reports; "run": everything that one run
- * costs, with its submission, report and tick.
+ * costs, with its submission, report and tick; "watch": the watch over waiting
+ * tasks, per second.
  */
 const defaultSizes = [11, 70, 160, 300];
 const bytesPerGb = 1_073_741_824;
@@ -189,6 +196,20 @@
   return values.reduce((sum, each) => sum + each, 0) / values.length;
 }
 
+/** The time of the watch over waiting tasks, per second of the cell's time. */
+function measureWatch(bench: CellBench): number {
+  const leases = new LeaseTracker({} as RowWriter, 10_000, systemClock);
+  const log = new Logger("silent", {});
+  const watch = new WaitingWatch(leases, log, new PrometheusMetrics());
+  let watchMs = 0;
+  for (let tick = 0; tick < measuredTicks; tick++) {
+    bench.reportDue(tick);
+    bench.tick();
+    watchMs += timeMs(() => watch.update(bench.cell, bench.nowMs));
+  }
+  return watchMs / (measuredTicks * tickMs / 1_000);
+}
+
 function measure(workers: number): void {
   const bench = new CellBench(workers);
   for (let tick = 0; tick < warmUpMs / tickMs; tick++) {
@@ -218,6 +239,7 @@
       bench.tick();
     }
   });
+  const watchMs = measureWatch(bench);
   const texts = [
     `workers=${workers}`,
     `jobs=${bench.cell.liveJobs.size}`,
@@ -227,6 +249,7 @@
     `mean=${meanOf(reported).toFixed(3)}`,
     `report_us=${(reportMs / reports * usPerMs).toFixed(1)}`,
     `run_us=${(runsMs / runs * usPerMs).toFixed(0)}`,
+    `watch_ms_per_s=${watchMs.toFixed(2)}`,
   ];
   console.log(texts.join(" "));
 }
--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -22,6 +22,7 @@
   1,
   2.5,
 ];
+const restartBucketsS = [0.1, 0.25, 0.5, 1, 2, 3, 4, 6, 9, 12, 20, 40];
 
 /** Help text and label names of each counter, by name without the prefix. */
 const counters = {
@@ -62,6 +63,7 @@
   extra_core_seconds: ["Work that restarts of stragglers may have cost", []],
   declared_error: ["Mean factor by which declared run times are off", []],
   learned_error: ["Mean factor by which learned run times are off", []],
+  tasks_waiting: ["Tasks that have waited for over 2 s, by why", ["reason"]],
   workers: ["Workers that the keeper has adopted", []],
   operator_rows_age_ms: [
     "How old the keeper's read of the operator's rows is",
@@ -79,6 +81,7 @@
   readonly #storeSeconds: Histogram;
   readonly #forecastErrorMs: Summary;
   readonly #holdSeconds: Histogram;
+  readonly #restartSeconds: Histogram;
 
   constructor() {
     const registers = [this.#registry];
@@ -114,6 +117,12 @@
       buckets: latencyBucketsS,
       registers,
     });
+    this.#restartSeconds = new Histogram({
+      name: `${prefix}service_restart_seconds`,
+      help: "From the end of a service task's run to the next one's beginning",
+      buckets: restartBucketsS,
+      registers,
+    });
     collectDefaultMetrics({ register: this.#registry, prefix });
   }
 
@@ -163,6 +172,11 @@
     this.#holdSeconds.observe(heldMs / msPerSecond);
   }
 
+  /** Records how long after the end of a service task's run the next began. */
+  recordRestart(tookMs: number): void {
+    this.#restartSeconds.observe(tookMs / msPerSecond);
+  }
+
   /** Returns all metrics in the text format. */
   async text(): Promise<string> {
     return await this.#registry.metrics();
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -25,6 +25,7 @@
 import type { PeerAddressRow } from "./peer_address_row.ts";
 import { servicePressures } from "./service_pressures.ts";
 import { TermLog } from "./term_log.ts";
+import { WaitingWatch } from "./waiting_watch.ts";
 import { UnsureNotice } from "./unsure_notice.ts";
 import { UnsavedRows } from "./unsaved_rows.ts";
 
@@ -36,6 +37,7 @@
   readonly #leases: LeaseTracker;
   readonly #queues: QueueRegister;
   readonly #termLog: TermLog;
+  readonly #waiting: WaitingWatch;
   /** Undefined if the deployment evacuates no data centres. */
   readonly #evacuation: EvacuationControl | undefined;
   readonly #openedAtMs: number;
@@ -53,6 +55,7 @@
     this.#openedAtMs = clock.nowMs();
     this.#leases = new LeaseTracker(writer, bounds.maxHoldMs, clock);
     this.#termLog = new TermLog(epoch, log, metrics, clock);
+    this.#waiting = new WaitingWatch(this.#leases, log, metrics);
     links.onMessage = (link, message) =>
       this.#guard(() => this.#receive(link, message));
     if (bounds.evacuateMs !== undefined) {
@@ -289,6 +292,7 @@
       this.#apply(effect);
     }
     this.#evacuation?.update();
+    this.#waiting.update(this.cell, nowMs);
     const rows = this.#unsaved.take(writer.limits);
     rows.push(...this.#queues.takeRows());
     const isStartDue = this.#evacuation?.hasDueStarts ?? false;
--- a/src/cellhost/lease_tracker.ts
+++ b/src/cellhost/lease_tracker.ts
@@ -63,7 +63,18 @@
       this.inherit(node);
       return false;
     }
-    const maxLeaseMs = this.maxHoldMs * (1 + clockDrift) + marginMs;
-    return this.clock.nowMs() - renewedAtMs >= maxLeaseMs;
+    return this.clock.nowMs() - renewedAtMs >= this.#maxLeaseMs;
+  }
+
+  /** How long until `hasExpired`; undefined if no renewal is known. */
+  leftMs(node: NodeId): number | undefined {
+    const renewedAtMs = this.#renewedAtMs.get(node);
+    if (renewedAtMs === undefined) return undefined;
+    const leftMs = renewedAtMs + this.#maxLeaseMs - this.clock.nowMs();
+    return Math.max(0, Math.round(leftMs));
+  }
+
+  get #maxLeaseMs(): number {
+    return this.maxHoldMs * (1 + clockDrift) + marginMs;
   }
 }
--- a/src/cellhost/waiting_lines.ts
+++ b/src/cellhost/waiting_lines.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "../adapters/logger.ts";
 import type { Task } from "../core/cell/task.ts";
+import { groupBy } from "./group_by.ts";
 import type { Wait } from "./wait.ts";
 
 /** A wait is logged again after this, also if its reason is the same. */
@@ -37,7 +38,7 @@
 
   /** Logs the ends of waits that were logged. */
   logEnds(): void {
-    const groups = Map.groupBy(this.#ended, ({ wait }) => wait.task.group);
+    const groups = groupBy(this.#ended, ({ wait }) => wait.task.group);
     let lines = 0;
     const left = new Set(this.#ended);
     for (const ended of groups.values()) {
@@ -62,9 +63,9 @@
 
   #logGroups(due: readonly Wait[], most: number, nowMs: number): void {
     let lines = 0;
-    const groups = Map.groupBy(due, ({ task }) => task.group);
+    const groups = groupBy(due, ({ task }) => task.group);
     for (const waits of groups.values()) {
-      for (const alike of Map.groupBy(waits, keyOf).values()) {
+      for (const alike of groupBy(waits, keyOf).values()) {
         for (const some of chunksOf(alike, maxNamed)) {
           if (lines++ >= most) return;
           this.#log(some, nowMs);
@@ -75,7 +76,7 @@
 
   #log(waits: readonly Wait[], nowMs: number): void {
     const [first] = waits as [Wait];
-    const { task, sinceMs, explanation, isOfGroup } = first;
+    const { task, sinceMs, explanation, explainedAtMs, isOfGroup } = first;
     const { group, lastRunEnd: end } = task;
     const named = isOfGroup
       ? first.others
@@ -93,6 +94,7 @@
       reason: explanation?.reason,
       worker: explanation?.worker,
       ...explanation?.inputs,
+      explained_age_ms: Math.round(nowMs - explainedAtMs),
       tasks: count > 1 ? count : undefined,
       others: namesOf(named),
     });
@@ -105,8 +107,7 @@
 /** Names tasks so that `grep task=ID` finds each of them. */
 function namesOf(tasks: readonly Task[]): string | undefined {
   if (tasks.length === 0) return undefined;
-  // The space keeps the first name apart from the quotation mark.
-  return ` ${tasks.map(({ name, run }) => `task=${name} run=${run}`).join(" ")}`;
+  return tasks.map(({ name, run }) => `task=${name} run=${run}`).join(" ");
 }
 
 function keyOf({ explanation }: Wait): string {
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -17,6 +17,7 @@
 import { StoreModel } from "../stand_ins/store/store_model.ts";
 import { CellFixture } from "./cell_fixture.ts";
 import { idleReport } from "./idle_report.ts";
+import { LineLog } from "./line_log.ts";
 
 const log = new Logger("silent", {});
 const node = "w" as NodeId;
@@ -37,7 +38,9 @@
 async function startSession(
   store = new StoreModel(),
   steps = [CellFixture.step()],
+  sessionLog = log,
 ) {
+  const metrics = new PrometheusMetrics();
   const clock = new VirtualClock();
   const sent: KeeperMessage[] = [];
   const links: KeeperLinks = {
@@ -69,8 +72,8 @@
     links,
     advisor: { requestTickets: () => Promise.resolve(new Map()) },
     clock,
-    metrics: new PrometheusMetrics(),
-    log,
+    metrics,
+    log: sessionLog,
   });
   const counts = { ticks: 0 };
   const { cell } = session;
@@ -97,7 +100,7 @@
   session.submit({ ...jobOf("j", clock.wallMs()), steps });
   report();
   await clock.advance(1);
-  return { session, clock, counts, report, sent, links };
+  return { session, clock, counts, report, sent, links, metrics };
 }
 
 // Guards against claims of a worker that has left, which wait for a lease.
@@ -236,6 +239,79 @@
   }
 });
 
+// Guards against a task that waits without any line that says why.
+describe("a task of a service that waits", () => {
+  const running = {
+    task: "j.0.0.0" as TaskName,
+    run: 1,
+    checkpoint: "",
+    percent: 0,
+    figure: 0,
+  };
+  const end = { ...running, number: 1, outcome: "stopped" } as const;
+
+  it("is logged after 2 s, again each 5 s, and as running", async () => {
+    const lines = new LineLog();
+    const steps = [CellFixture.step({ isService: true })];
+    const { session, clock, report, metrics } = await startSession(
+      undefined,
+      steps,
+      lines,
+    );
+    report({ running: [running] });
+    await clock.advance(1_000);
+    report({ ends: [end], isDraining: true });
+    await clock.advance(1_900);
+    expect(lines.of("task_waits")).to.eql([]);
+    await clock.advance(700);
+    expect(lines.of("task_waits").length).to.equal(1);
+    expect(lines.of("task_waits").join()).to.match(
+      /task=j.0.0.0 run=1 last_outcome=stopped last_worker=w .*waited_ms=2\d\d\d reason=no_worker .*draining=1/,
+    );
+    await clock.advance(4_000);
+    expect(lines.of("task_waits").length).to.equal(1);
+    await clock.advance(1_500);
+    expect(lines.of("task_waits").length).to.equal(2);
+    expect(await metrics.text()).to.include(
+      'gypsumpond_tasks_waiting{reason="no_worker"} 1',
+    );
+    expect(lines.of("task_runs_again")).to.eql([]);
+    report();
+    await clock.advance(100);
+    report({ running: [{ ...running, run: 2 }] });
+    await clock.advance(600);
+    expect(lines.of("task_runs_again").join()).to.match(
+      /task=j.0.0.0 run=2 worker=w waited_ms=8\d\d\d reason=/,
+    );
+    expect(await metrics.text()).to.include(
+      "gypsumpond_service_restart_seconds_count 1",
+    );
+    session.close();
+  });
+
+  it("is logged again when the reason changes, with its worker", async () => {
+    const lines = new LineLog();
+    const steps = [CellFixture.step({ isService: true })];
+    const { session, clock, links } = await startSession(
+      undefined,
+      steps,
+      lines,
+    );
+    await clock.advance(2_700);
+    links.onSidecarLost(node);
+    await clock.advance(600);
+    const reasons = lines.of("task_waits").map((line) =>
+      /reason=\S+ worker=\S+/.exec(line)?.[0]
+    );
+    expect(reasons).to.eql([
+      "reason=start_unconfirmed worker=w",
+      "reason=sidecar_unconnected worker=w",
+    ]);
+    expect(lines.of("task_waits").join()).to.match(/lease_left_ms=\d+/);
+    session.close();
+  });
+});
+
 // Guards against a start whose claim is not stored, and against one job that
 // holds up all others.
 describe("a job whose progress the store rejects", () => {
