A sidecar logs the orders that have no effect for long

Between the arrival of an order and its effect a sidecar logged starts without an answer and refusals only. order_waits now names a start that has not begun, or a stopped run that is not known to be gone, after 1 s and each 5 s, order_done its end; stop_unanswered a stop that the runner does not acknowledge; start_ignored and stop_ignored an order that is not for the runner's known life; start_given_up also starts that are abandoned with their lease. An order that takes effect at once adds no line.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -12,6 +12,7 @@
 import { LifeEvidence } from "./life_evidence.ts";
 import { KeeperAttachment } from "./keeper_attachment.ts";
 import { lifeOf } from "./life_of.ts";
+import { OrderWatch } from "./order_watch.ts";
 import { PaceController } from "./pace_controller.ts";
 import { RunTracker } from "./run_tracker.ts";
 import type { RunnerResult } from "./runner_result.ts";
@@ -46,7 +47,8 @@
   isStopped = false;
   readonly lease: RunnerLease;
   readonly startWindow: StartWindow;
-  readonly #tracker: RunTracker;
+  readonly #tracker = new RunTracker(this);
+  readonly #orderWatch = new OrderWatch(this);
   readonly #paceController: PaceController;
   readonly #keeper = new KeeperAttachment();
   #reportNumber = 0;
@@ -69,7 +71,6 @@
     this.startWindow = new StartWindow(evacuateMs);
     this.#pause = new WakeablePause(clock);
     this.lease = new RunnerLease(maxHoldMs, clock.nowMs());
-    this.#tracker = new RunTracker(this);
     this.#lifeEnd = new LifeEnd(this.#health, this.lease, this.#tracker);
     this.#paceController = new PaceController(this, this.#tracker);
   }
@@ -180,6 +181,7 @@
         continue;
       }
       const isAnswered = await this.#poll(pollWaitMs);
+      this.#orderWatch.update(this.#tracker.runs.values());
       if (isAnswered) this.#paceController.update(this.#running);
       const isReportDue =
         this.clock.nowMs() - this.#reportedAtMs >= reportIntervalMs;
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -3,12 +3,15 @@
 import type { Resources } from "../schema/resources.ts";
 import type { StopCommand } from "../link/stop_command.ts";
 import { awaitKnownLife } from "./await_known_life.ts";
+import { carryRun } from "./carry_run.ts";
 import { CrashEvidence } from "./crash_evidence.ts";
 import { describeRuns } from "./describe_runs.ts";
 import type { GateContext } from "./gate_context.ts";
 import { leaseEndForStart } from "./lease_end_for_start.ts";
 import { lifeOf } from "./life_of.ts";
+import { logIgnored } from "./log_ignored.ts";
 import { newRun } from "./new_run.ts";
+import { newStartingRun } from "./new_starting_run.ts";
 import type { Run } from "./run.ts";
 import { startsWithoutRoom } from "./starts_without_room.ts";
 import { sendStop } from "./send_stop.ts";
@@ -22,11 +25,6 @@
 
 /** A run that was active for this long did not crash its runner by starting. */
 const startupMs = 300;
-const notBegun = {
-  hasBegun: false,
-  activeSinceMs: undefined,
-  hasStartedUp: false,
-} as const;
 
 /**
  * Tracks the runs of a runner, from the start command until the runner lists
@@ -78,11 +76,7 @@
     }
     this.runs.clear();
     for (const [key, run] of mayStart) {
-      const carried = {
-        ...run,
-        ...notBegun,
-        stopAcknowledgedAtMs: undefined,
-      };
+      const carried = carryRun(run);
       this.runs.set(key, carried);
       // It is refused again once it certainly does not run in the new life.
       this.refused.remove(carried);
@@ -134,7 +128,7 @@
     let isDone = true;
     for (const run of this.runs.values()) {
       if (run.phase !== "starting") continue;
-      run.isStopRequested = true;
+      if (!run.isStopRequested) this.#giveUpStart(run, undefined);
       isDone = false;
     }
     return isDone;
@@ -170,14 +164,12 @@
       context.send({ kind: "refused", ...earlier });
       return;
     }
-    // The keeper repeats the start after this sidecar's first report.
-    if (context.lastHeartbeat === undefined) return;
-    const run: Run = {
-      ...newRun(command),
-      startCommand: command,
-      phase: "starting",
-      pace: 100,
-    };
+    if (context.lastHeartbeat === undefined) {
+      // The keeper repeats the start after this sidecar's first report.
+      logIgnored(context, "start_ignored", command);
+      return;
+    }
+    const run = newStartingRun(command);
     run.refusal = refusalReason(context, [...this.runs.values()], command);
     if (run.refusal === undefined) {
       this.runs.set(runKey(run), run);
@@ -195,7 +187,10 @@
   /** Stops a run, even one that is not tracked. */
   stop(command: StopCommand): void {
     const { lastHeartbeat: heartbeat } = this.context;
-    if (heartbeat === undefined || command.life !== lifeOf(heartbeat)) return;
+    if (heartbeat === undefined || command.life !== lifeOf(heartbeat)) {
+      logIgnored(this.context, "stop_ignored", command);
+      return;
+    }
     const key = runKey(command);
     const run = this.runs.get(key) ?? newRun(command);
     this.runs.set(key, run);
@@ -255,11 +250,13 @@
     if (this.#isStarting(run)) await this.#stop(run);
   }
 
-  #giveUpStart(run: Run, reason: StartRefusal): void {
+  /** Gives up a start for a reason, or else since its lease has ended. */
+  #giveUpStart(run: Run, refusal: StartRefusal | undefined): void {
     run.isStopRequested = true;
-    run.refusal ??= reason;
-    const { task } = run;
-    this.context.log.info("start_given_up", { task, run: run.run, reason });
+    run.refusal ??= refusal;
+    const fields = { task: run.task, run: run.run };
+    const reason = refusal ?? "lease_ended";
+    this.context.log.info("start_given_up", { ...fields, reason });
   }
 
   #foundRun(status: RunStatus): Run {
--- a/src/gate/send_stop.ts
+++ b/src/gate/send_stop.ts
@@ -2,6 +2,9 @@
 import type { Run } from "./run.ts";
 
 const retryPauseMs = 30;
+/** A stop without answer for so long is logged, and again after each of these. */
+const minLoggedMs = 1_000;
+const repeatLogMs = 5_000;
 
 /**
  * Sends a run's stop until the runner's current life acknowledges it: from then
@@ -13,14 +16,25 @@
   { task, run }: Run,
   isNeeded: () => boolean,
 ): Promise<boolean> {
+  const { clock } = context;
   const { instance, bornMs } = context.lastHeartbeat!;
+  const sinceMs = clock.nowMs();
+  let logAtMs = sinceMs + minLoggedMs;
   while (isNeeded()) {
     const { epoch } = context;
     const answer = await context.runner.stop({ instance, epoch, task, run });
     if (context.lastHeartbeat?.bornMs !== bornMs) return false;
     context.recordClock(answer);
     if (answer.isOk) return isNeeded();
-    await context.clock.sleep(retryPauseMs);
+    const nowMs = clock.nowMs();
+    if (nowMs >= logAtMs) {
+      logAtMs = nowMs + repeatLogMs;
+      const waitedMs = Math.round(nowMs - sinceMs);
+      const { failure } = answer;
+      const fields = { task, run, failure, waited_ms: waitedMs };
+      context.log.warn("stop_unanswered", fields);
+    }
+    await clock.sleep(retryPauseMs);
   }
   return false;
 }
--- a/tests/gate_fixture.ts
+++ b/tests/gate_fixture.ts
@@ -26,6 +26,7 @@
   constructor(
     rate = 1,
     readonly options: { readonly evacuateMs?: number | undefined } = {},
+    readonly log = new Logger("silent", {}),
   ) {
     this.runner = new RunnerModel(this.clock, rate);
     this.gate = this.#newGate();
@@ -134,12 +135,11 @@
   }
 
   #newGate(): Gate {
-    const log = new Logger("silent", {});
     return new Gate(
       this.runner,
       GateFixture.maxHoldMs,
       this.clock,
-      log,
+      this.log,
       this.options.evacuateMs,
     );
   }
