--- a/src/ops/describe_job.ts
+++ b/src/ops/describe_job.ts
@@ -1,8 +1,7 @@
-import { decodeJob } from "../core/cell/decode_job.ts";
-import type { Job } from "../core/cell/job.ts";
 import type { JobProgressRow } from "../core/cell/job_progress_row.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
+import { tryDecodeJob } from "./try_decode_job.ts";
 import type { JobDetails } from "./job_details.ts";
 
 /** Details of a job, from its definition, progress row and state. */
@@ -12,7 +11,7 @@
   state: JobState,
 ): JobDetails {
   const { id, queue, receivedMs } = definition;
-  const job = tryDecode(definition, row);
+  const job = tryDecodeJob(definition, row);
   if (job === undefined) {
     return { id, queue, state, receivedMs, steps: [], tasks: [] };
   }
@@ -39,15 +38,3 @@
     }));
   return { id, queue, state, receivedMs, steps, tasks };
 }
-
-/** Decodes a job; undefined if its row cannot be read. */
-function tryDecode(
-  definition: JobDefinition,
-  row: JobProgressRow | undefined,
-): Job | undefined {
-  try {
-    return decodeJob(definition, row, 0);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/ops/platform_view.ts
+++ b/src/ops/platform_view.ts
@@ -2,12 +2,16 @@
 import type { JobDirectory } from "../cellhost/job_directory.ts";
 import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
+import type { TaskPosition } from "../core/jobs/task_position.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
 import { MemberRow } from "../schema/rows/member_row.ts";
 import { parseRow } from "../schema/rows/parse_row.ts";
 import { WinnerRow } from "../schema/rows/winner_row.ts";
 import type { JobDetails } from "./job_details.ts";
 import { describeJob } from "./describe_job.ts";
+import { describeTask } from "./describe_task.ts";
+import type { TaskDetails } from "./task_details.ts";
+import { tryDecodeJob } from "./try_decode_job.ts";
 
 type Rows = ReadonlyMap<string, StoredRow>;
 
@@ -38,6 +42,21 @@
     return describeJob(definition, this.directory.progressOf(id), state);
   }
 
+  /** Returns a task of a job; undefined if no such task was submitted. */
+  task(position: TaskPosition): TaskDetails | undefined {
+    const { job: id } = position;
+    const definition = this.directory.definitions.get(id);
+    const state = this.directory.state(id);
+    if (definition === undefined || state === undefined) return undefined;
+    const job = tryDecodeJob(definition, this.directory.progressOf(id));
+    return describeTask(
+      job,
+      position,
+      state,
+      (node) => parseValue(MemberRow, this.peerRows, node),
+    );
+  }
+
   /** Returns all jobs, the oldest first. */
   jobs(): JobDetails[] {
     return [...this.directory.definitions.keys()]
