Histories: services, runners that leave, and keepers killed on the way to the next start

The random histories had no task that lasts, no runner that leaves for good and no check that a task with room runs within seconds. Half of the seeds (seed mod 4 below 2) now also submit services, some spread over the workers and some that fail by themselves; let runners drain, announce their exit and end, with their sidecars a second later and other runners in their place after seconds; and kill the keeper at a point between the order to stop a service's run and its next start, with the next election 0.9 or 2.5 s later. These steps are drawn from a source of their own: the other steps of each seed are what they were.

The check is the users' rule LOST for tasks that last: while nothing is impaired and was not for 4 s, a task that has had room on one worker for 3 s runs, later than 6 s after its last run. Sidecars store their rows of members through the real announcer, keepers follow them by the real tail.

--- a/scenarios/cell_histories/history_keeper.ts
+++ b/scenarios/cell_histories/history_keeper.ts
@@ -6,7 +6,9 @@
 import { RowWriter } from "../../src/cellhost/row_writer.ts";
 import { StreamTail } from "../../src/cellhost/stream_tail.ts";
 import { streams } from "../../src/cellhost/streams.ts";
+import { createPeersTail } from "../../src/nodes/create_peers_tail.ts";
 import type { NodeId } from "../../src/core/jobs/node_id.ts";
+import type { TaskName } from "../../src/core/jobs/task_name.ts";
 import type { Queue } from "../../src/core/jobs/queue.ts";
 import type { HistoryLinks } from "./history_links.ts";
 import type { ProcessClock } from "./process_clock.ts";
@@ -14,6 +16,7 @@
 
 const readIntervalMs = 30;
 const retryMs = 50;
+const idleAppendMs = 400;
 
 /** What a keeper of a history works with. */
 interface HistoryKeeperOptions {
@@ -25,6 +28,8 @@
   readonly evacuateMs: number | undefined;
   readonly queue: Queue;
   readonly workers: readonly NodeId[];
+  /** Whether it follows the stream of members, and appends when idle. */
+  readonly isLasting: boolean;
   readonly metrics: PrometheusMetrics;
   readonly log: Logger;
 }
@@ -116,10 +121,41 @@
       const address = { host: "", port, incarnation: "", strength: 1 };
       session.setPeer(node, { role, ...address });
     }
+    const members = this.options.isLasting
+      ? this.#followMembers(session)
+      : undefined;
+    if (members !== undefined) void this.#appendWhenIdle(session);
     while (session.isOpen) {
       await clock.sleep(readIntervalMs);
       next = await this.#readJobs(next);
     }
+    members?.stop();
+  }
+
+  /** What it knows of a task's run, for the trace of a history. */
+  describe(name: TaskName): string {
+    const task = this.#session?.cell.task(name);
+    if (task === undefined) return "unknown";
+    const { claim, run } = task;
+    if (claim === undefined) return `run ${run}, no claim`;
+    const { node, life, phase, isOrdered } = claim;
+    return `run ${run}, ${phase} on ${node} ${life}, ordered: ${isOrdered}`;
+  }
+
+  #followMembers(session: KeeperSession): StreamTail {
+    const { clock, log, store } = this.options;
+    const tail = createPeersTail(session, "" as NodeId, store, log, clock);
+    void tail.run();
+    return tail;
+  }
+
+  /** The writer's own timer goes by real time, which does not pass here. */
+  async #appendWhenIdle(session: KeeperSession): Promise<void> {
+    const { clock } = this.options;
+    while (session.isOpen) {
+      await clock.sleep(idleAppendMs);
+      this.#writer.write([this.#writer.heartbeatRow()], () => {});
+    }
   }
 
   /** Reads the jobs from an offset; returns the next one. */
--- a/scenarios/cell_histories/history_links.ts
+++ b/scenarios/cell_histories/history_links.ts
@@ -4,6 +4,7 @@
 import type { KeeperMessage } from "../../src/link/keeper_message.ts";
 import type { PeerMessage } from "../../src/link/peer_message.ts";
 import type { Connection } from "./connection.ts";
+import type { LinkObserver } from "./link_observer.ts";
 import type { ProcessClock } from "./process_clock.ts";
 
 const retryMs = 20;
@@ -20,20 +21,26 @@
   onMessage: (link: KeeperLink, message: PeerMessage) => void = () => {};
   onSidecarLost: (node: NodeId) => void = () => {};
   readonly #connections = new Map<NodeId, Connection>();
+  readonly #nodes = new Set<NodeId>();
   #isClosed = false;
 
   constructor(
     readonly hello: Extract<KeeperMessage, { kind: "hello" }>,
     readonly clock: ProcessClock,
     readonly connect: Connect,
+    readonly observer: LinkObserver,
   ) {}
 
   set(node: NodeId): void {
+    if (this.#nodes.has(node)) return;
+    this.#nodes.add(node);
     void this.#connectUntilClosed(node);
   }
 
   send(node: NodeId, message: KeeperMessage): void {
+    this.observer.onSending(message);
     this.#connections.get(node)?.send(0, message);
+    this.observer.onSent(message);
   }
 
   sendToEntries(): void {}
@@ -65,7 +72,10 @@
     };
     this.#connections.set(node, connection);
     const [end] = connection.ends;
-    end.onMessage = (message: PeerMessage) => this.onMessage(link, message);
+    end.onMessage = (message: PeerMessage) => {
+      this.onMessage(link, message);
+      this.observer.onHandled(message);
+    };
     await new Promise<void>((resolve) => {
       end.onClose = () => resolve();
     });
--- a/scenarios/cell_histories/history_sidecar.ts
+++ b/scenarios/cell_histories/history_sidecar.ts
@@ -5,13 +5,20 @@
 import type { RunnerClient } from "../../src/gate/runner_client.ts";
 import type { KeeperMessage } from "../../src/link/keeper_message.ts";
 import type { PeerMessage } from "../../src/link/peer_message.ts";
+import type { PeerAnnouncer } from "../../src/nodes/peer_announcer.ts";
 import type { RunnerModel } from "../../stand_ins/runner/runner_model.ts";
 import type { Connection } from "./connection.ts";
 import { ProcessClock } from "./process_clock.ts";
 
+/** How long it waits for the store before it ends. */
+const maxGraceMs = 3_000;
+const graceCheckMs = 20;
+
 /** A process of a sidecar: its gate, beside the worker's runner. */
 export class HistorySidecar {
   readonly gate: Gate;
+  /** Whether it is stored that the runner's life has ended. */
+  #isEndStored = false;
 
   constructor(
     readonly runner: RunnerModel,
@@ -19,10 +26,17 @@
     readonly bounds: KeeperBounds,
     readonly zone: string,
     readonly log: Logger,
+    /** Undefined in histories whose keepers know each sidecar's address. */
+    readonly announcer?: PeerAnnouncer,
   ) {
     const client = clientOf(runner, clock);
     const { evacuateMs, maxHoldMs } = bounds;
     this.gate = new Gate(client, maxHoldMs, clock, log, evacuateMs);
+    if (announcer !== undefined) {
+      this.gate.onEnded = (life) =>
+        void announcer.announceEnd(life).then(() => this.#isEndStored = true);
+      void announcer.run();
+    }
     void this.gate.run();
   }
 
@@ -43,6 +57,17 @@
     acceptKeeper(this.gate, channel, hello, this.log);
   }
 
+  /** Handles the runner's announcement that it exits, and a SIGTERM after it. */
+  async handleLeave(instance: string, endsMs: number): Promise<void> {
+    await this.clock.awake();
+    this.gate.handleLeave(instance);
+    const endsAtMs = this.clock.nowMs() + endsMs;
+    while (
+      this.clock.nowMs() < endsAtMs ||
+      (!this.#isEndStored && this.clock.nowMs() < endsAtMs + maxGraceMs)
+    ) await this.clock.sleep(graceCheckMs);
+  }
+
   /** Passes on the runner's heartbeat. */
   sendHeartbeat(
     sequence: number,
--- a/scenarios/cell_histories/history_step.ts
+++ b/scenarios/cell_histories/history_step.ts
@@ -31,4 +31,7 @@
   "submit_long",
   "submit_crashing",
   "resize",
+  "submit_service",
+  "leave_runner",
+  "kill_keeper_at",
 ] as const;
--- a/scenarios/cell_histories/process_store.ts
+++ b/scenarios/cell_histories/process_store.ts
@@ -27,6 +27,8 @@
   readonly unreadable = new Set<string>();
   /** Whether appends only get no answer and have no effect. */
   isReadOnly = false;
+  /** Called when an append has taken effect, before its answer arrives. */
+  onAppended: (stream: string, rows: readonly Row[]) => void = () => {};
 
   constructor(
     readonly model: StoreModel,
@@ -42,7 +44,11 @@
     guard: WriteGuard,
     timeoutMs: number,
   ): Promise<StoreResult<AppendResult>> {
-    const append = () => this.model.append(stream, rows, guard);
+    const append = async () => {
+      const result = await this.model.append(stream, rows, guard);
+      if (result.isOk) this.onAppended(stream, rows);
+      return result;
+    };
     if (this.isCut || this.isReadOnly) return await this.#timeOut(timeoutMs);
     await this.clock.world.sleep(this.#latencyMs());
     const isFaulty = this.isLosing() && this.random.next() < faultShare;
--- a/scenarios/cell_histories/random_history.ts
+++ b/scenarios/cell_histories/random_history.ts
@@ -42,14 +42,30 @@
 
 const crashKinds = ["submit_crashing", "resize", "resize"] as const;
 
+/** What is inserted where services run. */
+const serviceKinds = [
+  "submit_service",
+  "leave_runner",
+  "leave_runner",
+  "kill_keeper_at",
+  "kill_keeper_at",
+  "fail_task",
+] as const;
+/** Some of them come after so long a pause that services must run. */
+const calmShare = 0.3;
+const minCalmMs = 8_000;
+const maxCalmMs = 14_000;
+
 /**
- * Draws the steps of a history. Evacuations and crashes come from sources of
- * their own, so that the other steps are those of the same seed without any.
+ * Draws the steps of a history. Evacuations, crashes and services come from
+ * sources of their own, so that the other steps are those of the same seed
+ * without any.
  */
 export function randomHistory(
   random: SeededRandom,
   evacuations?: SeededRandom,
   crashes?: SeededRandom,
+  services?: SeededRandom,
 ): HistoryStep[] {
   const total = weights.reduce((sum, [, weight]) => sum + weight, 0);
   const drawKind = (): HistoryStep["kind"] => {
@@ -71,6 +87,7 @@
     insertSteps(steps, evacuationKinds, evacuations);
   }
   if (crashes !== undefined) insertSteps(steps, crashKinds, crashes);
+  if (services !== undefined) insertServices(steps, services);
   return steps;
 }
 
@@ -92,3 +109,21 @@
     steps.splice(draw(steps.length), 0, step);
   }
 }
+
+/** Inserts services, one of them before the other steps, and what ends runs. */
+function insertServices(steps: HistoryStep[], random: SeededRandom): void {
+  const draw = (below: number) => Math.floor(random.next() * below);
+  const count = 2 + draw(maxInserted);
+  for (let number = 0; number < count; number++) {
+    const isCalm = random.next() < calmShare;
+    const step = {
+      afterMs: isCalm ? minCalmMs + draw(maxCalmMs - minCalmMs) : 0,
+      kind: serviceKinds[draw(serviceKinds.length)]!,
+      a: draw(choices),
+      b: draw(choices),
+    };
+    steps.splice(draw(steps.length), 0, step);
+  }
+  const [a, b] = [draw(choices), draw(choices)];
+  steps.unshift({ afterMs: 0, kind: "submit_service", a, b });
+}
--- a/src/nodes/create_peers_tail.ts
+++ b/src/nodes/create_peers_tail.ts
@@ -3,9 +3,11 @@
 import { RowReader } from "../cellhost/row_reader.ts";
 import { StreamTail } from "../cellhost/stream_tail.ts";
 import { streams } from "../cellhost/streams.ts";
+import type { Clock } from "../core/clock/clock.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import { MemberRow } from "../schema/rows/member_row.ts";
 import type { Store } from "../core/store/store.ts";
+import type { StoredRow } from "../core/store/stored_row.ts";
 
 const waitMs = 2_000;
 
@@ -15,14 +17,16 @@
   keeper: NodeId,
   store: Store,
   log: Logger,
+  clock?: Clock,
 ): StreamTail {
   const reader = new RowReader(streams.members, log);
   const options = { waitMs, pauseMs: 0 };
-  return new StreamTail(store, streams.members, options, (rows) => {
+  const apply = (rows: readonly StoredRow[]) => {
     for (const row of rows) {
       if (row.key === keeper) continue;
       const member = reader.read(MemberRow, row);
       if (member !== undefined) session.setPeer(row.key as NodeId, member);
     }
-  }, log);
+  };
+  return new StreamTail(store, streams.members, options, apply, log, clock);
 }
