Gate: an answer that is handled late is not taken for one of a next life

What callers saw: a task of a service without a run for 13.6 s (virtual time), though nothing was impaired any more and other workers had room.

Cause: a reading of the runner's clock that was over 1 s below what the clock must show when the answer is handled counted as a reading of a next life. A sidecar that was frozen, or just slow, handles answers late, so that the reading of the known life looked like that. While a next life is assumed, nothing of the known one counts as ended; only a further answer of the known life clears that. If the runner had left meanwhile none comes: its claims then wait as long as the sidecar reports, since a keeper that gets reports also renews the lease.

The test, before: "expected false to equal true" (isLapsed, 2.5 s after the runner's end; it never came).

Why this works: the clock was read after the call had been sent, however late the answer is handled. So it is compared with the least that it could show at that time.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -203,13 +203,12 @@
     this.#keeper.send(message);
   }
 
-  recordClock(answer: RunnerResult<unknown>): void {
+  recordClock(answer: RunnerResult<unknown>, sentAtMs: number): void {
     if (answer.clockMs === undefined) return;
     const { clock } = this.lease;
-    const nowMs = this.clock.nowMs();
-    if (clock.isOfNextLife(answer.clockMs, nowMs)) {
+    if (clock.isOfNextLife(answer.clockMs, sentAtMs)) {
       this.#lifeEnd.hasNextLife = true;
-    } else clock.applyReading(answer.clockMs, nowMs);
+    } else clock.applyReading(answer.clockMs, this.clock.nowMs());
   }
 
   pollNow(): Promise<boolean> {
@@ -264,7 +263,7 @@
     if (this.#health.recordAnswer()) {
       this.log.info("runner_up", { life: lifeOf(heartbeat) });
     }
-    this.recordClock(answer);
+    this.recordClock(answer, sentAtMs);
     this.#applyPoll(answer.value, sentAtMs);
     return true;
   }
--- a/src/gate/gate_context.ts
+++ b/src/gate/gate_context.ts
@@ -23,8 +23,11 @@
   readonly isStopped: boolean;
   /** Sends a message to the keeper, if one is connected. */
   send(message: PeerMessage): void;
-  /** Records the reading of the runner's clock that an answer carries. */
-  recordClock(answer: RunnerResult<unknown>): void;
+  /**
+   * Records the reading of the runner's clock that an answer carries to a call
+   * sent at that time.
+   */
+  recordClock(answer: RunnerResult<unknown>, sentAtMs: number): void;
   /**
    * Polls the runner at once, beside a poll that may be waiting. Returns whether
    * the life of the newest heartbeat has answered.
--- a/src/gate/pace_controller.ts
+++ b/src/gate/pace_controller.ts
@@ -92,6 +92,7 @@
     const { context } = this;
     const { instance, bornMs } = context.lastHeartbeat!;
     context.log.info("pace", { task: run.task, percent, was: run.pace });
+    const sentAtMs = context.clock.nowMs();
     const answer = await context.runner.pace({
       instance,
       epoch: context.epoch,
@@ -100,7 +101,7 @@
       percent,
     });
     if (context.lastHeartbeat?.bornMs !== bornMs) return;
-    context.recordClock(answer);
+    context.recordClock(answer, sentAtMs);
     run.isSettingPace = false;
     if (answer.isOk) run.pace = percent;
   }
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -208,6 +208,7 @@
         this.#giveUpStart(run, "late");
         break;
       }
+      const sentAtMs = context.clock.nowMs();
       const answer = await context.runner.start({
         instance,
         epoch: context.epoch,
@@ -220,7 +221,7 @@
       });
       // Meanwhile a poll may have listed the run as running or ended.
       if (!this.#isStarting(run)) return;
-      context.recordClock(answer);
+      context.recordClock(answer, sentAtMs);
       if (answer.isOk) {
         this.#started(run);
         return;
--- a/src/gate/runner_clock.ts
+++ b/src/gate/runner_clock.ts
@@ -16,10 +16,16 @@
     this.#atMs = nowMs;
   }
 
-  /** Whether a reading is of another life, whose clock began later. */
-  isOfNextLife(clockMs: number, nowMs: number): boolean {
-    return this.#atMs !== 0 &&
-      clockMs < this.lowestReadingAt(nowMs) - otherLifeLagMs;
+  /**
+   * Whether the reading in an answer is of another life, whose clock began
+   * later. An answer may be handled long after the clock was read, but the clock
+   * was read after the call had been sent.
+   */
+  isOfNextLife(clockMs: number, sentAtMs: number): boolean {
+    if (this.#atMs === 0) return false;
+    const sinceMs = sentAtMs - this.#atMs;
+    const rate = sinceMs < 0 ? 1 + maxDrift : 1 - maxDrift;
+    return clockMs < this.#clockMs + sinceMs * rate - otherLifeLagMs;
   }
 
   /** Forgets all readings, for a new life of the runner. */
--- a/src/gate/send_stop.ts
+++ b/src/gate/send_stop.ts
@@ -22,9 +22,10 @@
   let logAtMs = sinceMs + minLoggedMs;
   while (isNeeded()) {
     const { epoch } = context;
+    const sentAtMs = context.clock.nowMs();
     const answer = await context.runner.stop({ instance, epoch, task, run });
     if (context.lastHeartbeat?.bornMs !== bornMs) return false;
-    context.recordClock(answer);
+    context.recordClock(answer, sentAtMs);
     if (answer.isOk) return isNeeded();
     const nowMs = clock.nowMs();
     if (nowMs >= logAtMs) {
--- a/tests/lapse_test.ts
+++ b/tests/lapse_test.ts
@@ -3,6 +3,8 @@
 
 /** Longer than any lease lasts, also on a slow clock. */
 const lapsedMs = 9_000;
+/** A process that was frozen handles what has come in the meantime so late. */
+const lateMs = 5_000;
 
 function hasReportedLapse({ sent }: GateFixture): boolean {
   return sent.some((message) =>
@@ -72,3 +74,25 @@
     });
   }
 });
+
+describe("an answer of the runner that is handled late", () => {
+  // Guards against claims kept for a next life that the runner never had.
+  it("is not taken for one of a next life", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    const { clock, gate, runner } = fixture;
+    const hold = runner.hold.bind(runner);
+    runner.hold = async (command) => {
+      runner.hold = hold;
+      const answer = await hold(command);
+      await clock.sleep(lateMs);
+      return answer;
+    };
+    await clock.advance(lateMs / 2);
+    gate.handleLeave(runner.instance);
+    runner.exit();
+    await clock.advance(lateMs);
+    expect(fixture.lastReport()?.isLapsed).to.equal(true);
+    gate.stop();
+  });
+});
