The end of a runner's life is stored under a key of its own

What callers saw: a task of a service without a run for 17 s (virtual time; 14.4 s after another keeper had taken over) though nothing was impaired any more.

Cause: the life that had ended was a field of the sidecar's row of members. The sidecar's next process stores that row anew when it starts, without the field, and a late append of an earlier attempt can do so too. A keeper that is elected after that, and before the next runner's first heartbeat, finds the old claims, a sidecar that knows no runner, and nothing that tells of the end: it waits for the lease that its predecessor may have renewed.

Evidence, the new row of tests/service_restart_test.ts before ("its worker leaves, and another sidecar is there before a runner; the keeper is killed after the end is listed"): 10000 w2 runner leaves 10000 k1 is killed 12500 k2 is elected 27064 k2 sends orders j0.0.0.0#2

Why this works: nobody but a process that saw a life end writes the row of the ended life, and it names the life, so it stays true. The row of the address is what it was before. tests/keeper_session_test.ts tells the keeper of the end by the new call; its cases and expectations are the same.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -7,6 +7,7 @@
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import { runIdOf } from "../core/jobs/run_id_of.ts";
+import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
 import type { KeeperLink } from "./keeper_link.ts";
@@ -125,8 +126,11 @@
   /** Connects to a peer, or to the new address of a known one. */
   setPeer(node: NodeId, row: PeerAddressRow): void {
     this.options.links.set(node, row);
-    if (row.endedLife === undefined) return;
-    this.cell.worker(node).endedLife = row.endedLife;
+  }
+
+  /** Releases what is claimed in a life of a worker that has ended for good. */
+  recordEndedLife(node: NodeId, life: RunnerLife): void {
+    this.cell.worker(node).endedLife = life;
     this.#flushSoon();
   }
 
--- a/src/cellhost/peer_address_row.ts
+++ b/src/cellhost/peer_address_row.ts
@@ -1,5 +1,3 @@
-import type { RunnerLife } from "../core/jobs/runner_life.ts";
-
 /** The address at which a peer accepts its keeper's connection. */
 export interface PeerAddressRow {
   readonly role: "entry" | "sidecar";
@@ -9,9 +7,4 @@
   readonly incarnation: string;
   /** The share of a keeper's resource needs that its machine meets, 0 to 1. */
   readonly strength: number;
-  /**
-   * The life of a sidecar's runner that has ended for good. Nothing runs in it
-   * any more, which a keeper could not learn from a sidecar that has exited too.
-   */
-  readonly endedLife?: RunnerLife | undefined;
 }
--- a/src/nodes/peer_announcer.ts
+++ b/src/nodes/peer_announcer.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "../adapters/logger.ts";
+import { endedLifeKey } from "../cellhost/ended_life_key.ts";
 import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
 import { streams } from "../cellhost/streams.ts";
 import type { Clock } from "../core/clock/clock.ts";
@@ -21,7 +22,6 @@
  */
 export class PeerAnnouncer {
   #isStopped = false;
-  #endedLife: RunnerLife | undefined;
 
   constructor(
     readonly store: Store,
@@ -51,14 +51,17 @@
 
   /** Stores that a life of the runner has ended; returns once it is stored. */
   async announceEnd(life: RunnerLife): Promise<void> {
-    this.#endedLife = life;
-    await this.#announce();
+    await this.#store(endedLifeKey(this.node), { life });
+  }
+
+  #announce(): Promise<void> {
+    return this.#store(this.node, this.row);
   }
 
-  async #announce(): Promise<void> {
+  /** Retries until the row is stored. */
+  async #store(key: string, value: object): Promise<void> {
+    const rows = [{ key, value: JSON.stringify(value) }];
     for (let attempt = 1; !this.#isStopped; attempt++) {
-      const row = { ...this.row, endedLife: this.#endedLife };
-      const rows = [{ key: this.node, value: JSON.stringify(row) }];
       const result = await this.store.append(
         streams.members,
         rows,
@@ -66,12 +69,12 @@
         appendTimeoutMs,
       );
       if (result.isOk) {
-        this.log.info("member_announced", { attempt });
+        this.log.info("member_announced", { key, attempt });
         return;
       }
       if (attempt % attemptsPerLog === 1) {
         const reason = result.error.kind;
-        this.log.warn("member_unannounced", { attempt, reason });
+        this.log.warn("member_unannounced", { key, attempt, reason });
       }
       await this.clock.sleep(retryPauseMs);
     }
--- /dev/null
+++ b/src/schema/rows/ended_life_row.ts
@@ -0,0 +1,15 @@
+import * as v from "valibot";
+import type { RunnerLife } from "../../core/jobs/runner_life.ts";
+
+/**
+ * The row of a life of a sidecar's runner that has ended for good. Nothing runs
+ * in it any more, which a keeper could not learn from a sidecar that has exited
+ * too.
+ */
+export const EndedLifeRow = v.object({
+  life: v.pipe(
+    v.string(),
+    v.minLength(1),
+    v.transform((text) => text as RunnerLife),
+  ),
+});
--- a/src/schema/rows/member_row.ts
+++ b/src/schema/rows/member_row.ts
@@ -1,5 +1,4 @@
 import * as v from "valibot";
-import type { RunnerLife } from "../../core/jobs/runner_life.ts";
 
 const maxPort = 65_535;
 
@@ -10,7 +9,4 @@
   port: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(maxPort)),
   incarnation: v.string(),
   strength: v.pipe(v.number(), v.minValue(0), v.maxValue(1)),
-  endedLife: v.optional(
-    v.pipe(v.string(), v.transform((text) => text as RunnerLife)),
-  ),
 });
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -128,8 +128,8 @@
         port: 1,
         incarnation: "1",
         strength: 1,
-        endedLife: life as RunnerLife | undefined,
       });
+      if (life !== undefined) session.recordEndedLife(node, life as RunnerLife);
       await clock.advance(200);
       const starts = sent.flatMap((message) =>
         message.kind === "orders" ? message.starts : []
--- a/tests/service_restart_test.ts
+++ b/tests/service_restart_test.ts
@@ -58,6 +58,14 @@
     points: fromEnd.filter((point) => point !== "after the end is reported"),
     apply: (worker) => worker.leave(0, 2_000),
   },
+  {
+    name: "its worker leaves, and another sidecar is there before a runner",
+    points: fromEnd.filter((point) => point !== "after the end is reported"),
+    apply: (worker, { clock }) => {
+      worker.leave(0, tailMs);
+      void clock.sleep(1_500).then(() => worker.startSidecar());
+    },
+  },
   {
     name: "it fails by itself",
     points: fromEnd,
