Gate: a next life that has gone too holds up its claims for a bounded time

Found by reading for who bounds each condition that keeps a task waiting; no history has shown it.

What callers would see: once a next life of a runner has answered a poll and then ends before its first heartbeat, and no other comes, the tasks that were claimed there wait as long as the sidecar reports. The gate never calls the lease ended, since the next life may have taken starts that were meant for the known one, and a keeper renews the lease at each report.

Evidence, the test before: "expected false to equal true" (no lapse within 24 s of the next life's end).

Why this works: what the next life may have taken holds a lease that ends at most `maxHoldMs` after the last call that it may have executed. A refused call is not one; one without answer may be executed up to 15 s later, as elsewhere in the gate. While any start is unanswered for less than that, the gate waits as before.

Measured: the test passes, which also checks that there is no lapse before the longest lease has ended.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -207,7 +207,7 @@
     if (answer.clockMs === undefined) return;
     const { clock } = this.lease;
     if (clock.isOfNextLife(answer.clockMs, sentAtMs)) {
-      this.#lifeEnd.hasNextLife = true;
+      this.#lifeEnd.recordNextLife(this.clock.nowMs());
     } else clock.applyReading(answer.clockMs, this.clock.nowMs());
   }
 
@@ -251,13 +251,13 @@
     });
     if (!this.#isKnownLife(heartbeat)) return false;
     if (!answer.isOk || answer.value.bornMs !== heartbeat.bornMs) {
-      this.#lifeEnd.hasNextLife ||= answer.isOk;
       const failure = answer.isOk ? "other_life" : answer.failure;
+      if (answer.isOk) this.#lifeEnd.recordNextLife(this.clock.nowMs());
       if (failure === "other_life") this.#lifeEvidence.contradict();
       this.#handleFailedPoll(failure);
       return false;
     }
-    this.#lifeEnd.hasNextLife = false;
+    this.#lifeEnd.recordKnownLife();
     this.#lifeEvidence.confirm();
     this.#endLedger.confirm(forgetUpTo, this.clock.nowMs());
     if (this.#health.recordAnswer()) {
@@ -270,6 +270,7 @@
 
   #handleFailedPoll(failure: string): void {
     this.#endLedger.doubt();
+    this.#lifeEnd.recordFailure(failure, this.clock.nowMs());
     const isNewlyDown = this.#health.recordFailure(failure);
     if (isNewlyDown) this.log.warn("runner_down", { failure });
     const isNewlyEnded = this.#lifeEnd.isNewlyEnded(this.clock.nowMs());
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -2,10 +2,16 @@
 import type { RunnerHealth } from "./runner_health.ts";
 import type { RunnerLease } from "./runner_lease.ts";
 
+/** A call without answer may be executed up to this much later. */
+const maxLatenessMs = 15_000;
+
 /** Tells when nothing runs in a life of the runner any more. */
 export class LifeEnd {
-  /** Whether a next life of the runner has answered. */
-  hasNextLife = false;
+  /**
+   * Until when a next life that has answered, and of which no heartbeat has come
+   * yet, may run what was meant for this one.
+   */
+  #nextLifeUntilMs: number | undefined;
   #hasLeft = false;
   #isTold = false;
 
@@ -17,11 +23,30 @@
 
   /** Starts over, for a new life of the runner. */
   reset(): void {
-    this.hasNextLife = false;
+    this.#nextLifeUntilMs = undefined;
     this.#hasLeft = false;
     this.#isTold = false;
   }
 
+  /** Records that a next life has answered a call. */
+  recordNextLife(nowMs: number): void {
+    this.#nextLifeUntilMs = Math.max(
+      this.#nextLifeUntilMs ?? 0,
+      this.lease.latestEndFrom(nowMs),
+    );
+  }
+
+  /** Records that this life has answered a poll. */
+  recordKnownLife(): void {
+    this.#nextLifeUntilMs = undefined;
+  }
+
+  /** Records a failed poll, which may have extended a next life's lease. */
+  recordFailure(failure: string, nowMs: number): void {
+    if (this.#nextLifeUntilMs === undefined || failure === "refused") return;
+    this.recordNextLife(nowMs + (failure === "unknown" ? maxLatenessMs : 0));
+  }
+
   /** Records that the runner has announced its exit. */
   recordLeave(): void {
     this.#hasLeft = true;
@@ -33,7 +58,7 @@
    * life of the runner may have taken starts that were meant for this one.
    */
   hasLapsed(nowMs: number): boolean {
-    if (this.health.isUp || this.hasNextLife) return false;
+    if (this.health.isUp || this.#mayRunInNextLife(nowMs)) return false;
     return (this.#hasExited(nowMs) || this.lease.hasLapsed(nowMs)) &&
       this.tracker.abandonStarts();
   }
@@ -45,6 +70,11 @@
     return this.#isTold;
   }
 
+  #mayRunInNextLife(nowMs: number): boolean {
+    return this.#nextLifeUntilMs !== undefined &&
+      (nowMs <= this.#nextLifeUntilMs || this.tracker.unanswered.hasAny(nowMs));
+  }
+
   /**
    * Whether the runner's process has exited. A refused connection alone does not
    * show that, since a partition may refuse it; and a start without answer could
--- a/src/gate/runner_lease.ts
+++ b/src/gate/runner_lease.ts
@@ -28,13 +28,13 @@
   #unknownLeaseUntilMs: number;
 
   constructor(readonly maxHoldMs: number, startedAtMs: number) {
-    this.#unknownLeaseUntilMs = this.#latestEndFrom(startedAtMs);
+    this.#unknownLeaseUntilMs = this.latestEndFrom(startedAtMs);
   }
 
   /** Starts over, for a new life of the runner. */
   reset(nowMs: number): void {
     this.clock.reset();
-    this.#unknownLeaseUntilMs = this.#latestEndFrom(nowMs);
+    this.#unknownLeaseUntilMs = this.latestEndFrom(nowMs);
     this.#reports.clear();
     this.endClockMs = undefined;
     this.#grantedClockMs = 0;
@@ -78,7 +78,7 @@
   }
 
   /** Returns when a lease granted at a local time has certainly ended. */
-  #latestEndFrom(nowMs: number): number {
+  latestEndFrom(nowMs: number): number {
     return nowMs + this.maxHoldMs / (1 - maxDrift) + lapseMarginMs;
   }
 
--- a/tests/lapse_test.ts
+++ b/tests/lapse_test.ts
@@ -3,6 +3,8 @@
 
 /** Longer than any lease lasts, also on a slow clock. */
 const lapsedMs = 9_000;
+/** A call without answer may be executed so much later. */
+const lateCallMs = 15_000;
 /** A process that was frozen handles what has come in the meantime so late. */
 const lateMs = 5_000;
 
@@ -96,3 +98,20 @@
     gate.stop();
   });
 });
+
+describe("a next life of the runner that ends before its first heartbeat", () => {
+  // Guards against claims that are kept for as long as the sidecar reports.
+  it("has lapsed once its longest lease has ended, and not before", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    const { clock, gate, runner } = fixture;
+    runner.restart();
+    await clock.advance(1_000);
+    runner.exit();
+    await clock.advance(GateFixture.maxHoldMs - 1_000);
+    expect(hasReportedLapse(fixture)).to.equal(false);
+    await clock.advance(lateCallMs + lapsedMs);
+    expect(hasReportedLapse(fixture)).to.equal(true);
+    gate.stop();
+  });
+});
