--- a/src/ops/describe_task.ts
+++ b/src/ops/describe_task.ts
@@ -2,11 +2,17 @@
 import type { Claim } from "../core/cell/claim.ts";
 import type { Job } from "../core/cell/job.ts";
 import type { JobState } from "../core/jobs/job_state.ts";
+import type { NodeId } from "../core/jobs/node_id.ts";
+import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { TaskPosition } from "../core/jobs/task_position.ts";
 import { formatTaskName } from "../core/jobs/format_task_name.ts";
 import type { TaskDetails } from "./task_details.ts";
 
-type Member = (node: string) => PeerAddressRow | undefined;
+/** What the stream of members says of the sidecar that holds a claim. */
+interface Holder {
+  readonly address: PeerAddressRow | undefined;
+  readonly endedLife: RunnerLife | undefined;
+}
 
 /**
  * Details of a task, from its job as the store has it; `job` is undefined if
@@ -16,7 +22,7 @@
   job: Job | undefined,
   position: TaskPosition,
   jobState: JobState,
-  member: Member,
+  holderOf: (node: NodeId) => Holder,
 ): TaskDetails | undefined {
   const { occurrence, step, index } = position;
   const task = formatTaskName(position);
@@ -46,21 +52,21 @@
     failures,
     crashes,
     checkpoint,
-    claim: claim && describeClaim(claim, member(claim.node)),
+    claim: claim && describeClaim(claim, holderOf(claim.node)),
     waitsForSteps,
   };
 }
 
 function describeClaim(
   { node, life }: Claim,
-  member: PeerAddressRow | undefined,
+  { address, endedLife }: Holder,
 ): TaskDetails["claim"] {
   return {
     worker: node,
     life,
-    isMember: member !== undefined,
-    hasLifeEnded: member?.endedLife === life,
-    endedLife: member?.endedLife,
-    address: member && `${member.host}:${member.port}`,
+    isMember: address !== undefined,
+    hasLifeEnded: endedLife === life,
+    endedLife,
+    address: address && `${address.host}:${address.port}`,
   };
 }
--- a/src/ops/platform_view.ts
+++ b/src/ops/platform_view.ts
@@ -1,9 +1,11 @@
 import type { GenericSchema } from "valibot";
+import { endedLifeKey } from "../cellhost/ended_life_key.ts";
 import type { JobDirectory } from "../cellhost/job_directory.ts";
 import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { TaskPosition } from "../core/jobs/task_position.ts";
 import type { StoredRow } from "../core/store/stored_row.ts";
+import { EndedLifeRow } from "../schema/rows/ended_life_row.ts";
 import { MemberRow } from "../schema/rows/member_row.ts";
 import { parseRow } from "../schema/rows/parse_row.ts";
 import { WinnerRow } from "../schema/rows/winner_row.ts";
@@ -49,12 +51,11 @@
     const state = this.directory.state(id);
     if (definition === undefined || state === undefined) return undefined;
     const job = tryDecodeJob(definition, this.directory.progressOf(id));
-    return describeTask(
-      job,
-      position,
-      state,
-      (node) => parseValue(MemberRow, this.peerRows, node),
-    );
+    const rows = this.peerRows;
+    return describeTask(job, position, state, (node) => ({
+      address: parseValue(MemberRow, rows, node),
+      endedLife: parseValue(EndedLifeRow, rows, endedLifeKey(node))?.life,
+    }));
   }
 
   /** Returns all jobs, the oldest first. */
--- a/tests/platform_view_test.ts
+++ b/tests/platform_view_test.ts
@@ -33,11 +33,8 @@
   await put("epochs", "cell", { node: "front-1", incarnation: "1" });
   const address = { host: "10.0.0.1", port: 7, incarnation: "1", strength: 1 };
   await put("members", "front-1", { role: "entry", ...address });
-  await put("members", "w", {
-    role: "sidecar",
-    ...address,
-    endedLife: endedLife,
-  });
+  await put("members", "w", { role: "sidecar", ...address });
+  await put("members", "w!", { life: endedLife });
   const streams = ["jobs", "cell", "epochs", "members"];
   const rows = await Promise.all(
     streams.map((stream) => readNewestRows(store, stream)),
