--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -28,7 +28,7 @@
    * the runs of its current life.
    */
   isReconciled = false;
-  /** A life of its runner that has ended for good, if its sidecar told of one. */
+  /** A life of its runner that has ended for good, if its sidecar stored one. */
   endedLife: RunnerLife | undefined;
   /** Whether its data centre is evacuated, so that nothing may start on it. */
   isEvacuated = false;
--- a/src/nodes/peer_announcer.ts
+++ b/src/nodes/peer_announcer.ts
@@ -1,10 +1,11 @@
 import type { Logger } from "../adapters/logger.ts";
-import { endedLifeKey } from "../cellhost/ended_life_key.ts";
 import type { PeerAddressRow } from "../cellhost/peer_address_row.ts";
+import { endedLifeKey } from "../cellhost/ended_life_key.ts";
 import { streams } from "../cellhost/streams.ts";
 import type { Clock } from "../core/clock/clock.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
+import type { Row } from "../core/store/row.ts";
 import type { Store } from "../core/store/store.ts";
 
 const appendTimeoutMs = 1_000;
@@ -22,6 +23,7 @@
  */
 export class PeerAnnouncer {
   #isStopped = false;
+  #endedLife: RunnerLife | undefined;
 
   constructor(
     readonly store: Store,
@@ -49,32 +51,40 @@
     this.#isStopped = true;
   }
 
-  /** Stores that a life of the runner has ended; returns once it is stored. */
+  /**
+   * Stores that a life of the runner has ended, until a later one has; returns
+   * once it is stored. A late append of the address, or that of a next process,
+   * does not overwrite this row.
+   */
   async announceEnd(life: RunnerLife): Promise<void> {
-    await this.#store(endedLifeKey(this.node), { life });
+    this.#endedLife = life;
+    const row = {
+      key: endedLifeKey(this.node),
+      value: JSON.stringify({ life }),
+    };
+    await this.#store(row, () => this.#endedLife === life);
   }
 
-  #announce(): Promise<void> {
-    return this.#store(this.node, this.row);
+  async #announce(): Promise<void> {
+    const { node: key, row } = this;
+    await this.#store({ key, value: JSON.stringify(row) }, () => true);
   }
 
-  /** Retries until the row is stored. */
-  async #store(key: string, value: object): Promise<void> {
-    const rows = [{ key, value: JSON.stringify(value) }];
-    for (let attempt = 1; !this.#isStopped; attempt++) {
+  async #store(row: Row, isNeeded: () => boolean): Promise<void> {
+    for (let attempt = 1; !this.#isStopped && isNeeded(); attempt++) {
       const result = await this.store.append(
         streams.members,
-        rows,
+        [row],
         { kind: "none" },
         appendTimeoutMs,
       );
       if (result.isOk) {
-        this.log.info("member_announced", { key, attempt });
+        this.log.info("member_announced", { key: row.key, attempt });
         return;
       }
       if (attempt % attemptsPerLog === 1) {
         const reason = result.error.kind;
-        this.log.warn("member_unannounced", { key, attempt, reason });
+        this.log.warn("member_unannounced", { key: row.key, attempt, reason });
       }
       await this.clock.sleep(retryPauseMs);
     }
