A sidecar that exits waits for the end of its runner's current life

A sidecar whose runner had left once before, as in an upgrade, exited at once when the next one left too, whether or not that end was stored; its tasks then wait for the longest lease under a keeper elected later.

Cause: the promise for which awaitRunnerEnd waited was resolved for good by the first end that was stored.

Evidence, before: 'a sidecar that is told to exit: waits for the end of the life that is ending, not an earlier one: expected true to equal undefined' (it did not wait although the store was down). After: passes. The wait is still bounded by the time that the caller names.

--- a/src/nodes/peer_announcer.ts
+++ b/src/nodes/peer_announcer.ts
@@ -22,6 +22,8 @@
  * written a row under its key.
  */
 export class PeerAnnouncer {
+  /** The ended life of the runner that was stored last. */
+  storedEnd: RunnerLife | undefined;
   #isStopped = false;
   #endedLife: RunnerLife | undefined;
 
@@ -62,7 +64,8 @@
       key: endedLifeKey(this.node),
       value: JSON.stringify({ life }),
     };
-    await this.#store(row, () => this.#endedLife === life);
+    const isNewest = () => this.#endedLife === life;
+    if (await this.#store(row, isNewest)) this.storedEnd = life;
   }
 
   async #announce(): Promise<void> {
@@ -70,7 +73,8 @@
     await this.#store({ key, value: JSON.stringify(row) }, () => true);
   }
 
-  async #store(row: Row, isNeeded: () => boolean): Promise<void> {
+  /** Retries until the row is stored, or not needed; returns whether it is. */
+  async #store(row: Row, isNeeded: () => boolean): Promise<boolean> {
     for (let attempt = 1; !this.#isStopped && isNeeded(); attempt++) {
       const result = await this.store.append(
         streams.members,
@@ -80,7 +84,7 @@
       );
       if (result.isOk) {
         this.log.info("member_announced", { key: row.key, attempt });
-        return;
+        return true;
       }
       if (attempt % attemptsPerLog === 1) {
         const reason = result.error.kind;
@@ -88,5 +92,6 @@
       }
       await this.clock.sleep(retryPauseMs);
     }
+    return false;
   }
 }
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -4,18 +4,20 @@
 import type { Logger } from "../adapters/logger.ts";
 import { acceptKeeper } from "../gate/accept_keeper.ts";
 import { Gate } from "../gate/gate.ts";
+import { lifeOf } from "../gate/life_of.ts";
 import type { RunnerClient } from "../gate/runner_client.ts";
 import { PeerAnnouncer } from "./peer_announcer.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { NodeOptions } from "./node_options.ts";
 
+/** How often an exiting sidecar looks whether its runner's end is stored. */
+const checkIntervalMs = 50;
+
 /** A sidecar: connects the gate of its runner to the cell's keeper. */
 export class SidecarNode {
   readonly gate: Gate;
   readonly #server: PeerServer;
   #announcer: PeerAnnouncer | undefined;
-  /** Resolves once it is stored that the runner's life has ended. */
-  readonly #endStored: Promise<void>;
 
   constructor(
     readonly options: NodeOptions,
@@ -30,10 +32,7 @@
       log,
       options.bounds.evacuateMs,
     );
-    this.#endStored = new Promise((resolve) => {
-      this.gate.onEnded = (life) =>
-        void this.#announcer?.announceEnd(life).then(resolve);
-    });
+    this.gate.onEnded = (life) => void this.#announcer?.announceEnd(life);
     this.#server = new PeerServer((channel, hello) =>
       acceptKeeper(this.gate, channel, hello, log)
     );
@@ -67,8 +66,17 @@
    * ended: no later process may be there to tell.
    */
   async awaitRunnerEnd(maxMs: number): Promise<void> {
-    if (!this.gate.isDraining) return;
-    await Promise.race([this.#endStored, sleep(maxMs)]);
+    const untilMs = systemClock.nowMs() + maxMs;
+    while (this.#isEndUnstored && systemClock.nowMs() < untilMs) {
+      await sleep(checkIntervalMs);
+    }
+  }
+
+  /** Whether the runner is leaving, and the end of its life is not stored. */
+  get #isEndUnstored(): boolean {
+    const { isDraining, lastHeartbeat } = this.gate;
+    if (!isDraining || lastHeartbeat === undefined) return false;
+    return this.#announcer?.storedEnd !== lifeOf(lastHeartbeat);
   }
 
   /**
