A leave notice counts only for the life that it names

What callers saw: nothing was reported; found by review. A notice that arrives after the runner's next life has begun under the same id, as from a sidecar that was suspended, marked that life as draining for good. Since it also counts as having left, so that one refused connection ends its claims while its runs go on: they would run twice.

Cause: the notice was matched by the runner's id alone; its body, which names the life, was not read.

Evidence, before: 'a leave notice of an earlier life does not: expected true to equal false'. After: passes. A notice without the field counts as before.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -122,9 +122,10 @@
     this.#sendReport();
   }
 
-  /** Handles the announcement of a runner that it exits. */
-  handleLeave(instance: string): void {
-    if (this.lastHeartbeat?.instance !== instance) return;
+  /** Handles the announcement that a life of the runner exits. */
+  handleLeave(instance: string, bornMs = this.lastHeartbeat?.bornMs): void {
+    const { lastHeartbeat: known } = this;
+    if (known?.instance !== instance || known.bornMs !== bornMs) return;
     this.isDraining = true;
     this.#lifeEnd.recordLeave();
     this.log.info("runner_left", { instance });
