A poll that got no connection in time does not show that a runner has exited

A runner that has said that it leaves runs on for seconds if the answer came late. A poll of its sidecar that got no connection within its time limit, as the sidecar's process was suspended or overloaded, counted as refused; so the runs were reported as ended and started elsewhere while they went on.

Cause: HttpClient names any call that was not sent 'refused', which is right for what a call may have done, but says nothing of the process at the other end.

Evidence, before, with real sockets, a live server and a client that is blocked for 600 ms: 'a runner counts as gone not if the poll was delayed: expected true to equal false'. After: passes; a closed port still counts.

--- a/src/adapters/http_client.ts
+++ b/src/adapters/http_client.ts
@@ -8,6 +8,7 @@
 
 const connectTimeoutMs = 1_000;
 const keepAliveMs = 20_000;
+const closedCodes: ReadonlySet<string> = new Set(["ECONNREFUSED"]);
 const timeoutErrors: ReadonlySet<string> = new Set([
   "AbortError",
   "TimeoutError",
@@ -53,7 +54,8 @@
       if (this.#pool === pool) this.#reopen();
       const detail = (cause as Error).message;
       if (!dispatcher.hasConnection || connectFailed(cause)) {
-        return { kind: "refused", detail };
+        const isClosed = connectFailed(cause, closedCodes);
+        return { kind: "refused", isClosed, detail };
       }
       const isBroken = !timeoutErrors.has((cause as Error).name);
       return { kind: "unknown", isBroken, detail };
