An exit that is announced to a new sidecar before any heartbeat is repeated

What callers saw: tasks that last without a run for 9 to 14 s in calm.

Cause: a sidecar that had just been started again confirmed the runner's `leave` though no heartbeat had told it of the runner, and dropped it. So it did not store that the life had ended, did not wait for that when it was shut down, and the next keeper waited for the lease.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -31,8 +31,6 @@
 const failedPollPauseMs = 100;
 const reportIntervalMs = 450;
 
-type Send = (message: PeerMessage) => void;
-
 /**
  * Controls the runner beside a sidecar. It executes the keeper's commands,
  * polls the runner, reports to the keeper, and extends the runner's lease as
@@ -122,21 +120,26 @@
     this.#sendReport();
   }
 
-  /** Handles the announcement that a life of the runner exits. */
-  handleLeave(instance: string, bornMs = this.lastHeartbeat?.bornMs): void {
+  /**
+   * Handles the announcement that a life of the runner exits. Returns whether
+   * any life is known.
+   */
+  handleLeave(instance: string, bornMs = this.lastHeartbeat?.bornMs): boolean {
     const { lastHeartbeat: known } = this;
-    if (known?.instance !== instance || known.bornMs !== bornMs) return;
+    if (known === undefined) return false;
+    if (known.instance !== instance || known.bornMs !== bornMs) return true;
     this.isDraining = true;
     this.#lifeEnd.recordLeave();
     this.log.info("runner_left", { instance });
     this.#sendReport();
+    return true;
   }
 
   /**
    * Accepts a keeper's connection, unless one with a higher epoch is known.
    * Reports follow after a first poll. Returns whether it was accepted.
    */
-  attachKeeper(epoch: number, send: Send): boolean {
+  attachKeeper(epoch: number, send: GateContext["send"]): boolean {
     if (epoch < this.epoch) return false;
     this.epoch = epoch;
     this.startWindow.reset(this.clock.nowMs());
@@ -148,12 +151,12 @@
   }
 
   /** Whether this is the newest connection of a keeper. */
-  isAttached(send: Send): boolean {
+  isAttached(send: GateContext["send"]): boolean {
     return this.#keeper.isAttached(send);
   }
 
   /** Drops a closed connection, unless a newer one has replaced it. */
-  detachKeeper(send: Send): void {
+  detachKeeper(send: GateContext["send"]): void {
     this.#keeper.detach(send);
   }
 
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -43,7 +43,8 @@
 
   /** Records a failed poll, which may have extended a next life's lease. */
   recordFailure(failure: string, nowMs: number): void {
-    if (this.#nextLifeUntilMs === undefined || failure === "refused") return;
+    const isUnsent = failure === "refused" || failure === "unreached";
+    if (this.#nextLifeUntilMs === undefined || isUnsent) return;
     this.recordNextLife(nowMs + (failure === "unknown" ? maxLatenessMs : 0));
   }
 
