A sidecar without a keeper finds out that a runner that left has ended

Cause: a sidecar polls its runner from the first keeper's connection on. One that started again while there was no keeper never saw that the runner refuses connections, so it stored nothing when it was shut down.

The sidecar now polls a runner that has announced its exit without a keeper as well.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -180,7 +180,9 @@
   /** Polls the runner and sends reports until stopped. */
   async run(): Promise<void> {
     while (!this.isStopped) {
-      if (this.lastHeartbeat === undefined || this.epoch === 0) {
+      // That a runner which left has ended must be known without a keeper too.
+      const mayPoll = this.epoch > 0 || this.#lifeEnd.hasLeft;
+      if (this.lastHeartbeat === undefined || !mayPoll) {
         await this.#pause.sleep(failedPollPauseMs);
         continue;
       }
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -12,7 +12,8 @@
    * yet, may run what was meant for this one.
    */
   #nextLifeUntilMs: number | undefined;
-  #hasLeft = false;
+  /** Whether the runner has announced its exit. */
+  hasLeft = false;
   #isTold = false;
 
   constructor(
@@ -24,7 +25,7 @@
   /** Starts over, for a new life of the runner. */
   reset(): void {
     this.#nextLifeUntilMs = undefined;
-    this.#hasLeft = false;
+    this.hasLeft = false;
     this.#isTold = false;
   }
 
@@ -50,7 +51,7 @@
 
   /** Records that the runner has announced its exit. */
   recordLeave(): void {
-    this.#hasLeft = true;
+    this.hasLeft = true;
     this.health.isUp = false;
   }
 
@@ -66,7 +67,7 @@
 
   /** Whether a runner that left is found to have ended, the first time. */
   isNewlyEnded(nowMs: number): boolean {
-    if (!this.#hasLeft || this.#isTold) return false;
+    if (!this.hasLeft || this.#isTold) return false;
     this.#isTold = this.hasLapsed(nowMs);
     return this.#isTold;
   }
@@ -82,7 +83,7 @@
    * be executed by a next life before its lease ends.
    */
   #hasExited(nowMs: number): boolean {
-    return this.#hasLeft && this.health.isGone &&
+    return this.hasLeft && this.health.isGone &&
       !this.tracker.unanswered.hasAny(nowMs);
   }
 }
--- a/tests/gate_fixture.ts
+++ b/tests/gate_fixture.ts
@@ -38,10 +38,11 @@
   }
 
   /** Replaces the gate by that of a new process. */
-  restartSidecar(): void {
+  restartSidecar(hasKeeper = true): void {
     this.gate.stop();
     this.gate = this.#newGate();
-    this.#connect();
+    if (hasKeeper) this.#connect();
+    else void this.gate.run();
   }
 
   /** Lets the keeper's read grow older from now on. */
--- a/tests/lapse_test.ts
+++ b/tests/lapse_test.ts
@@ -115,3 +115,25 @@
     gate.stop();
   });
 });
+
+// Guards against a keeper that waits for a lease since no sidecar could tell.
+describe("a sidecar that restarts while there is no keeper", () => {
+  for (const hasExited of [true, false]) {
+    const name = hasExited ? "tells" : "does not tell";
+    it(`${name} of the end of a runner that left, exited: ${hasExited}`, async () => {
+      const fixture = new GateFixture();
+      await fixture.start();
+      fixture.detach();
+      fixture.restartSidecar(false);
+      const ended: string[] = [];
+      fixture.gate.onEnded = (life) => ended.push(life);
+      fixture.sendHeartbeat(2, true);
+      const { instance } = fixture.runner;
+      fixture.gate.handleLeave(instance);
+      if (hasExited) fixture.runner.exit();
+      await fixture.clock.advance(600);
+      fixture.gate.stop();
+      expect(ended.length).to.equal(hasExited ? 1 : 0);
+    });
+  }
+});
