--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -2,7 +2,6 @@
 import type { CellEffect } from "../core/cell/cell_effect.ts";
 import type { SidecarReport } from "../core/cell/sidecar_report.ts";
 import { applyRefusal } from "../core/cell/apply_refusal.ts";
-import { buildStart } from "../core/cell/build_start.ts";
 import type { JobDefinition } from "../core/jobs/job_definition.ts";
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
@@ -24,6 +23,7 @@
 import { needsConfirmation } from "./needs_confirmation.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
 import type { PeerAddressRow } from "./peer_address_row.ts";
+import { sendKnownRuns } from "./send_known_runs.ts";
 import { servicePressures } from "./service_pressures.ts";
 import { TermLog } from "./term_log.ts";
 import { WaitingWatch } from "./waiting_watch.ts";
@@ -206,7 +206,7 @@
     const refusals = report.refusals?.map(runIdOf) ?? [];
     if (refusals.length > 0) link.send({ kind: "noted", refusals });
     const isUnsure = isFirst || report.unexplained > 0;
-    if (isUnsure && worker.isReconciled) this.#sendKnownRuns(link);
+    if (isUnsure && worker.isReconciled) sendKnownRuns(link, worker);
     const age = this.#evacuation?.recordReport(node);
     this.#leases.recordReport(node);
     if (!this.#leases.mayRenew) return;
@@ -217,13 +217,6 @@
     if (isFirst) this.#termLog.recordRenewal(this.cell);
   }
 
-  /** Sends a sidecar the details of the runs claimed on its worker. */
-  #sendKnownRuns(link: KeeperLink): void {
-    const worker = this.cell.worker(link.node);
-    const runs = [...worker.claims.values()].map(buildStart);
-    if (runs.length > 0) link.send({ kind: "known", runs });
-  }
-
   /** Applies effects; the cell decides soon if there are any, or if urgent. */
   #applyAll(effects: Iterable<CellEffect>, isUrgent = true): void {
     let isDue = isUrgent;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -120,10 +120,7 @@
     this.#sendReport();
   }
 
-  /**
-   * Handles the announcement that a life of the runner exits. Returns whether
-   * any life is known.
-   */
+  /** Handles the announcement of an exit; returns whether any life is known. */
   handleLeave(instance: string, bornMs = this.lastHeartbeat?.bornMs): boolean {
     const { lastHeartbeat: known } = this;
     if (known === undefined) return false;
@@ -210,11 +207,9 @@
   }
 
   recordClock(answer: RunnerResult<unknown>, sentAtMs: number): void {
-    if (answer.clockMs === undefined) return;
-    const { clock } = this.lease;
-    if (clock.isOfNextLife(answer.clockMs, sentAtMs)) {
-      this.#lifeEnd.recordNextLife(this.clock.nowMs());
-    } else clock.applyReading(answer.clockMs, this.clock.nowMs());
+    const { clockMs } = answer;
+    if (clockMs === undefined) return;
+    this.#lifeEnd.recordReading(clockMs, sentAtMs, this.clock.nowMs());
   }
 
   pollNow(): Promise<boolean> {
@@ -222,10 +217,9 @@
   }
 
   #beginLife(heartbeat: RunnerHeartbeat, isAfterCrash: boolean): void {
-    this.log.info("runner_life", {
-      life: lifeOf(heartbeat),
-      cpu_milli: heartbeat.capacity.cpuMilli,
-    });
+    const life = lifeOf(heartbeat);
+    const { cpuMilli } = heartbeat.capacity;
+    this.log.info("runner_life", { life, cpu_milli: cpuMilli });
     this.#tracker.beginLife(isAfterCrash);
     this.#paceController.reset();
     this.lease.reset(this.clock.nowMs());
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -29,6 +29,13 @@
     this.#isTold = false;
   }
 
+  /** Records the reading of the runner's clock in the answer to a call. */
+  recordReading(clockMs: number, sentAtMs: number, nowMs: number): void {
+    const { clock } = this.lease;
+    if (clock.isOfNextLife(clockMs, sentAtMs)) this.recordNextLife(nowMs);
+    else clock.applyReading(clockMs, nowMs);
+  }
+
   /** Records that a next life has answered a call. */
   recordNextLife(nowMs: number): void {
     this.#nextLifeUntilMs = Math.max(
