--- a/scenarios/cell_histories/history_world.ts
+++ b/scenarios/cell_histories/history_world.ts
@@ -105,6 +105,7 @@
       };
       worker.onEnded = (end) =>
         this.killSwitch.noteListed(end, this.newestKeeper.options.epoch);
+      worker.onRestarted = () => this.disturb();
       worker.onSidecarEnded = () => {
         for (const connection of this.#connectionsOf(worker.node)) {
           connection.close(1, "killed");
