--- a/tests/service_restart_test.ts
+++ b/tests/service_restart_test.ts
@@ -99,6 +99,43 @@
     points: fromEnd,
     apply: (worker, world) => world.cutLinks(worker, 7_000),
   },
+  {
+    name: "its worker drains and does not answer the stop at first",
+    points: killPoints,
+    apply: (worker) => {
+      worker.runner.faults.push("lost", "ignored", "late");
+      worker.drain();
+    },
+  },
+  {
+    name:
+      "its worker drains and the next one does not answer the start at first",
+    points: killPoints,
+    apply: (worker, { workers }) => {
+      for (const { runner } of workers) {
+        if (runner !== worker.runner) runner.faults.push("ignored", "lost");
+      }
+      worker.drain();
+    },
+  },
+  {
+    name: "its worker drains and the connections to the sidecars are reset",
+    points: killPoints,
+    apply: (worker, world) => {
+      worker.drain();
+      void world.clock.sleep(500).then(() => {
+        for (const each of world.workers) world.resetLinks(each);
+      });
+    },
+  },
+  {
+    name: "its worker drains and answers of the store are lost",
+    points: killPoints,
+    apply: (worker, world) => {
+      world.losesAnswersUntilMs = world.clock.nowMs() + 2_000;
+      worker.drain();
+    },
+  },
   {
     name: "its worker drains and its sidecar is replaced",
     points: killPoints,
