--- a/scenarios/cell_histories/history_sidecar.ts
+++ b/scenarios/cell_histories/history_sidecar.ts
@@ -57,11 +57,10 @@
     acceptKeeper(this.gate, channel, hello, this.log);
   }
 
-  /** Handles the runner's announcement that it exits, and a SIGTERM after it. */
-  async handleLeave(instance: string, endsMs: number): Promise<void> {
+  /** Handles a SIGTERM that comes after a time; resolves when it ends. */
+  async awaitEnd(afterMs: number): Promise<void> {
     await this.clock.awake();
-    this.gate.handleLeave(instance);
-    const endsAtMs = this.clock.nowMs() + endsMs;
+    const endsAtMs = this.clock.nowMs() + afterMs;
     while (
       this.clock.nowMs() < endsAtMs ||
       (!this.#isEndStored && this.clock.nowMs() < endsAtMs + maxGraceMs)
--- a/scenarios/cell_histories/history_worker.ts
+++ b/scenarios/cell_histories/history_worker.ts
@@ -6,8 +6,10 @@
 import type { TaskName } from "../../src/core/jobs/task_name.ts";
 import { RunnerModel } from "../../stand_ins/runner/runner_model.ts";
 import type { SeededRandom } from "../../stand_ins/seeded_random.ts";
+import { announceExit } from "./announce_exit.ts";
 import { HistorySidecar } from "./history_sidecar.ts";
 import type { PeerAnnouncer } from "../../src/nodes/peer_announcer.ts";
+import { failLater } from "./fail_later.ts";
 import { failingImage as failing } from "./failing_image.ts";
 import { ProcessClock } from "./process_clock.ts";
 import type { RunChecker } from "./run_checker.ts";
@@ -30,9 +32,6 @@
 const crashAfterMs = 10;
 /** From the start of a service's run until it works. */
 const startupMs = 250;
-/** How long the runs of a service that fails by itself last. */
-const minServiceMs = 1_000;
-const maxServiceMs = 8_000;
 /** From the exit of a runner that leaves to the end of its sidecar. */
 const sidecarEndsMs = 1_000;
 
@@ -135,22 +134,28 @@
   leave(drainMs: number, awayMs: number): void {
     if (this.#isDown || this.hasLeft) return;
     this.drain();
+    void this.#leave(drainMs, awayMs);
+  }
+
+  async #leave(drainMs: number, awayMs: number): Promise<void> {
     const { runner, world } = this;
     const { bornMs } = runner;
-    void world.sleep(drainMs).then(() => {
-      if (this.#isDown || runner !== this.runner) return;
-      if (this.hasLeft || bornMs !== runner.bornMs) return;
-      this.trace(`${this.node} runner leaves`);
-      this.hasLeft = true;
-      const { sidecar } = this;
-      void sidecar?.handleLeave(runner.instance, sidecarEndsMs).then(() => {
-        if (this.sidecar === sidecar) this.killSidecar();
-      });
-      runner.exit();
-      void world.sleep(awayMs).then(() => {
-        if (this.runner === runner) this.comeBack();
-      });
+    await world.sleep(drainMs);
+    const isOver = () =>
+      this.#isDown || this.hasLeft || runner !== this.runner ||
+      bornMs !== runner.bornMs;
+    if (isOver()) return;
+    await announceExit(runner, () => this.sidecar, world, isOver);
+    if (isOver()) return;
+    this.trace(`${this.node} runner leaves`);
+    this.hasLeft = true;
+    runner.exit();
+    const { sidecar } = this;
+    void sidecar?.awaitEnd(sidecarEndsMs).then(() => {
+      if (this.sidecar === sidecar) this.killSidecar();
     });
+    await world.sleep(awayMs);
+    if (this.runner === runner) this.comeBack();
   }
 
   /** A runner with another id begins, beside another sidecar. */
@@ -158,8 +163,7 @@
     if (!this.hasLeft) return;
     this.killSidecar();
     const { clockRate, instance, isFencing, stopMs } = this.runner;
-    const next = `${instance}+`;
-    this.runner = new RunnerModel(this.world, clockRate, next);
+    this.runner = new RunnerModel(this.world, clockRate, `${instance}+`);
     this.runner.isFencing = isFencing;
     this.runner.stopMs = stopMs;
     this.hasLeft = false;
@@ -265,11 +269,7 @@
     const { random, runner, world } = this;
     const startedAtMs = world.nowMs();
     this.#progress.set(run, { startedAtMs, runMs: startupMs });
-    if (!isFailing) return;
-    const runMs = minServiceMs + random.next() * (maxServiceMs - minServiceMs);
-    void world.sleep(runMs).then(() => {
-      if (runner.running.get(run.task) === run) runner.end(run.task, "failed");
-    });
+    if (isFailing) void failLater(runner, run, world, random);
   }
 
   #sendHeartbeatSoon(): void {
--- a/tests/service_restart_test.ts
+++ b/tests/service_restart_test.ts
@@ -66,6 +66,14 @@
       void clock.sleep(1_500).then(() => worker.startSidecar());
     },
   },
+  {
+    name: "its worker leaves while its sidecar is replaced",
+    points: fromEnd.filter((point) => point !== "after the end is reported"),
+    apply: (worker, world) => {
+      world.restartSidecar(worker, 200);
+      worker.leave(0, tailMs);
+    },
+  },
   {
     name: "it fails by itself",
     points: fromEnd,
