The watch over waiting tasks ends with its term

The term's log owns the watch now and ends it, which sets its gauges to 0. It is updated once the cell has decided, as before.

keeper_session_test has a case for the gauge.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -26,7 +26,6 @@
 import { sendKnownRuns } from "./send_known_runs.ts";
 import { servicePressures } from "./service_pressures.ts";
 import { TermLog } from "./term_log.ts";
-import { WaitingWatch } from "./waiting_watch.ts";
 import { UnsureNotice } from "./unsure_notice.ts";
 import { UnsavedRows } from "./unsaved_rows.ts";
 
@@ -38,7 +37,6 @@
   readonly #leases: LeaseTracker;
   readonly #queues: QueueRegister;
   readonly #termLog: TermLog;
-  readonly #waiting: WaitingWatch;
   /** Undefined if the deployment evacuates no data centres. */
   readonly #evacuation: EvacuationControl | undefined;
   readonly #openedAtMs: number;
@@ -55,8 +53,7 @@
     this.#queues = new QueueRegister(this.cell, log);
     this.#openedAtMs = clock.nowMs();
     this.#leases = new LeaseTracker(writer, bounds.maxHoldMs, clock);
-    this.#termLog = new TermLog(epoch, log, metrics, clock);
-    this.#waiting = new WaitingWatch(this.#leases, log, metrics);
+    this.#termLog = new TermLog(epoch, log, metrics, clock, this.#leases);
     links.onMessage = (link, message) =>
       this.#guard(() => this.#receive(link, message));
     if (bounds.evacuateMs !== undefined) {
@@ -283,13 +280,12 @@
     const lost = releaseLostWorkers(cell, this.#leases, this.#termLog, nowMs);
     for (const effect of lost) this.#apply(effect);
     this.#unsureNotice.sendIfDue(nowMs);
-    this.#termLog.recordState(this.cell);
     load?.update(this.cell);
     for (const effect of this.cell.tick(nowMs, clock.wallMs())) {
       this.#apply(effect);
     }
     this.#evacuation?.update();
-    this.#waiting.update(this.cell, nowMs);
+    this.#termLog.recordState(this.cell);
     const rows = this.#unsaved.take(writer.limits);
     rows.push(...this.#queues.takeRows());
     const isStartDue = this.#evacuation?.hasDueStarts ?? false;
--- a/src/cellhost/term_log.ts
+++ b/src/cellhost/term_log.ts
@@ -7,10 +7,13 @@
 import type { Worker } from "../core/cell/worker.ts";
 import type { Clock } from "../core/clock/clock.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
+import type { LeaseTracker } from "./lease_tracker.ts";
+import { WaitingWatch } from "./waiting_watch.ts";
 
 /** Logs and counts what happens in one term of a keeper. */
 export class TermLog {
   readonly #beganAtMs: number;
+  readonly #waiting: WaitingWatch;
   #hasLoggedRenewal = false;
 
   constructor(
@@ -18,8 +21,10 @@
     readonly log: Logger,
     readonly metrics: PrometheusMetrics,
     readonly clock: Clock,
+    leases: LeaseTracker,
   ) {
     this.#beganAtMs = clock.nowMs();
+    this.#waiting = new WaitingWatch(leases, log, metrics);
   }
 
   begin({ liveJobs, workers }: Cell): void {
@@ -35,6 +40,7 @@
   }
 
   end(leaving: boolean): void {
+    this.#waiting.close();
     this.metrics.setGauge("in_office", 0);
     this.log.info("term_ended", { epoch: this.epoch, leaving });
   }
@@ -68,9 +74,14 @@
     this.log.info(event, { ...fields });
   }
 
-  /** Sets the gauges of the cell's jobs and of what it learns, where it does. */
-  recordState({ liveJobs, statistics }: Cell): void {
+  /**
+   * Sets the gauges of the cell's jobs and of what it learns, where it does, and
+   * logs which tasks wait. To be called once the cell has decided.
+   */
+  recordState(cell: Cell): void {
     const { metrics } = this;
+    const { liveJobs, statistics } = cell;
+    this.#waiting.update(cell, this.clock.nowMs());
     const { estimator, speed, stragglers } = statistics;
     metrics.setGauge("jobs_live", liveJobs.size);
     if (estimator !== undefined) {
--- a/src/cellhost/waiting_watch.ts
+++ b/src/cellhost/waiting_watch.ts
@@ -62,6 +62,12 @@
     }
   }
 
+  /** Ends the watch: another keeper knows what waits from now on. */
+  close(): void {
+    this.#updatedAtMs = Infinity;
+    this.#setGauges([]);
+  }
+
   #update(cell: Cell, nowMs: number): void {
     this.#dropEnded(cell, nowMs);
     for (const task of this.#walk.services(cell, maxVisits)) {
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -289,6 +289,17 @@
     session.close();
   });
 
+  it("is counted no more once the term has ended", async () => {
+    const steps = [CellFixture.step({ isService: true, label: "none" })];
+    const { session, clock, metrics } = await startSession(undefined, steps);
+    const waiting = 'gypsumpond_tasks_waiting{reason="no_worker"}';
+    await clock.advance(3_000);
+    expect(await metrics.text()).to.include(`${waiting} 1`);
+    session.close();
+    await clock.advance(3_000);
+    expect(await metrics.text()).to.include(`${waiting} 0`);
+  });
+
   it("is logged again when the reason changes, with its worker", async () => {
     const lines = new LineLog();
     const steps = [CellFixture.step({ isService: true })];
