The end of a runner's life is stored soon after the store is back

What callers saw: tasks that last without a run for 10 s in calm, after a runner had left while the store hung and all entries were killed soon afterwards.

Cause: an append of the life's end that the store does not answer was waited for for 1 s. A sidecar that was shut down with its runner exited 25 ms before its third attempt, 0.56 s after the store was back.

These appends are now given up, and sent again, after 0.4 s.

--- a/src/nodes/peer_announcer.ts
+++ b/src/nodes/peer_announcer.ts
@@ -9,6 +9,8 @@
 import type { Store } from "../core/store/store.ts";
 
 const appendTimeoutMs = 1_000;
+/** Shorter, as the process may have to exit soon after its runner. */
+const endTimeoutMs = 400;
 const retryPauseMs = 150;
 /** A failure is logged at the first attempt and then at each of this many. */
 const attemptsPerLog = 20;
@@ -65,22 +67,30 @@
       value: JSON.stringify({ life }),
     };
     const isNewest = () => this.#endedLife === life;
-    if (await this.#store(row, isNewest)) this.storedEnd = life;
+    if (await this.#store(row, isNewest, endTimeoutMs)) this.storedEnd = life;
   }
 
   async #announce(): Promise<void> {
     const { node: key, row } = this;
-    await this.#store({ key, value: JSON.stringify(row) }, () => true);
+    await this.#store(
+      { key, value: JSON.stringify(row) },
+      () => true,
+      appendTimeoutMs,
+    );
   }
 
   /** Retries until the row is stored, or not needed; returns whether it is. */
-  async #store(row: Row, isNeeded: () => boolean): Promise<boolean> {
+  async #store(
+    row: Row,
+    isNeeded: () => boolean,
+    timeoutMs: number,
+  ): Promise<boolean> {
     for (let attempt = 1; !this.#isStopped && isNeeded(); attempt++) {
       const result = await this.store.append(
         streams.members,
         [row],
         { kind: "none" },
-        appendTimeoutMs,
+        timeoutMs,
       );
       if (result.isOk) {
         this.log.info("member_announced", { key: row.key, attempt });
