A task of a service is relaxed after 5 s of its own wait

The model's clock begins at -5 s and workers are not suspended until 0, so that all services were placed in relaxed mode 1.8 s after the beginning, before any job without a run would be.

Cause: 1.8 s of a task's own wait is less than a first suspension of 2 s, which so had no effect on services any more. The users' bound for a task that lasts is 6 s after its last run.

--- a/src/core/cell/relaxation_wait_ms.ts
+++ b/src/core/cell/relaxation_wait_ms.ts
@@ -1,17 +1,26 @@
 import type { Task } from "./task.ts";
 
-/** What has waited without a run for this long is placed in relaxed mode. */
+/** A job that has waited without a run for this long is placed in relaxed mode. */
 const maxIdleMs = 1_800;
+/**
+ * So is each task of a service after this, also beside runs of its job: longer
+ * than a first suspension, which would otherwise have no effect on services.
+ */
+const maxServiceIdleMs = 5_000;
 
 /**
  * How long until a waiting task is placed in relaxed mode; 0 if it is now,
- * infinite if its wait has not begun. Each task of a service is to run, so each
- * is relaxed by its own wait; other tasks only if their job has no run.
+ * infinite if its wait has not begun.
  */
 export function relaxationWaitMs(task: Task, nowMs: number): number {
   const { definition, job } = task.group;
-  const { idleSinceMs } = definition.isService ? task : job;
-  if (idleSinceMs === undefined) return Infinity;
-  if (!definition.isService && job.hasClaims) return Infinity;
-  return Math.max(0, idleSinceMs + maxIdleMs - nowMs);
+  const jobSinceMs = job.hasClaims ? Infinity : job.idleSinceMs ?? Infinity;
+  const ownSinceMs = definition.isService
+    ? task.idleSinceMs ?? Infinity
+    : Infinity;
+  const atMs = Math.min(
+    jobSinceMs + maxIdleMs,
+    ownSinceMs + maxServiceIdleMs,
+  );
+  return Math.max(0, atMs - nowMs);
 }
