A poll carries a lease only if the runner's known life answered the one before

Callers would see: a task that runs twice.

Cause: the polls of a gate carried the end of the lease also while the runner did not answer. A next life of the same id, whose clock begins anew, took that end for a lease of its own, as long as no heartbeat of it was accepted; since the keeper does not count such polls as renewals any more.

Evidence: lapse_test, "a next life of the runner without a heartbeat gets no lease from polls that were meant for the life before" failed before (7528 instead of 0).

Why it works: once a poll has had no answer, the polls after it carry no end until the known life has answered again; its lease lasts to the end that it was given.

Result: the case passes, with the tests of gates, leases, crashes and histories.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -246,7 +246,7 @@
       instance: heartbeat.instance,
       epoch: this.epoch,
       forgetUpTo,
-      leaseEndClockMs: this.lease.grant(),
+      leaseEndClockMs: this.lease.grantIf(this.#health.hasAnswered),
       waitMs,
     });
     if (!this.#isKnownLife(heartbeat)) return false;
--- a/src/gate/runner_health.ts
+++ b/src/gate/runner_health.ts
@@ -8,6 +8,11 @@
   isGone = false;
   #failedPolls = 0;
 
+  /** Whether its known life answered the newest poll. */
+  get hasAnswered(): boolean {
+    return this.isUp && this.#failedPolls === 0;
+  }
+
   /** Starts over, for a new life of the runner. */
   reset(): void {
     this.isUp = false;
--- a/src/gate/runner_lease.ts
+++ b/src/gate/runner_lease.ts
@@ -69,6 +69,14 @@
     return this.endClockMs;
   }
 
+  /**
+   * The same for a poll, if the known life answered the one before: a next life
+   * would take it for a lease of its own.
+   */
+  grantIf(hasAnswered: boolean): number | undefined {
+    return hasAnswered ? this.grant() : undefined;
+  }
+
   /**
    * Whether the runner may hold a lease that is not known here, and so a start
    * that came with it.
--- a/tests/lapse_test.ts
+++ b/tests/lapse_test.ts
@@ -116,6 +116,22 @@
   });
 });
 
+// Guards against a stale start that outlives the claim that its keeper released.
+describe("a next life of the runner without a heartbeat", () => {
+  it("gets no lease from polls that were meant for the life before", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    const { clock, gate, runner } = fixture;
+    runner.isSilent = true;
+    await clock.advance(1_500);
+    runner.restart();
+    runner.isSilent = false;
+    await clock.advance(2_000);
+    expect(runner.leaseEndClockMs).to.equal(0);
+    gate.stop();
+  });
+});
+
 // Guards against a keeper that waits for a lease since no sidecar could tell.
 describe("a sidecar that restarts while there is no keeper", () => {
   for (const hasExited of [true, false]) {
