Soak: tasks that last, beside runners that leave and entries that restart

Each series of faults is drawn from a random source of its own, and its faults overlap: a runner drains, leaves and ends, its sidecar receives SIGTERM 1 s later, and a runner of another id comes 5 to 14 s after that; all entries are killed meanwhile and started 2 s later, in three of four series after 1 to 3 s in which the store hung; a sidecar is killed between a stop and its answer, all sidecars together with the entries, another runner is lost for 3 to 9 s.

In the calm after each series, and after the last one, a task that has room has a run within the users' bound (LOST: 6 s after its last run, then 3 s, if these and the 4 s before them are calm). What the logs say of its job is printed.

Runners have an id of their own, answer 421 to calls for another one, and a process that was killed and not restarted yet is closed without a wait for it.

--- a/stand_ins/create_json_server.ts
+++ b/stand_ins/create_json_server.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingHttpHeaders, type Server } from "node:http";
 
 /** What a handler answers; `hang up` closes the connection instead. */
 type Answer = { readonly status: number; readonly body: unknown } | "hang up";
@@ -6,6 +6,7 @@
   method: string,
   url: URL,
   body: unknown,
+  headers: IncomingHttpHeaders,
 ) => Answer | Promise<Answer>;
 
 /** An HTTP server that decodes JSON requests and answers with JSON. */
@@ -16,7 +17,12 @@
     const text = Buffer.concat(chunks).toString();
     const url = new URL(request.url ?? "/", "http://stand-in");
     const body = text === "" ? undefined : JSON.parse(text);
-    const answer = await handle(request.method ?? "GET", url, body);
+    const answer = await handle(
+      request.method ?? "GET",
+      url,
+      body,
+      request.headers,
+    );
     if (answer === "hang up") {
       request.socket.destroy();
       return;
--- a/tests/soak/guarantee_checker.ts
+++ b/tests/soak/guarantee_checker.ts
@@ -1,7 +1,7 @@
 import { parseTaskName } from "../../src/core/jobs/parse_task_name.ts";
-import { formatTaskName } from "../../src/core/jobs/format_task_name.ts";
 import type { RunOutcome } from "../../src/core/jobs/run_outcome.ts";
 import type { SoakJob } from "./soak_job.ts";
+import { taskNamesOf } from "./task_names_of.ts";
 
 /** In calm a task that crashes runners starts thrice, and twice more at most. */
 const maxCrashingStarts = 5;
@@ -63,6 +63,11 @@
     history.runners.add(runner);
   }
 
+  /** Whether a run of the task is active. */
+  isRunning(task: string): boolean {
+    return (this.#histories.get(task)?.runners.size ?? 0) > 0;
+  }
+
   /** Whether a task crashes each runner that starts it. */
   crashes(task: string): boolean {
     const position = parseTaskName(task);
@@ -155,11 +160,3 @@
   return state === "completed" || (isCancelled && state === "canceled") ||
     (crashesRunners && state === "failed");
 }
-
-/** The names of a step's tasks; the soak's jobs have one occurrence. */
-function taskNamesOf({ id, steps }: SoakJob, step: number): string[] {
-  return Array.from(
-    { length: steps[step]?.count ?? 0 },
-    (_, index) => formatTaskName({ job: id, occurrence: 0, step, index }),
-  );
-}
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -1,6 +1,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { buildCommit } from "./build_commit.ts";
+import { runLastingSoak } from "./run_lasting_soak.ts";
 import { runSoak } from "./run_soak.ts";
 
 const msPerSecond = 1_000;
@@ -13,6 +14,13 @@
     default: 12,
     describe: "how long faults are injected for each seed",
   })
+  .option("series", {
+    type: "number",
+    default: 0,
+    describe: "plays tasks that last and so many series of faults instead",
+  })
+  .option("entries", { type: "number", default: 3 })
+  .option("sidecars", { type: "number", default: 4 })
   .option("production", {
     type: "string",
     describe: "a commit; its build and this one replace each other in turn",
@@ -30,11 +38,15 @@
 
 let failed = 0;
 for (let seed = options.seed; seed < options.seed + options.seeds; seed++) {
-  const { broken, jobs, accepted, notes, folder } = await runSoak(
-    seed,
-    options.seconds * msPerSecond,
-    olderProgram,
-  );
+  const result = options.series > 0
+    ? await runLastingSoak({
+      seed,
+      series: options.series,
+      olderProgram,
+      counts: options,
+    })
+    : await runSoak(seed, options.seconds * msPerSecond, olderProgram);
+  const { broken, jobs, accepted, notes, folder } = result;
   // A run in which most jobs were not accepted proves little.
   const isConclusive = accepted * 2 >= jobs;
   const verdict = broken.length > 0
@@ -43,6 +55,7 @@
     ? "passed"
     : "INCONCLUSIVE";
   console.log(`seed ${seed}: ${verdict}, ${jobs} jobs, ${accepted} accepted`);
+  if (options.series > 0) console.log(`  ${notes.at(-1)}`);
   if (broken.length === 0 && isConclusive) continue;
   failed += 1;
   for (const line of [...notes, ...broken]) console.log(`  ${line}`);
--- a/tests/soak/run_soak.ts
+++ b/tests/soak/run_soak.ts
@@ -4,12 +4,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { SeededRandom } from "../../stand_ins/seeded_random.ts";
 import { SoakClient } from "./soak_client.ts";
-import { callersHost } from "./callers_host.ts";
 import { FaultInjector } from "./fault_injector.ts";
 import { SoakDeployment } from "./soak_deployment.ts";
 import { currentProgram } from "./current_program.ts";
 import { RollingUpgrade } from "./rolling_upgrade.ts";
 import { GuaranteeChecker } from "./guarantee_checker.ts";
+import { soakConfiguration } from "./soak_configuration.ts";
+import type { SoakResult } from "./soak_result.ts";
 
 const submitIntervalMs = 250;
 const queryIntervalMs = 300;
@@ -21,31 +22,6 @@
 const faultSeedOffset = 1_000_003;
 const upgradeSeedOffset = 2_000_003;
 
-const configuration = {
-  version: 1,
-  routes: [{
-    name: "q",
-    host: callersHost,
-    pathPrefix: "/q/",
-    service: "pool",
-    priority: 0,
-    maxAttempts: 100,
-    stretch: 2,
-    targetCompletionMs: 1_000,
-  }],
-};
-
-interface SoakResult {
-  /** The violated guarantees, one line each. */
-  readonly broken: readonly string[];
-  readonly jobs: number;
-  readonly accepted: number;
-  /** The injected faults, with the time at which each ended. */
-  readonly notes: readonly string[];
-  /** Settings and logs of the processes. */
-  readonly folder: string;
-}
-
 /**
  * Runs one seed: real processes on loopback under load and faults, then a time
  * without faults in which all jobs should end.
@@ -64,7 +40,7 @@
     if (olderProgram !== undefined) {
       for (const each of deployment.processes) each.program = olderProgram;
     }
-    await deployment.start(configuration);
+    await deployment.start(soakConfiguration);
     await sleep(startUpMs);
     await runLoad(deployment, checker, seed, faultsMs, notes, olderProgram);
   } finally {
--- a/tests/soak/soak_client.ts
+++ b/tests/soak/soak_client.ts
@@ -19,24 +19,35 @@
     readonly fronts: readonly string[],
     readonly checker: GuaranteeChecker,
     readonly random: RandomSource,
+    /** Whether a sixteenth of the jobs crash the runners that start them. */
+    readonly drawsCrashes = true,
   ) {}
 
   /** Submits a random job, and retries under its id until it is answered. */
   async submit(): Promise<void> {
     const job = this.#drawJob();
+    await this.handIn(job, maxAttempts);
+    if (!job.isAccepted || this.random.next() > cancelledShare) return;
+    await sleep(this.random.next() * requestTimeoutMs);
+    await this.cancel(job);
+  }
+
+  /** Submits a job until it is answered, a number of times at most. */
+  async handIn(job: SoakJob, attempts: number): Promise<void> {
     this.checker.jobs.set(job.id, job);
     const body = {
       spec: job.payload,
-      steps: job.steps.map(({ count, after, cpuMilli, ms }) => ({
-        count,
-        dependsOn: after,
-        cpu: cpuMilli,
+      steps: job.steps.map((step) => ({
+        count: step.count,
+        dependsOn: step.after,
+        cpu: step.cpuMilli,
         memMb: 10,
-        estimatedMs: ms,
+        ...(step.lasts ? { longRunning: true } : { estimatedMs: step.ms }),
+        ...(step.mostPerRunner ? { antiAffinity: step.mostPerRunner } : {}),
       })),
     };
     const statuses: number[] = [];
-    while (statuses.length < maxAttempts) {
+    while (statuses.length < attempts) {
       const { status } = await this.#call("POST", job.id, body);
       statuses.push(status);
       if (status === 200) job.isAccepted = true;
@@ -44,10 +55,13 @@
       await sleep(retryPauseMs);
     }
     job.isRefused = statuses.every((status) => status === 503);
-    if (!job.isAccepted || this.random.next() > cancelledShare) return;
-    await sleep(this.random.next() * requestTimeoutMs);
+  }
+
+  /** Cancels a job; returns whether that was confirmed. */
+  async cancel(job: SoakJob): Promise<boolean> {
     job.isCancelled = true;
-    await this.#call("DELETE", job.id);
+    const { status } = await this.#call("DELETE", job.id);
+    return status === 200 || status === 410;
   }
 
   /** Queries each job that has not ended; returns whether all have. */
@@ -105,7 +119,7 @@
       id,
       payload: `p${id}`,
       steps,
-      crashesRunners: id.startsWith("0"),
+      crashesRunners: this.drawsCrashes && id.startsWith("0"),
       isAccepted: false,
       isRefused: false,
       isCancelled: false,
--- a/tests/soak/soak_deployment.ts
+++ b/tests/soak/soak_deployment.ts
@@ -4,8 +4,7 @@
 import { RunnerStandIn } from "./runner_stand_in.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
 
-const entryCount = 3;
-const sidecarCount = 4;
+const defaultCounts = { entries: 3, sidecars: 4 };
 const ports = {
   store: 7100,
   front: 7101,
@@ -38,10 +37,25 @@
     readonly checker: GuaranteeChecker,
     /** Settings of all processes, beside those that they need. */
     readonly settings: Readonly<Record<string, string | number>> = {},
+    readonly counts: {
+      readonly entries: number;
+      readonly sidecars: number;
+    } = defaultCounts,
   ) {
     this.#subnet = firstSubnet + seed % subnetCount;
-    for (let index = 0; index < entryCount; index++) this.#addEntry(index);
-    for (let index = 0; index < sidecarCount; index++) this.#addSidecar(index);
+    for (let index = 0; index < counts.entries; index++) this.#addEntry(index);
+    for (let index = 0; index < counts.sidecars; index++) {
+      this.#addSidecar(index);
+    }
+  }
+
+  get entries(): readonly SoakProcess[] {
+    return this.processes.filter(({ role }) => role === "entry");
+  }
+
+  /** The sidecars, in the order of their runners. */
+  get sidecars(): readonly SoakProcess[] {
+    return this.processes.filter(({ role }) => role === "sidecar");
   }
 
   /** Stores the configuration, then starts the runners and processes. */
--- a/tests/soak/soak_job.ts
+++ b/tests/soak/soak_job.ts
@@ -9,6 +9,10 @@
     readonly after: readonly number[];
     readonly cpuMilli: number;
     readonly ms: number;
+    /** Its tasks run until the job is cancelled, and fail after `ms`. */
+    readonly lasts?: boolean;
+    /** At most this many of its tasks run on one runner, if not 0. */
+    readonly mostPerRunner?: number;
   }[];
   /** Its first task crashes each runner that starts it. */
   readonly crashesRunners: boolean;
