--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -1,10 +1,8 @@
+import { maxLatenessMs } from "./max_lateness_ms.ts";
 import type { RunTracker } from "./run_tracker.ts";
 import type { RunnerHealth } from "./runner_health.ts";
 import type { RunnerLease } from "./runner_lease.ts";
 
-/** A call without answer may be executed up to this much later. */
-const maxLatenessMs = 15_000;
-
 /** Tells when nothing runs in a life of the runner any more. */
 export class LifeEnd {
   /**
--- a/src/gate/unanswered_starts.ts
+++ b/src/gate/unanswered_starts.ts
@@ -1,9 +1,7 @@
 import { runKey } from "../core/jobs/run_key.ts";
+import { maxLatenessMs } from "./max_lateness_ms.ts";
 import type { Run } from "./run.ts";
 
-/** An unanswered start may be executed up to this much later. */
-const maxLatenessMs = 15_000;
-
 /** The runs with a start that got no answer and may still be executed. */
 export class UnansweredStarts {
   readonly #starts = new Map<string, { run: Run; atMs: number }>();
