--- a/review/second/deployment.mjs
+++ b/review/second/deployment.mjs
@@ -1,7 +1,7 @@
 // A small deployment on loopback: the project's own programs, started with the
 // commands of the deploy file, beside stand-ins of the store and the runners.
 import { Buffer } from "node:buffer";
-import { spawn } from "node:child_process";
+import { fork, spawn } from "node:child_process";
 import { randomBytes } from "node:crypto";
 import { appendFileSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { createWriteStream, writeFileSync } from "node:fs";
@@ -11,10 +11,10 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { Runner } from "./runner.mjs";
 import { Store } from "./store.mjs";
 
-const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
+const here = dirname(fileURLToPath(import.meta.url));
+const root = join(here, "..", "..");
 const ports = {
   store: 7_310,
   front: 7_311,
@@ -35,6 +35,45 @@
   return /^run = "(.*)"$/m.exec(section)[1].split(" ");
 }
 
+/** A runner in a process of its own, with what runs on it. */
+class RunnerProcess {
+  running = new Map();
+  #child;
+
+  constructor(options, onEvent) {
+    this.options = options;
+    this.onEvent = onEvent;
+  }
+
+  get name() {
+    return this.options.id;
+  }
+
+  async listen() {
+    this.#child = fork(join(here, "runner_main.mjs"));
+    await new Promise((done, fail) => {
+      this.#child.once("exit", () => fail(new Error("a runner has ended")));
+      this.#child.on("message", ({ kind, atMs, data }) => {
+        if (kind === "listening") return done();
+        if (kind === "start") this.running.set(data.task, data.run);
+        if (kind === "end") this.running.delete(data.task);
+        this.onEvent(kind, atMs, data);
+      });
+      this.#child.send(this.options);
+    });
+  }
+
+  /** Kills it for good, with all that runs on it. */
+  async close() {
+    this.running.clear();
+    const child = this.#child;
+    if (child === undefined || child.killed) return;
+    const ended = new Promise((done) => child.once("exit", done));
+    child.kill("SIGKILL");
+    await ended;
+  }
+}
+
 export class Deployment {
   store = new Store();
   runners = [];
@@ -44,6 +83,8 @@
   #recordPath;
   #folder = mkdtempSync(join(tmpdir(), "review-"));
   #beganMs = performance.now();
+  /** The same moment on the clock that the runners' processes share. */
+  #beganAtMs = performance.timeOrigin + this.#beganMs;
   #subnet = `127.${20 + (randomBytes(1)[0] % 200)}.${randomBytes(1)[0]}`;
   #agents = new Map();
   #isClosed = false;
@@ -169,6 +210,17 @@
     each.isKilled = false;
   }
 
+  /** Takes a machine away for good: its process, and its runner if it has one. */
+  async remove(node) {
+    const each = this.process(node);
+    this.record(`${node} is gone for good`);
+    each.isKilled = true;
+    each.staysDown = true;
+    each.child?.kill("SIGKILL");
+    const isIts = ({ options }) => options.host === each.ip;
+    await this.runners.find(isIts)?.close();
+  }
+
   /** Kills a process; the platform starts it again after `downMs`. */
   async kill(node, downMs = restartMs) {
     const each = this.process(node);
@@ -195,7 +247,7 @@
       child.kill("SIGKILL");
       await ended;
     }
-    for (const runner of this.runners) runner.close();
+    for (const runner of this.runners) await runner.close();
     for (const agent of this.#agents.values()) agent.destroy();
     this.store.close();
     if (process.env.KEEP_LOGS === undefined) {
@@ -343,8 +395,8 @@
       capacity: { cpu, memMb: 64_000, gpu: 0 },
       labels: ["a", `r1-${index + 1}`],
     };
-    const runner = new Runner(options, (kind, data) => {
-      const at = this.seconds;
+    const runner = new RunnerProcess(options, (kind, atMs, data) => {
+      const at = (atMs - this.#beganAtMs) / 1_000;
       const event = { kind, at, data };
       this.events.push(event);
       this.onRunnerEvent?.(event);
--- a/review/second/runner.mjs
+++ b/review/second/runner.mjs
@@ -14,7 +14,6 @@
  * the task lasts. `onEvent(kind, fields)` is called at each start and end.
  */
 export class Runner {
-  isDown = false;
   running = new Map();
   #ends = [];
   #endCount = 0;
@@ -25,7 +24,6 @@
   #hasLease = false;
   #sequence = 0;
   #waiters = new Set();
-  #timers = [];
   #server;
 
   constructor(options, onEvent) {
@@ -66,39 +64,12 @@
       this.#server.once("error", fail);
       this.#server.listen(port, host, done);
     });
-    this.#timers.push(setInterval(() => this.#observe(), observeMs));
-    this.#timers.push(setInterval(() => void this.#beat(), heartbeatMs));
+    setInterval(() => this.#observe(), observeMs);
+    setInterval(() => void this.#beat(), heartbeatMs);
     void this.#beat();
   }
 
-  close() {
-    for (const timer of this.#timers) clearInterval(timer);
-    this.#server?.close();
-    this.#server?.closeAllConnections();
-  }
-
-  /** Ends everything that runs, and is away until `downMs` have passed. */
-  crash(downMs) {
-    this.onEvent("crash", { runner: this.name, running: this.running.size });
-    for (const { task, run } of this.running.values()) {
-      this.onEvent("end", { runner: this.name, task, run, how: "crashed" });
-    }
-    this.isDown = true;
-    this.running.clear();
-    this.#server.close();
-    this.#server.closeAllConnections();
-    this.#waiters.clear();
-    setTimeout(() => {
-      this.#beginLife();
-      this.isDown = false;
-      const { host, port } = this.options;
-      this.#server.listen(port, host);
-      void this.#beat();
-    }, downMs);
-  }
-
   async #beat() {
-    if (this.isDown) return;
     const { id, host, port, control, zone, capacity, labels } = this.options;
     this.#sequence += 1;
     try {
@@ -130,7 +101,6 @@
   async #handle(request, response) {
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
-    if (this.isDown) return response.destroy();
     const expected = request.headers["expected-instance"];
     if (expected !== undefined && expected !== this.name) {
       return this.#send(response, 421, {});
@@ -209,7 +179,6 @@
   }
 
   #observe() {
-    if (this.isDown) return;
     const nowMs = performance.now();
     const hasLapsed = this.clockMs >= this.#leaseEndMs;
     if (hasLapsed && this.#hasLease) {
