Review, case 10: a task that lasts stays away for 15 s after a loss of power

The entries and one machine with a runner lose power at once; the new keeper waits for the longest lease from 8 s after its beginning on.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
