--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,8 +1,11 @@
 // The entries and one machine with a runner lose power at the same moment; the
 // entries come back.
+import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { newId, runCase } from "../second/deployment.mjs";
+import { newId, runCase } from "../deployment-2.mjs";
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== "0";
 const options = { entries: 3, sidecars: 5 };
 const darkMs = 1_000;
 /** By the rule: from 6 s after its last run, for 3 s, after 4 s of calm. */
@@ -11,7 +14,7 @@
 const calmBeforeS = 4;
 const watchS = 25;
 
-runCase(import.meta.url, options, async (deployment, isTroubled) => {
+runCase(import.meta.url, options, async (deployment) => {
   if (!await deployment.warmUp()) return undefined;
   const id = newId();
   const lastRun = new Map();
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,7 +1,10 @@
 // A sidecar is killed while many small tasks end on its runner.
+import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { newId, runCase } from "../second/deployment.mjs";
+import { newId, runCase } from "../deployment-2.mjs";
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== "0";
 const jobs = 34;
 const tasksPerJob = 50;
 /** A runner of 64 cores and one of 8; a task has 0.04 cores. */
@@ -40,7 +43,7 @@
   return false;
 }
 
-runCase(import.meta.url, options, async (deployment, isTroubled) => {
+runCase(import.meta.url, options, async (deployment) => {
   if (!await deployment.warmUp()) return undefined;
   const ids = new Set();
   const { events } = deployment;
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,13 +1,16 @@
 // A job is cancelled after a submission of which the outcome is not known yet.
+import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { newId, runCase } from "../second/deployment.mjs";
+import { newId, runCase } from "../deployment-2.mjs";
 
+/** With TROUBLE=0 the case does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== "0";
 const options = { entries: 2, sidecars: 3 };
 /** How much later an append without an answer is executed. */
 const lateMs = 4_000;
 const calmMs = 10_000;
 
-runCase(import.meta.url, options, async (deployment, isTroubled) => {
+runCase(import.meta.url, options, async (deployment) => {
   if (!await deployment.warmUp()) return undefined;
   const id = newId();
   let lost = 0;
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec node case.mjs
+# TROUBLE=0 plays the case without its disruption.
+cd "$(dirname "$0")" && TROUBLE="${TROUBLE:-1}" exec node case.mjs
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,9 +1,11 @@
 // One large job comes, and then a few small ones.
+import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { newId, runCase } from "../second/deployment.mjs";
+import { newId, runCase } from "../deployment-2.mjs";
 
 const options = { entries: 3, sidecars: 3 };
 const size = 3_000;
+/** With TROUBLE=0 the large job is a small one. */
 const isLarge = process.env.TROUBLE !== "0";
 /** Tasks of each of its three steps. */
 const count = isLarge ? size : 10;
--- a/review/second/deployment.mjs
+++ b/review/deployment-2.mjs
@@ -11,10 +11,10 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { Store } from "./store.mjs";
+import { Store } from "./store-2.mjs";
 
 const here = dirname(fileURLToPath(import.meta.url));
-const root = join(here, "..", "..");
+const root = join(here, "..");
 const ports = {
   store: 7_310,
   front: 7_311,
@@ -50,7 +50,7 @@
   }
 
   async listen() {
-    this.#child = fork(join(here, "runner_main.mjs"));
+    this.#child = fork(join(here, "runner_main-2.mjs"));
     await new Promise((done, fail) => {
       this.#child.once("exit", () => fail(new Error("a runner has ended")));
       this.#child.on("message", ({ kind, atMs, data }) => {
@@ -418,7 +418,7 @@
 }
 
 /**
- * Runs a case: `play(deployment, isTroubled)` returns the broken rules, or
+ * Runs a case: `play(deployment)` returns the broken rules, or
  * undefined if the case could not run. Exits with 1, 0 or 2.
  */
 export async function runCase(folder, options, play) {
@@ -427,7 +427,7 @@
   let code = 2;
   try {
     await deployment.start(options);
-    const broken = await play(deployment, process.env.TROUBLE !== "0");
+    const broken = await play(deployment);
     if (broken === undefined) deployment.record("the case could not run");
     else {
       for (const line of broken) deployment.record(`BROKEN ${line}`);
--- a/review/second/runner_main.mjs
+++ b/review/runner_main-2.mjs
@@ -1,6 +1,6 @@
 // One runner, in a process of its own; what it sees goes to the parent.
 import process from "node:process";
-import { Runner } from "./runner.mjs";
+import { Runner } from "./runner-2.mjs";
 
 process.once("message", async (options) => {
   const runner = new Runner(options, (kind, data) => {
