A new keeper knows when its predecessor ended, and what that one had waited for

Cause: a new keeper took it for possible that its predecessor renews leases until 8 s after its own beginning, and added the longest lease. That the predecessor was an earlier process of its own node, which had ended before it began, was not used, and how long a keeper had waited died with it ("what is known dies with who knows it").

Evidence: hypothesis A, the claim is kept for a lease, against B, no worker is good enough. `task_waits reason=worker_unreported` names the claim all the while, and `worker_lost` comes 14.40 s after `term_begun`: A.

Fix: `EarlierKeepers` bounds the renewals of earlier keepers by the beginning of the next process on the predecessor's node (its own, or one that says so on the keeper's connection, message `process`); an entry whose term is over renews nothing from a newer keeper's connection on. `LeaseRegister` stores the rest of the leases of missing workers (row `leases`), valid only for the writer's direct successor; a worker that the row calls lost is renewed only after a row without it is stored.

The term's log line has `earlier_keepers_left_ms`.

Open: a keeper's machine that never comes back, lost together with a worker.

--- a/scenarios/cell_histories/history_keeper.ts
+++ b/scenarios/cell_histories/history_keeper.ts
@@ -3,6 +3,7 @@
 import { EvacuationRequests } from "../../src/cellhost/evacuation_requests.ts";
 import { JobDirectory } from "../../src/cellhost/job_directory.ts";
 import { KeeperSession } from "../../src/cellhost/keeper_session.ts";
+import type { Predecessor } from "../../src/cellhost/predecessor.ts";
 import { RowWriter } from "../../src/cellhost/row_writer.ts";
 import { StreamTail } from "../../src/cellhost/stream_tail.ts";
 import { streams } from "../../src/cellhost/streams.ts";
@@ -21,6 +22,7 @@
 /** What a keeper of a history works with. */
 interface HistoryKeeperOptions {
   readonly epoch: number;
+  readonly predecessor: Predecessor | undefined;
   readonly clock: ProcessClock;
   readonly store: ProcessStore;
   readonly links: HistoryLinks;
--- a/scenarios/cell_histories/history_world.ts
+++ b/scenarios/cell_histories/history_world.ts
@@ -23,6 +23,7 @@
 import { ServiceWatch } from "./service_watch.ts";
 import { ProcessClock } from "./process_clock.ts";
 import { ProcessStore } from "./process_store.ts";
+import { predecessorOf } from "./predecessor_of.ts";
 import { RunChecker } from "./run_checker.ts";
 
 const workerCount = 3;
@@ -145,6 +146,7 @@
     this.keepers.push(
       new HistoryKeeper({
         epoch,
+        predecessor: predecessorOf(epoch, clock, this.keepers.at(-1)),
         clock,
         store,
         links,
--- a/src/cellhost/election.ts
+++ b/src/cellhost/election.ts
@@ -2,6 +2,7 @@
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Store } from "../core/store/store.ts";
 import type { Logger } from "../adapters/logger.ts";
+import type { Predecessor } from "./predecessor.ts";
 import type { ElectionRow } from "./election_row.ts";
 import { WinnerRow } from "../schema/rows/winner_row.ts";
 import { RowReader } from "./row_reader.ts";
@@ -26,6 +27,10 @@
   readonly tail: StreamTail;
   epoch = 0;
   winner: ElectionRow | undefined;
+  /** The winner of the election just before, and its epoch, if known. */
+  previous:
+    | { readonly epoch: number; readonly winner: ElectionRow }
+    | undefined;
   onWinner: (epoch: number, winner: ElectionRow) => void = () => {};
   readonly #reader: RowReader;
   #isCampaigning = false;
@@ -47,6 +52,24 @@
       this.winner.incarnation === this.self.incarnation;
   }
 
+  /**
+   * The keeper before the newest one. What ran on this process's node before
+   * had ended when this process began, by the local monotonic clock at 0.
+   */
+  get predecessor(): Predecessor | undefined {
+    const { node, incarnation } = this.self;
+    const { epoch, previous } = this;
+    if (previous === undefined) {
+      const none = { node: undefined, incarnation: undefined, endedAtMs: 0 };
+      return epoch === 1 ? { epoch: 0, ...none } : undefined;
+    }
+    const { winner } = previous;
+    const isEarlierSelf = winner.node === node &&
+      winner.incarnation !== incarnation;
+    const endedAtMs = isEarlierSelf ? 0 : undefined;
+    return { epoch: previous.epoch, ...winner, endedAtMs };
+  }
+
   /** Who won the newest election, relative to this process. */
   get winnerKind(): "none" | "other" | "self" | "earlier_self" {
     if (this.winner === undefined) return "none";
@@ -83,6 +106,11 @@
       if (key !== cellKey) continue;
       const winner = this.#reader.read(WinnerRow, row);
       if (winner === undefined || offset < this.epoch) continue;
+      // Between two rows that do not adjoin, another may have been elected.
+      const isNext = this.winner !== undefined && offset === this.epoch;
+      this.previous = isNext
+        ? { epoch: this.epoch, winner: this.winner! }
+        : undefined;
       this.epoch = offset + 1;
       this.winner = winner;
       this.onWinner(this.epoch, winner);
--- a/src/cellhost/job_directory.ts
+++ b/src/cellhost/job_directory.ts
@@ -8,12 +8,14 @@
 import type { StoredRow } from "../core/store/stored_row.ts";
 import type { Logger } from "../adapters/logger.ts";
 import { JobRow } from "../schema/rows/job_row.ts";
+import { LeaseRow } from "../schema/rows/lease_row.ts";
 import { LearnedRow } from "../schema/rows/learned_row.ts";
 import { ProgressRow } from "../schema/rows/progress_row.ts";
 import { QueuesRow } from "../schema/rows/queues_row.ts";
 import { RunTimesRow } from "../schema/rows/run_times_row.ts";
 import { cancellationKey } from "./cancellation_key.ts";
 import { learnedKey } from "./learned_key.ts";
+import { leasesKey } from "./leases_key.ts";
 import { jobOfProgressKey } from "./job_of_progress_key.ts";
 import { queuesKey } from "./queues_key.ts";
 import { RowReader } from "./row_reader.ts";
@@ -44,6 +46,8 @@
   #runTimes: string | undefined;
   /** The queues that the keepers knew, unparsed. */
   #queues: string | undefined;
+  /** What the keepers knew of leases, unparsed. */
+  #leases: string | undefined;
   /** Jobs of which no progress row could be read, but there is one. */
   readonly #unreadable = new Set<JobId>();
   readonly #states = new Map<JobId, JobState>();
@@ -81,6 +85,12 @@
     return this.#cellReader.read(QueuesRow, row)?.queues ?? [];
   }
 
+  /** What the newest keeper that told of leases has stored. */
+  get leases(): LeaseRow | undefined {
+    const row = { key: leasesKey, value: this.#leases };
+    return this.#cellReader.read(LeaseRow, row);
+  }
+
   /** Whether the job of each progress row is known. */
   get isComplete(): boolean {
     return [...this.rows.keys()].every((id) => this.definitions.has(id));
@@ -150,6 +160,7 @@
       if (key === learnedKey) this.#learned = value;
       if (key === runTimesKey) this.#runTimes = value;
       if (key === queuesKey) this.#queues = value;
+      if (key === leasesKey) this.#leases = value;
       const id = jobOfProgressKey(key);
       if (id === undefined) continue;
       if (value === undefined) {
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -20,10 +20,13 @@
 import { dropUnstored } from "./drop_unstored.ts";
 import type { DeferredEffect } from "./deferred_effect.ts";
 import { loadJob } from "./load_job.ts";
+import { EarlierKeepers } from "./earlier_keepers.ts";
+import { LeaseRegister } from "./lease_register.ts";
 import { needsConfirmation } from "./needs_confirmation.ts";
 import { LeaseTracker } from "./lease_tracker.ts";
 import type { PeerAddressRow } from "./peer_address_row.ts";
 import { sendKnownRuns } from "./send_known_runs.ts";
+import { sendStates } from "./send_states.ts";
 import { servicePressures } from "./service_pressures.ts";
 import { TermLog } from "./term_log.ts";
 import { UnsureNotice } from "./unsure_notice.ts";
@@ -34,7 +37,9 @@
 /** A keeper's epoch: from taking over the cell's stream until it is closed. */
 export class KeeperSession {
   readonly cell: Cell;
+  readonly #earlier: EarlierKeepers;
   readonly #leases: LeaseTracker;
+  readonly #leaseRegister: LeaseRegister;
   readonly #queues: QueueRegister;
   readonly #termLog: TermLog;
   /** Undefined if the deployment evacuates no data centres. */
@@ -48,23 +53,29 @@
   readonly #unsureNotice: UnsureNotice;
 
   constructor(readonly options: KeeperSessionOptions) {
-    const { epoch, bounds, clock, links, log, metrics, writer } = options;
+    const { epoch, clock, links, log, metrics, writer } = options;
     this.cell = createCell(options);
     this.#queues = new QueueRegister(this.cell, log);
     this.#openedAtMs = clock.nowMs();
-    this.#leases = new LeaseTracker(writer, bounds.maxHoldMs, clock);
+    const { bounds: { maxHoldMs }, directory, predecessor } = options;
+    this.#earlier = new EarlierKeepers(clock, predecessor, directory.leases);
+    this.#leases = new LeaseTracker(writer, maxHoldMs, clock, this.#earlier);
+    this.#leaseRegister = new LeaseRegister(epoch, this.#leases, clock);
     this.#termLog = new TermLog(epoch, log, metrics, clock, this.#leases);
     links.onMessage = (link, message) =>
       this.#guard(() => this.#receive(link, message));
-    if (bounds.evacuateMs !== undefined) {
-      const { evacuateMs } = bounds;
+    const { evacuateMs } = options.bounds;
+    if (evacuateMs !== undefined) {
       this.#evacuation = new EvacuationControl(this.cell, options, evacuateMs);
     }
     links.onSidecarLost = (node) => {
       this.cell.handleDisconnect(node);
       this.#evacuation?.forget(node);
     };
-    links.onEntryConnected = (link) => this.#sendStates(link);
+    links.onEntryConnected = (link) => {
+      sendStates(link, this.cell, directory);
+      if (this.#isResigning) link.send({ kind: "resigned" });
+    };
     this.#unsureNotice = new UnsureNotice(writer, links);
     void this.#tickUntilClosed();
   }
@@ -72,8 +83,8 @@
   /** Loads the cell's jobs, claims and cancellations from the directory. */
   load(queues: Iterable<Queue> | undefined): void {
     const { clock, directory, log } = this.options;
-    const nowMs = clock.nowMs();
     this.#queues.restore(directory.queues);
+    const nowMs = clock.nowMs();
     const { cancelled, learned } = directory;
     for (const [id, definition] of directory.definitions) {
       loadJob(this.cell, definition, directory.progressOf(id), nowMs, log);
@@ -81,7 +92,6 @@
     if (learned !== undefined) this.cell.restoreLearned(learned);
     this.cell.statistics.restore(directory.runTimes);
     for (const id of cancelled) this.#applyAll(this.cell.cancel(id, nowMs));
-    for (const worker of this.cell.workers.keys()) this.#leases.inherit(worker);
     const wallMs = clock.wallMs();
     for (const job of this.cell.liveJobs) job.openDueOccurrences(wallMs);
     if (queues !== undefined) this.setQueues(queues);
@@ -169,8 +179,7 @@
   #receive(link: KeeperLink, message: PeerMessage): void {
     if (this.#isClosed) return;
     const { clock, writer } = this.options;
-    const nowMs = clock.nowMs();
-    const { node } = link;
+    const [{ node }, nowMs] = [link, clock.nowMs()];
     switch (message.kind) {
       case "report":
         this.#handleReport(link, message.number, message.report);
@@ -181,6 +190,9 @@
       case "started":
         this.#applyAll(this.cell.markStarted(node, message, nowMs), false);
         return;
+      case "process":
+        this.#earlier.recordProcess(node, message.incarnation, message.ageMs);
+        return;
       case "refused": {
         const worker = this.cell.worker(node);
         this.#termLog.recordRefusal(node, message);
@@ -206,7 +218,7 @@
     if (isUnsure && worker.isReconciled) sendKnownRuns(link, worker);
     const age = this.#evacuation?.recordReport(node);
     this.#leases.recordReport(node);
-    if (!this.#leases.mayRenew) return;
+    if (!this.#leases.mayRenew || this.#leaseRegister.isTold(node)) return;
     // A sidecar renews no lease of a runner that does not answer.
     if (report.isUp) this.#leases.renew(node);
     const pressures = servicePressures(worker, this.cell.pressure);
@@ -229,8 +241,8 @@
     if (effect.kind === "note") this.#termLog.recordNote(effect);
     else if (effect.kind === "stop") {
       const { node, task, run, life } = effect;
-      this.#termLog.recordStop(effect);
       const stops = [{ task, run, life }];
+      this.#termLog.recordStop(effect);
       this.options.links.send(node, { kind: "orders", starts: [], stops });
     } else if (effect.kind === "ask") void this.#ask(effect);
     else this.#deferred.push(effect);
@@ -288,6 +300,8 @@
     this.#termLog.recordState(this.cell);
     const rows = this.#unsaved.take(writer.limits);
     rows.push(...this.#queues.takeRows());
+    rows.push(...this.#leaseRegister.takeRows(cell));
+    const { takenNumber } = this.#leaseRegister;
     const isStartDue = this.#evacuation?.hasDueStarts ?? false;
     if (rows.length === 0 && this.#deferred.length === 0 && !isStartDue) return;
     const deferred = this.#deferred.splice(0);
@@ -296,17 +310,10 @@
     }
     writer.write(rows, (rejected) => {
       if (this.#isClosed) return;
+      this.#leaseRegister.recordStored(takenNumber, rejected);
       const stored = dropUnstored(deferred, rejected, this.cell);
       const due = this.#evacuation?.release(stored) ?? stored;
       runEffects(due, this.cell, this.options);
     });
   }
-
-  #sendStates(link: KeeperLink): void {
-    const { directory } = this.options;
-    const jobs = [...this.cell.jobs.keys()]
-      .map((id) => [id, directory.state(id)!] as const);
-    link.send({ kind: "states", jobs });
-    if (this.#isResigning) link.send({ kind: "resigned" });
-  }
 }
--- a/src/cellhost/keeper_session_options.ts
+++ b/src/cellhost/keeper_session_options.ts
@@ -8,6 +8,7 @@
 import type { KeeperBounds } from "./keeper_bounds.ts";
 import type { KeeperLinks } from "./keeper_links.ts";
 import type { LoadReporter } from "./load_reporter.ts";
+import type { Predecessor } from "./predecessor.ts";
 import type { RowWriter } from "./row_writer.ts";
 
 /** What a keeper's session works with. */
@@ -15,6 +16,8 @@
   readonly epoch: number;
   /** The writer of the cell's stream, which has taken the stream over. */
   readonly writer: RowWriter;
+  /** The keeper of the term before; undefined if nothing is known of it. */
+  readonly predecessor?: Predecessor | undefined;
   readonly directory: JobDirectory;
   readonly bounds: KeeperBounds;
   readonly links: KeeperLinks;
--- /dev/null
+++ b/src/cellhost/leases_key.ts
@@ -0,0 +1,2 @@
+/** The key of the row of what a keeper knows of leases. */
+export const leasesKey = "leases";
--- a/src/cellhost/term_log.ts
+++ b/src/cellhost/term_log.ts
@@ -21,7 +21,7 @@
     readonly log: Logger,
     readonly metrics: PrometheusMetrics,
     readonly clock: Clock,
-    leases: LeaseTracker,
+    readonly leases: LeaseTracker,
   ) {
     this.#beganAtMs = clock.nowMs();
     this.#waiting = new WaitingWatch(leases, log, metrics);
@@ -36,6 +36,7 @@
       epoch,
       jobs: liveJobs.size,
       workers: workers.size,
+      earlier_keepers_left_ms: this.leases.earlier.leftMs,
     });
   }
 
--- a/src/link/is_peer_message.ts
+++ b/src/link/is_peer_message.ts
@@ -14,6 +14,9 @@
       return Number.isSafeInteger(value.number) && isReport(value.report);
     case "superseded":
       return Number.isSafeInteger(value.epoch);
+    case "process":
+      return isText(value.incarnation) && Number.isFinite(value.ageMs) &&
+        Number(value.ageMs) >= 0;
     case "started":
       return isRunId(value);
     case "refused":
--- a/src/link/peer_message.ts
+++ b/src/link/peer_message.ts
@@ -12,5 +12,11 @@
   /** A keeper with a higher epoch has connected: the receiver is deposed. */
   | { readonly kind: "superseded"; readonly epoch: number }
   | { readonly kind: "started"; readonly task: TaskName; readonly run: number }
+  /** The entry's process, which renews no leases while the keeper is newer. */
+  | {
+    readonly kind: "process";
+    readonly incarnation: string;
+    readonly ageMs: number;
+  }
   /** A start is refused for good; reports repeat it until it is noted. */
   | ({ readonly kind: "refused" } & Refusal);
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -16,18 +16,19 @@
 import type { KeeperView } from "../cellhost/keeper_view.ts";
 import { campaignReason } from "../cellhost/campaign_reason.ts";
 import type { Store } from "../core/store/store.ts";
+import type { Channel } from "../link/channel.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
+import type { PeerMessage } from "../link/peer_message.ts";
 import { PeerAnnouncer } from "./peer_announcer.ts";
 import { createCellTail } from "./create_cell_tail.ts";
 import { EntryLoad } from "./entry_load.ts";
 import { createPeersTail } from "./create_peers_tail.ts";
+import { KeeperContact } from "./keeper_contact.ts";
 import { PeerServer } from "./peer_server.ts";
 import type { NodeOptions } from "./node_options.ts";
 import { SubmissionTails } from "./submission_tails.ts";
 
 const watchIntervalMs = 50;
-/** How long a keeper's message that it cannot reach the store stays valid. */
-const unsureValidMs = 1_000;
 /** Candidates wait a random time up to this, so that mostly one campaigns. */
 const maxCampaignDelayMs = 150;
 /** The added delay at strength 0, so that stronger entries campaign first. */
@@ -52,13 +53,7 @@
   #announcer: PeerAnnouncer | undefined;
   /** Undefined until a configuration has been read. */
   #queues: readonly Queue[] | undefined;
-  #keeperConnectedAtMs = 0;
-  /** The connected keeper with the highest epoch. */
-  #keeper: { readonly epoch: number } | undefined;
-  #unsureAtMs = -Infinity;
-  /** The epoch of the newest keeper that has resigned. */
-  #resignedEpoch = 0;
-  #resignedAtMs = -Infinity;
+  readonly #contact = new KeeperContact();
   #isClosed = false;
   #hasResigned = false;
   #isTakingOver = false;
@@ -92,24 +87,9 @@
     this.#cellTail = createCellTail(store, this.directory, log);
     this.#election = new Election(store, { node, incarnation }, log);
     this.#election.onWinner = () => this.#handleWinner();
-    this.#server = new PeerServer((channel, { epoch, keeper }) => {
-      const known = this.#keeper;
-      if (known !== undefined && epoch < known.epoch) {
-        channel.send({ kind: "superseded", epoch: known.epoch });
-        channel.close("superseded by a newer keeper");
-        return;
-      }
-      log.info("keeper_heard", { epoch, keeper });
-      const connected = { epoch };
-      this.#keeper = connected;
-      this.#keeperConnectedAtMs = performance.now();
-      channel.onMessage = (message) =>
-        this.#handleKeeperMessage(message, epoch);
-      channel.onClose = (reason) => {
-        log.info("keeper_gone", { epoch, keeper, reason });
-        if (this.#keeper === connected) this.#keeper = undefined;
-      };
-    });
+    this.#server = new PeerServer((channel, hello) =>
+      this.#acceptKeeper(channel, hello)
+    );
   }
 
   /** Accepts connections, announces this entry and follows the streams. */
@@ -141,7 +121,7 @@
 
   /** Whether the keeper, perhaps this entry, cannot reach the store either. */
   hearsOutage(nowMs: number): boolean {
-    return nowMs - this.#unsureAtMs <= unsureValidMs ||
+    return this.#contact.isUnsure(nowMs) ||
       this.#session?.options.writer.isUnsure(nowMs) === true;
   }
 
@@ -163,17 +143,39 @@
     for (const tail of [this.#cellTail, this.#election.tail]) tail.stop();
   }
 
+  #acceptKeeper(
+    channel: Channel<PeerMessage, KeeperMessage>,
+    { epoch, keeper }: Extract<KeeperMessage, { kind: "hello" }>,
+  ): void {
+    const { log, options: { incarnation } } = this;
+    const connected = this.#contact.connect(epoch);
+    if (connected.epoch > epoch) {
+      channel.send({ kind: "superseded", epoch: connected.epoch });
+      channel.close("superseded by a newer keeper");
+      return;
+    }
+    log.info("keeper_heard", { epoch, keeper });
+    if (this.#session !== undefined && this.#session.epoch < epoch) {
+      this.#session.options.writer.depose("superseded");
+    }
+    const ageMs = Math.round(performance.now());
+    channel.send({ kind: "process", incarnation, ageMs });
+    channel.onMessage = (message) => this.#handleKeeperMessage(message, epoch);
+    channel.onClose = (reason) => {
+      log.info("keeper_gone", { epoch, keeper, reason });
+      this.#contact.disconnect(connected);
+    };
+  }
+
   #handleKeeperMessage(message: KeeperMessage, epoch: number): void {
     if (message.kind === "states") {
       for (const [id, state] of message.jobs) this.directory.advance(id, state);
     } else if (message.kind === "load") {
       this.load.receive(message);
     } else if (message.kind === "unsure") {
-      this.#unsureAtMs = performance.now();
+      this.#contact.recordUnsure();
     } else if (message.kind === "resigned") {
-      this.#keeper = undefined;
-      this.#resignedEpoch = epoch;
-      this.#resignedAtMs = performance.now();
+      this.#contact.recordResigned(epoch);
       void sleep(this.#strengthDelayMs).then(() => this.#campaignIfDue(0));
     }
   }
@@ -204,7 +206,8 @@
   }
 
   #keeperView(delayMs: number): KeeperView {
-    const { tail } = this.#election;
+    const { epoch, tail } = this.#election;
+    const minMs = this.#strengthDelayMs;
     const nowMs = performance.now();
     return {
       isIneligible: this.#session !== undefined || this.#isTakingOver ||
@@ -213,12 +216,10 @@
         this.jobTails.isCaughtUp,
       isStrong: this.options.strength >= minStrong,
       winner: this.#election.winnerKind,
-      hasResigned: this.#resignedEpoch >= this.#election.epoch &&
-        nowMs - this.#resignedAtMs >= this.#strengthDelayMs,
-      isConnected: this.#keeper !== undefined &&
-        nowMs - this.#unsureAtMs > unsureValidMs,
+      hasResigned: this.#contact.hasResigned(epoch, minMs, nowMs),
+      isConnected: this.#contact.isConnected(nowMs),
       keeperActiveAtMs: Math.max(
-        this.#keeperConnectedAtMs,
+        this.#contact.connectedAtMs,
         this.#cellTail.grewAtMs,
       ),
       readAtMs: this.#election.winner === undefined
@@ -251,7 +252,8 @@
     );
     const end = await writer.takeOver();
     const isCurrent = () =>
-      !this.#isClosed && this.#election.epoch === epoch && !writer.isDeposed;
+      !this.#isClosed && !writer.isDeposed &&
+      this.#election.epoch === epoch && this.#contact.heardEpoch <= epoch;
     while (end !== undefined && isCurrent()) {
       // A job is stored before its progress row, so the jobs are read last: no
       // job is then missing of which a progress row was read. Where a stream of
@@ -276,6 +278,7 @@
     const session = new KeeperSession({
       epoch,
       writer,
+      predecessor: this.#election.predecessor,
       directory: this.directory,
       bounds,
       links,
