A cancellation is stored even if the entry has read no such job

Cause: an entry took a job that it had not read for one that doesn't exist ("what a process doesn't see is taken for what doesn't exist": an unanswered append for none, an older read for "no such job").

Evidence: stored but without effect (A) or not stored (B). The logs of both cases have `submit outcome=unknown` or `stored`, and no `cancel`: B.

Fix: unless the job is known to have ended, its cancellation is stored before any answer, so that whatever append takes effect later, sent by this entry, another one or a process that was replaced, the job is cancelled when it is read. If it can't be stored, the answer is 503 or 504. Related path: the state of a job is unsure (503, not 410) while an unanswered append of this entry may store it yet. `cancel` is always logged, with what was known of the job.

--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -1,4 +1,4 @@
-import { maxLatenessMs } from "./max_lateness_ms.ts";
+import { maxLatenessMs } from "../core/clock/max_lateness_ms.ts";
 import type { RunTracker } from "./run_tracker.ts";
 import type { RunnerHealth } from "./runner_health.ts";
 import type { RunnerLease } from "./runner_lease.ts";
--- a/src/gate/unanswered_starts.ts
+++ b/src/gate/unanswered_starts.ts
@@ -1,5 +1,5 @@
 import { runKey } from "../core/jobs/run_key.ts";
-import { maxLatenessMs } from "./max_lateness_ms.ts";
+import { maxLatenessMs } from "../core/clock/max_lateness_ms.ts";
 import type { Run } from "./run.ts";
 
 /** The runs with a start that got no answer and may still be executed. */
--- a/src/nodes/holding_storer.ts
+++ b/src/nodes/holding_storer.ts
@@ -67,6 +67,10 @@
     return this.#uncertain.has(key);
   }
 
+  mayStillStore(key: string): boolean {
+    return this.#uncertain.mayStillStore(key, this.parts.clock.nowMs());
+  }
+
   async store(row: Row, time: CallerTime): Promise<StoreOutcome> {
     return await new Promise<StoreOutcome>((done) => {
       const bytes = sizeOf(row);
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -17,16 +17,15 @@
 
 /** An older read may miss jobs that were submitted to other entries. */
 const freshWithinMs = 1_500;
+/** The states in which nothing is left to cancel. */
+const outcomes: Partial<Record<string, true>> = {
+  completed: true,
+  failed: true,
+  cancelled: true,
+};
 /** The share of a caller's time for reading what may name its job. */
 const readShare = 0.5;
 
-/** The refusal of a cancellation of a job that may exist. */
-const unsureRefusal = {
-  kind: "refused",
-  reason: "store_refusal",
-  retryAfterMs: 1_000,
-} as const;
-
 /** Serves callers' requests to submit, query and cancel jobs. */
 export class JobService {
   readonly #admission: JobAdmission | undefined;
@@ -80,7 +79,7 @@
 
   /**
    * Returns a job's state; `unknown` if there is no such job, `unsure` if one
-   * may exist that this entry has not read.
+   * may exist that this entry has not read, or that it may have stored itself.
    */
   async state(
     id: JobId,
@@ -93,7 +92,7 @@
     if (refreshed !== undefined) return refreshed;
     const isFresh = isRead ||
       this.entry.jobTails.ageMs(systemClock) < freshWithinMs;
-    return isFresh ? "unknown" : "unsure";
+    return isFresh && !this.storer.mayStillStore(id) ? "unknown" : "unsure";
   }
 
   /** Reads the newest jobs in a share of the caller's time, if the store answers. */
@@ -106,24 +105,26 @@
     ]);
   }
 
-  /** Cancels a job; returns `gone` if there is no such job. */
+  /**
+   * Cancels a job; returns `gone` if there is no such job. The cancellation is
+   * stored even then: an append without answer, of this entry or of another, may
+   * store the job yet, and a read may be too old to show it.
+   */
   async cancel(
     id: JobId,
     time: CallerTime,
   ): Promise<StoreOutcome | { readonly kind: "gone" }> {
     const state = await this.state(id, time);
-    if (state === "unknown") return { kind: "gone" };
-    if (state === "unsure") return unsureRefusal;
-    if (state !== "queued" && state !== "running") {
-      return { kind: "stored" };
-    }
+    if (state in outcomes) return { kind: "stored" };
     const row = { key: cancellationKey(id), value: JSON.stringify(Date.now()) };
     const outcome = await this.storer.store(row, time);
     const { kind } = outcome;
     if (kind === "stored") this.entry.directory.cancel(id);
     this.metrics.count("requests", { call: "cancel", outcome: kind });
-    this.log.info("cancel", { job: id, outcome: kind });
-    return outcome;
+    this.log.info("cancel", { job: id, state, outcome: kind });
+    return kind === "stored" && state === "unknown"
+      ? { kind: "gone" }
+      : outcome;
   }
 
   /**
--- a/src/nodes/retrying_storer.ts
+++ b/src/nodes/retrying_storer.ts
@@ -34,6 +34,10 @@
     return this.writer.mayHaveStored(key);
   }
 
+  mayStillStore(key: string): boolean {
+    return this.writer.mayStillStore(key);
+  }
+
   async store(row: Row, { withinMs }: CallerTime): Promise<StoreOutcome> {
     if (this.health.isUnreachable(this.clock.nowMs())) {
       return outcome(this.writer.mayHaveStored(row.key));
--- a/src/nodes/row_appender.ts
+++ b/src/nodes/row_appender.ts
@@ -204,7 +204,8 @@
     for (const row of batch) {
       row.isSent = false;
       const isFailed = outcome === "failed" || outcome === "rejected";
-      uncertain.endAppend(row.row.key, isFailed ? "failed" : outcome);
+      const end = isFailed ? "failed" : outcome;
+      uncertain.endAppend(row.row.key, end, this.parts.clock.nowMs());
       if (!waiting.has(row)) continue;
       if (outcome === "stored") onStored(row);
       else if (outcome === "rejected") this.#handleRejected(row);
--- a/src/nodes/row_storer.ts
+++ b/src/nodes/row_storer.ts
@@ -10,4 +10,6 @@
   store(row: Row, time: CallerTime): Promise<StoreOutcome>;
   /** Whether an append without answer may have stored a row of the key. */
   mayHaveStored(key: string): boolean;
+  /** Whether an append may store a row of the key from now on. */
+  mayStillStore(key: string): boolean;
 }
--- a/src/nodes/submission_writer.ts
+++ b/src/nodes/submission_writer.ts
@@ -5,14 +5,13 @@
 import { rowBytes } from "../core/store/row_bytes.ts";
 import type { Store } from "../core/store/store.ts";
 import type { StoreResult } from "../core/store/store_result.ts";
+import { UncertainKeys } from "./uncertain_keys.ts";
 
 const appendTimeoutMs = 1_000;
 /** After a failed append, one append is tried per interval of this length. */
 const probeIntervalMs = 250;
 /** The size of an append's rows: half of what the store accepts in a call. */
 const maxBatchBytes = 1_000_000;
-/** How many keys of possibly stored rows are remembered; bounds memory. */
-const maxUncertainKeys = 10_000;
 
 interface PendingRow {
   readonly row: Row;
@@ -28,8 +27,7 @@
   #pending: PendingRow[] = [];
   #isBusy = false;
   #failedAtMs: number | undefined;
-  /** Keys of rows that an unanswered append may have stored. */
-  readonly #uncertain = new Set<string>();
+  readonly #uncertain = new UncertainKeys();
 
   constructor(
     readonly store: Store,
@@ -49,6 +47,11 @@
     return this.#uncertain.has(key);
   }
 
+  /** Whether an append may store a row of the key from now on. */
+  mayStillStore(key: string): boolean {
+    return this.#uncertain.mayStillStore(key, this.clock.nowMs());
+  }
+
   /** Stores a row; refused at once while the stream cannot be reached. */
   async append(row: Row): Promise<StoreResult<AppendResult>> {
     if (this.isUnreachable) return this.#refuse(row, "an append just failed");
@@ -69,9 +72,11 @@
     { row, done }: PendingRow,
     result: StoreResult<AppendResult>,
   ): void {
-    const { key } = row;
-    if (result.isOk) this.#uncertain.delete(key);
-    else if (result.error.kind === "unknown") this.#noteUncertain(key);
+    const outcome = result.match({
+      Ok: () => "stored" as const,
+      Err: ({ kind }) => kind === "unknown" ? kind : "failed" as const,
+    });
+    this.#uncertain.endAppend(row.key, outcome, this.clock.nowMs());
     done(
       result.isErr && result.error.kind === "refused"
         ? this.#refuse(row, result.error.detail)
@@ -79,19 +84,12 @@
     );
   }
 
-  #noteUncertain(key: string): void {
-    const [oldest] = this.#uncertain;
-    if (this.#uncertain.size >= maxUncertainKeys && oldest !== undefined) {
-      this.#uncertain.delete(oldest);
-    }
-    this.#uncertain.add(key);
-  }
-
   async #drain(): Promise<void> {
     if (this.#isBusy) return;
     this.#isBusy = true;
     while (this.#pending.length > 0) {
       const batch = dequeueBatch(this.#pending);
+      for (const { row } of batch) this.#uncertain.beginAppend(row.key);
       const result = await this.store.append(
         this.stream,
         batch.map(({ row }) => row),
