--- a/scenarios/cell_histories/predecessor_of.ts
+++ b/scenarios/cell_histories/predecessor_of.ts
@@ -16,8 +16,9 @@
   epoch: number,
   clock: ProcessClock,
 ): Predecessor | undefined {
-  if (seed % seedsOf < firstKnownSeed) return undefined;
-  const isDead = keepers.at(-1)?.options.clock.isDead ?? true;
+  const before = keepers.at(-1);
+  if (before !== undefined && seed % seedsOf < firstKnownSeed) return undefined;
+  const isDead = before?.options.clock.isDead ?? true;
   const isKnown = isDead && epoch % termsOf !== 0;
   return {
     epoch: epoch - 1,
