Starts under way are bounded, at the keeper and at the sidecar

Cause: nothing bounded the calls to a runner that are under way; callers' numbers did. Each call holds a connection, a time limit and a repetition.

Hypothesis A, the calls, against B, the polls that each unanswered start and each stop asks for.

Fix: a sidecar makes at most 32 calls at a time, stops first, and drops a start whose reason has gone when its turn comes; polls on request are shared. A keeper has at most 64 starts under way on a worker, three quarters of them of one job, so that what is not placed can still go elsewhere or after more urgent work, and repeats starts within the same bound.

Metrics `starts_pending` and `runner_calls_waiting`. No message or row changes, so builds before this one work with it either way.

The reference of placement_test has the same bound.

--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -65,6 +65,11 @@
   learned_error: ["Mean factor by which learned run times are off", []],
   tasks_waiting: ["Tasks that have waited for over 2 s, by why", ["reason"]],
   workers: ["Workers that the keeper has adopted", []],
+  starts_pending: ["Starts under way on all workers", []],
+  runner_calls_waiting: [
+    "Starts, stops and paces that wait for a call to the runner to end",
+    [],
+  ],
   operator_rows_age_ms: [
     "How old the keeper's read of the operator's rows is",
     [],
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -28,6 +28,7 @@
 import { sendKnownRuns } from "./send_known_runs.ts";
 import { sendStates } from "./send_states.ts";
 import { servicePressures } from "./service_pressures.ts";
+import { StopBatch } from "./stop_batch.ts";
 import { TermLog } from "./term_log.ts";
 import { UnsureNotice } from "./unsure_notice.ts";
 import { UnsavedRows } from "./unsaved_rows.ts";
@@ -47,6 +48,7 @@
   readonly #openedAtMs: number;
   readonly #unsaved = new UnsavedRows();
   readonly #deferred: DeferredEffect[] = [];
+  readonly #stops = new StopBatch();
   #isFlushing = false;
   #isClosed = false;
   #isResigning = false;
@@ -233,6 +235,7 @@
       this.#apply(effect);
       isDue = true;
     }
+    this.#stops.sendTo(this.options.links);
     if (isDue) this.#flushSoon();
   }
 
@@ -240,10 +243,8 @@
     if (this.#unsaved.add(effect)) return;
     if (effect.kind === "note") this.#termLog.recordNote(effect);
     else if (effect.kind === "stop") {
-      const { node, task, run, life } = effect;
-      const stops = [{ task, run, life }];
       this.#termLog.recordStop(effect);
-      this.options.links.send(node, { kind: "orders", starts: [], stops });
+      this.#stops.add(effect);
     } else if (effect.kind === "ask") void this.#ask(effect);
     else this.#deferred.push(effect);
   }
@@ -285,9 +286,8 @@
   #flush(): void {
     this.#isFlushing = false;
     if (this.#isClosed) return;
-    const { clock, load, writer } = this.options;
+    const { cell, options: { clock, links, load, writer } } = this;
     const nowMs = clock.nowMs();
-    const { cell } = this;
     cell.mayMove = !writer.isUnsure(nowMs);
     const lost = releaseLostWorkers(cell, this.#leases, this.#termLog, nowMs);
     for (const effect of lost) this.#apply(effect);
@@ -296,6 +296,7 @@
     for (const effect of this.cell.tick(nowMs, clock.wallMs())) {
       this.#apply(effect);
     }
+    this.#stops.sendTo(links);
     this.#evacuation?.update();
     this.#termLog.recordState(this.cell);
     const rows = this.#unsaved.take(writer.limits);
@@ -305,9 +306,8 @@
     const isStartDue = this.#evacuation?.hasDueStarts ?? false;
     if (rows.length === 0 && this.#deferred.length === 0 && !isStartDue) return;
     const deferred = this.#deferred.splice(0);
-    if (rows.length === 0 && needsConfirmation(deferred)) {
-      rows.push(writer.heartbeatRow());
-    }
+    const isUnconfirmed = rows.length === 0 && needsConfirmation(deferred);
+    if (isUnconfirmed) rows.push(writer.heartbeatRow());
     writer.write(rows, (rejected) => {
       if (this.#isClosed) return;
       this.#leaseRegister.recordStored(takenNumber, rejected);
--- a/src/cellhost/term_log.ts
+++ b/src/cellhost/term_log.ts
@@ -85,6 +85,11 @@
     this.#waiting.update(cell, this.clock.nowMs());
     const { estimator, speed, stragglers } = statistics;
     metrics.setGauge("jobs_live", liveJobs.size);
+    let pendingStarts = 0;
+    for (const worker of cell.workers.values()) {
+      pendingStarts += worker.pendingStarts.size;
+    }
+    metrics.setGauge("starts_pending", pendingStarts);
     if (estimator !== undefined) {
       metrics.setGauge("declared_error", estimator.errors.declared);
       metrics.setGauge("learned_error", estimator.errors.learned);
--- a/src/core/cell/capacity_obstacle.ts
+++ b/src/core/cell/capacity_obstacle.ts
@@ -2,7 +2,6 @@
 import type { Queue } from "../jobs/queue.ts";
 import { fits } from "../resources/fits.ts";
 import { subtractResources } from "../resources/subtract_resources.ts";
-import { countTasksOn } from "./count_tasks_on.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import { reservedResources } from "./reserved_resources.ts";
 import type { Task } from "./task.ts";
@@ -34,7 +33,7 @@
   const { definition } = task.group;
   const { label, mostPerWorker } = definition;
   if (label !== undefined && !report.labels.includes(label)) return "label";
-  if (mostPerWorker > 0 && countTasksOn(task.group, worker) >= mostPerWorker) {
+  if (mostPerWorker > 0 && worker.countOf(task.group) >= mostPerWorker) {
     return "too_many_of_step";
   }
   const room = definition.isFiller
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -190,9 +190,11 @@
 
   /** Marks a claimed run as running. */
   *markStarted(node: NodeId, run: RunId, nowMs: number): Effects {
-    const task = this.workers.get(node)?.claimedTask(run.task, run.run);
+    const worker = this.workers.get(node);
+    const task = worker?.claimedTask(run.task, run.run);
     const claim = task?.claim;
     if (task === undefined || claim === undefined) return;
+    worker!.endPendingStart(task);
     yield* this.noteBegun(task.group.job);
     if (claim.phase !== "starting") return;
     claim.hasBegun = true;
--- a/src/core/cell/choose_worker.ts
+++ b/src/core/cell/choose_worker.ts
@@ -1,6 +1,5 @@
 import type { Queue } from "../jobs/queue.ts";
 import type { RunnerLife } from "../jobs/runner_life.ts";
-import { countTasksOn } from "./count_tasks_on.ts";
 import { hasCapacityFor } from "./has_capacity_for.ts";
 import { hasCpuForFiller } from "./has_cpu_for_filler.ts";
 import { isImpactAllowed } from "./is_impact_allowed.ts";
@@ -148,5 +147,5 @@
   if (!sameRack) return false;
   return task.group.tasks.some(({ claim }) =>
     claim !== undefined && claim.node !== worker.node
-  ) && countTasksOn(task.group, worker) === 0;
+  ) && worker.countOf(task.group) === 0;
 }
--- a/src/core/cell/job.ts
+++ b/src/core/cell/job.ts
@@ -36,6 +36,8 @@
   unknownFields: Readonly<Record<string, unknown>> = {};
   /** How often its claims, ends or open occurrences have changed. */
   changeCount = 0;
+  /** How many starts of its tasks are under way. */
+  pendingStartCount = 0;
   #waitingGroups: readonly TaskGroup[] = [];
   #hasClaims = false;
   /** The change counts for which these two were found. */
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -5,6 +5,7 @@
 import { chooseWorker } from "./choose_worker.ts";
 import { isCellSettling } from "./is_cell_settling.ts";
 import { isIsolated } from "./is_isolated.ts";
+import { countAllowedStarts } from "./count_allowed_starts.ts";
 import { countAllowedBegins } from "./count_allowed_begins.ts";
 import type { PlacementMode } from "./placement_mode.ts";
 import type { TaskGroup } from "./task_group.ts";
@@ -89,9 +90,11 @@
   const tickets = cell.advice.ticketsFor(group, queue, nowMs);
   const { job } = group;
   let allowedBegins = countAllowedBegins(job, cell.options.maxRowBytes);
+  let allowedStarts = countAllowedStarts(cell, job, queue.pool);
   for (const task of group.tasks) {
     if (!isWaiting(task)) continue;
     if (task.run === 0 && allowedBegins <= 0) continue;
+    if (allowedStarts <= 0) return;
     if (cell.statistics.attempts?.mayStart(group) === false) return;
     const mayRelax = mayRelaxTask(task, nowMs);
     const worker = chooseForTask(cell, task, queue, tickets, mayRelax);
@@ -106,6 +109,7 @@
       continue;
     }
     if (task.run === 0) allowedBegins -= 1;
+    allowedStarts -= 1;
     yield* claimAndStart(worker, task, task.run + 1, nowMs, tickets);
     job.idleSinceMs = undefined;
   }
@@ -252,6 +256,7 @@
   if (isIsolated(task)) worker.quiet = undefined;
   const { job } = task.group;
   job.hasStarted = true;
+  worker.beginPendingStart(task);
   yield { kind: "save", job };
   yield { kind: "start", node: worker.node, command: buildStart(task) };
 }
--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -96,9 +96,16 @@
   // A run that has ended, of which the end is not listed yet, is not missing.
   if (!isStopping && worker.report?.hasMoreEnds) return;
   if (worker.isReconciled && nowMs - claim.phaseSinceMs < resendMs) return;
+  if (isStopping) {
+    claim.phaseSinceMs = nowMs;
+    yield stopEffectFor(worker, task.name, task.run, "again");
+    return;
+  }
+  // The others follow with a later report.
+  if (worker.isBusyStarting && !worker.pendingStarts.has(task)) return;
   claim.phaseSinceMs = nowMs;
-  if (isStopping) yield stopEffectFor(worker, task.name, task.run, "again");
-  else yield { kind: "start", node: worker.node, command: buildStart(task) };
+  worker.beginPendingStart(task);
+  yield { kind: "start", node: worker.node, command: buildStart(task) };
 }
 
 function recordProgress(task: Task, percent: number, nowMs: number): void {
--- a/src/core/cell/start_obstacle.ts
+++ b/src/core/cell/start_obstacle.ts
@@ -13,6 +13,7 @@
   worker: Worker,
   nowMs: number,
 ): WorkerObstacle | undefined {
+  if (worker.isBusyStarting) return "starts_pending";
   const { group } = task;
   const isOther = (other: Task) =>
     !group.definition.isGang || other.group !== group;
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -7,6 +7,7 @@
 import type { RunnerLife } from "../jobs/runner_life.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
 import type { TaskName } from "../jobs/task_name.ts";
+import { maxPendingStarts } from "./max_pending_starts.ts";
 import { isIsolated } from "./is_isolated.ts";
 import { reservedResources } from "./reserved_resources.ts";
 import type { Task } from "./task.ts";
@@ -36,6 +37,10 @@
   reserved: Resources = noResources;
   /** The tasks whose current run is claimed here. */
   readonly claims = new Map<TaskName, Task>();
+  /** Those among them whose start is under way. */
+  readonly pendingStarts = new Set<Task>();
+  /** How often it has stopped being busy with starts. */
+  startsFreedCount = 0;
   /** Those among them that may have crashed a worker and are starting up. */
   readonly startingSuspects = new Set<Task>();
   /** The group whose isolated tasks alone may start here, until then. */
@@ -75,6 +80,8 @@
   /** How many claims are of fillers, and of services with a target. */
   fillerCount = 0;
   targetCount = 0;
+  /** How many claims are of each group that has any. */
+  readonly #groupCounts = new Map<TaskGroup, number>();
   #claimedResources: Resources = noResources;
 
   constructor(readonly node: NodeId) {}
@@ -100,6 +107,26 @@
     return this.quiet !== undefined && nowMs < this.quiet.untilMs;
   }
 
+  /** Whether as many starts are under way as may be. */
+  get isBusyStarting(): boolean {
+    return this.pendingStarts.size >= maxPendingStarts;
+  }
+
+  /** Records that a task's start is under way. */
+  beginPendingStart(task: Task): void {
+    if (this.pendingStarts.has(task)) return;
+    this.pendingStarts.add(task);
+    task.group.job.pendingStartCount += 1;
+  }
+
+  /** Records that a start is no longer under way. */
+  endPendingStart(task: Task): void {
+    const wasBusy = this.isBusyStarting;
+    if (!this.pendingStarts.delete(task)) return;
+    task.group.job.pendingStartCount -= 1;
+    if (wasBusy) this.startsFreedCount += 1;
+  }
+
   /** The resources that claimed and unclaimed runs reserve. */
   get used(): Resources {
     let used = this.#claimedResources;
@@ -118,6 +145,11 @@
     return task?.run === run ? task : undefined;
   }
 
+  /** How many claims are of a group. */
+  countOf(group: TaskGroup): number {
+    return this.#groupCounts.get(group) ?? 0;
+  }
+
   /** Adds a task's claim and reserves its resources. */
   addClaim(task: Task): void {
     if (this.claims.has(task.name)) return;
@@ -137,6 +169,7 @@
     task.group.job.changeCount += 1;
     if (!this.claims.delete(task.name)) return;
     this.removalCount += 1;
+    this.endPendingStart(task);
     this.startingSuspects.delete(task);
     this.#count(task, -1);
     this.statuses.delete(task.name);
@@ -165,6 +198,9 @@
     this.claimVersion += 1;
     group.job.changeCount += 1;
     group.claimCount += change;
+    const groupCount = this.countOf(group) + change;
+    if (groupCount === 0) this.#groupCounts.delete(group);
+    else this.#groupCounts.set(group, groupCount);
     const { isFiller, isService, targetLatencyMs } = group.definition;
     if (isFiller) this.fillerCount += change;
     if (isService && targetLatencyMs > 0) this.targetCount += change;
--- a/src/core/cell/worker_obstacle.ts
+++ b/src/core/cell/worker_obstacle.ts
@@ -13,6 +13,7 @@
   | "isolated_start"
   | "reserved_quiet"
   | "others_starting"
+  | "starts_pending"
   | "no_ticket"
   | "no_processors"
   | "disturbs_services";
--- a/src/core/cell/worker_state.ts
+++ b/src/core/cell/worker_state.ts
@@ -17,6 +17,7 @@
   #isEvacuated = false;
   #hasIsolatedStart = false;
   #isQuiet = false;
+  #startsFreedCount = 0;
   #speed: Worker["speed"] = "normal";
   #reserved: Resources | undefined;
   #removalCount = -1;
@@ -32,7 +33,8 @@
   update(nowMs: number, pressureVersion: number): Gain {
     const { worker } = this;
     const { report, isReconciled, removalCount, claimVersion } = worker;
-    const { isEvacuated, hasIsolatedStart, reserved, speed } = worker;
+    const { isEvacuated, startsFreedCount, hasIsolatedStart } = worker;
+    const { reserved, speed } = worker;
     const isSuspended = nowMs < worker.suspendedUntilMs;
     const isQuiet = worker.isQuiet(nowMs);
     const isReported = report !== this.#report;
@@ -42,6 +44,7 @@
       isEvacuated !== this.#isEvacuated ||
       hasIsolatedStart !== this.#hasIsolatedStart ||
       isQuiet !== this.#isQuiet ||
+      startsFreedCount !== this.#startsFreedCount ||
       speed !== this.#speed ||
       hasRemovals ||
       (isReported && this.#isDifferent(report));
@@ -62,6 +65,7 @@
     this.#isEvacuated = isEvacuated;
     this.#hasIsolatedStart = hasIsolatedStart;
     this.#isQuiet = isQuiet;
+    this.#startsFreedCount = startsFreedCount;
     this.#speed = speed;
     this.#reserved = reserved;
     this.#removalCount = removalCount;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -21,6 +21,8 @@
 import { RunnerHealth } from "./runner_health.ts";
 import { RunnerLease } from "./runner_lease.ts";
 import type { RunnerPollResult } from "./runner_poll_result.ts";
+import { CallSlots } from "./call_slots.ts";
+import { SharedPoll } from "./shared_poll.ts";
 import { StartWindow } from "./start_window.ts";
 import { WakeablePause } from "./wakeable_pause.ts";
 
@@ -45,6 +47,7 @@
   isStopped = false;
   readonly lease: RunnerLease;
   readonly startWindow: StartWindow;
+  readonly slots = new CallSlots();
   readonly #tracker = new RunTracker(this);
   readonly #orderWatch = new OrderWatch(this);
   readonly #paceController: PaceController;
@@ -58,6 +61,9 @@
   #appliedPollSentAtMs = -Infinity;
   #running: readonly RunStatus[] = [];
   readonly #pause: WakeablePause;
+  readonly #sharedPoll = new SharedPoll(() => this.#poll(0));
+  readonly pollNow = () => this.#sharedPoll.request();
+  readonly send = (message: PeerMessage) => this.#keeper.send(message);
 
   constructor(
     readonly runner: RunnerClient,
@@ -202,20 +208,12 @@
     this.#pause.wake();
   }
 
-  send(message: PeerMessage): void {
-    this.#keeper.send(message);
-  }
-
   recordClock(answer: RunnerResult<unknown>, sentAtMs: number): void {
     const { clockMs } = answer;
     if (clockMs === undefined) return;
     this.#lifeEnd.recordReading(clockMs, sentAtMs, this.clock.nowMs());
   }
 
-  pollNow(): Promise<boolean> {
-    return this.#poll(0);
-  }
-
   #beginLife(heartbeat: RunnerHeartbeat, isAfterCrash: boolean): void {
     const life = lifeOf(heartbeat);
     const { cpuMilli } = heartbeat.capacity;
--- a/src/gate/gate_context.ts
+++ b/src/gate/gate_context.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "../adapters/logger.ts";
 import type { Clock } from "../core/clock/clock.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
+import type { CallSlots } from "./call_slots.ts";
 import type { RunnerResult } from "./runner_result.ts";
 import type { RunnerClient } from "./runner_client.ts";
 import type { RunnerHeartbeat } from "./runner_heartbeat.ts";
@@ -12,6 +13,8 @@
   readonly runner: RunnerClient;
   readonly lease: RunnerLease;
   readonly startWindow: StartWindow;
+  /** Bounds the calls that start, stop or pace runs. */
+  readonly slots: CallSlots;
   readonly clock: Clock;
   readonly log: Logger;
   /** The newest heartbeat of the runner, which names its current life. */
@@ -29,8 +32,8 @@
    */
   recordClock(answer: RunnerResult<unknown>, sentAtMs: number): void;
   /**
-   * Polls the runner at once, beside a poll that may be waiting. Returns whether
-   * the life of the newest heartbeat has answered.
+   * Polls the runner soon, beside a poll that may be waiting. Returns whether the
+   * life of the newest heartbeat has answered.
    */
   pollNow(): Promise<boolean>;
 }
--- a/src/gate/pace_controller.ts
+++ b/src/gate/pace_controller.ts
@@ -92,15 +92,22 @@
     const { context } = this;
     const { instance, bornMs } = context.lastHeartbeat!;
     context.log.info("pace", { task: run.task, percent, was: run.pace });
-    const sentAtMs = context.clock.nowMs();
-    const answer = await context.runner.pace({
-      instance,
-      epoch: context.epoch,
-      task: run.task,
-      run: run.run,
-      percent,
+    let sentAtMs = 0;
+    const answer = await context.slots.run("pace", async () => {
+      sentAtMs = context.clock.nowMs();
+      if (context.lastHeartbeat?.bornMs !== bornMs) return undefined;
+      const { epoch } = context;
+      const { task, run: number } = run;
+      return await context.runner.pace({
+        instance,
+        epoch,
+        task,
+        run: number,
+        percent,
+      });
     });
-    if (context.lastHeartbeat?.bornMs !== bornMs) return;
+    const isKnownLife = context.lastHeartbeat?.bornMs === bornMs;
+    if (answer === undefined || !isKnownLife) return;
     context.recordClock(answer, sentAtMs);
     run.isSettingPace = false;
     if (answer.isOk) run.pace = percent;
--- a/src/gate/send_stop.ts
+++ b/src/gate/send_stop.ts
@@ -16,14 +16,20 @@
   { task, run }: Run,
   isNeeded: () => boolean,
 ): Promise<boolean> {
-  const { clock } = context;
+  const { clock, slots } = context;
   const { instance, bornMs } = context.lastHeartbeat!;
   const sinceMs = clock.nowMs();
   let logAtMs = sinceMs + minLoggedMs;
   while (isNeeded()) {
-    const { epoch } = context;
-    const sentAtMs = context.clock.nowMs();
-    const answer = await context.runner.stop({ instance, epoch, task, run });
+    let sentAtMs = sinceMs;
+    const answer = await slots.run("stop", async () => {
+      sentAtMs = clock.nowMs();
+      const isKnownLife = context.lastHeartbeat?.bornMs === bornMs;
+      if (!isKnownLife || !isNeeded()) return undefined;
+      const { epoch } = context;
+      return await context.runner.stop({ instance, epoch, task, run });
+    });
+    if (answer === undefined) return false;
     if (context.lastHeartbeat?.bornMs !== bornMs) return false;
     context.recordClock(answer, sentAtMs);
     if (answer.isOk) return isNeeded();
--- a/src/gate/start_run.ts
+++ b/src/gate/start_run.ts
@@ -1,11 +1,17 @@
 import type { StartCommand } from "../core/cell/start_command.ts";
 import { awaitKnownLife } from "./await_known_life.ts";
+import type { GateContext } from "./gate_context.ts";
 import { leaseEndForStart } from "./lease_end_for_start.ts";
 import { mayBeEarlierRun } from "./may_be_earlier_run.ts";
 import { refusalFor } from "./refusal_for.ts";
 import type { Run } from "./run.ts";
 import type { StartOwner } from "./start_owner.ts";
 
+/** Whether the runner has begun to drain before the run was first sent to it. */
+function isDrainedFor(run: Run, { isDraining }: GateContext): boolean {
+  return isDraining && !run.isStartUncertain;
+}
+
 /** Retries a start until its outcome is known, or else stops the run. */
 export async function startRun(
   run: Run,
@@ -24,17 +30,26 @@
       owner.giveUpStart(run, "late");
       break;
     }
-    const sentAtMs = clock.nowMs();
-    const answer = await context.runner.start({
-      instance,
-      epoch: context.epoch,
-      task: run.task,
-      run: run.run,
-      payload: command.payload,
-      ticket: command.ticket,
-      checkpoint: command.checkpoint,
-      leaseEndClockMs: leaseEndForStart(context, arrivedAtMs),
+    let sentAtMs = arrivedAtMs;
+    const answer = await context.slots.run("start", async () => {
+      sentAtMs = clock.nowMs();
+      // The wait for a slot may have outlasted the reason for the start.
+      if (!mayRepeat() || isDrainedFor(run, context)) return undefined;
+      return await context.runner.start({
+        instance,
+        epoch: context.epoch,
+        task: run.task,
+        run: run.run,
+        payload: command.payload,
+        ticket: command.ticket,
+        checkpoint: command.checkpoint,
+        leaseEndClockMs: leaseEndForStart(context, arrivedAtMs),
+      });
     });
+    if (answer === undefined) {
+      if (isDrainedFor(run, context)) owner.giveUpStart(run, "draining");
+      continue;
+    }
     // Meanwhile a poll may have listed the run as running or ended.
     if (!owner.isStarting(run)) return;
     context.recordClock(answer, sentAtMs);
--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -4,7 +4,10 @@
 const pingIntervalMs = 300;
 /** A peer that sends nothing for this long is frozen or disconnected. */
 const silenceTimeoutMs = 1_500;
-/** A peer that reads too slowly is disconnected at this backlog. */
+/**
+ * A peer that reads too slowly is disconnected at this backlog of earlier
+ * messages; a single message may be longer.
+ */
 const maxUnsentBytes = 4_000_000;
 /** A longer line is not one of the system's messages. */
 const maxLineBytes = 16_000_000;
@@ -46,9 +49,12 @@
   /** Sends a message, if the channel is still open. */
   send(message: Out): void {
     if (!this.#isOpen) return;
+    if (this.socket.writableLength > maxUnsentBytes) {
+      this.close("too slow");
+      return;
+    }
     this.#sentAtMs = performance.now();
     this.socket.write(`${JSON.stringify(message)}\n`);
-    if (this.socket.writableLength > maxUnsentBytes) this.close("too slow");
   }
 
   /** Closes the connection; `onClose` is called only the first time. */
--- a/tests/full_scan_choice.ts
+++ b/tests/full_scan_choice.ts
@@ -21,6 +21,8 @@
  * that suit any filler stay free for fillers that fit nowhere else.
  */
 const sensitivityWeight = 1;
+/** A worker with so many starts under way gets no further task. */
+const maxPendingStarts = 64;
 /** The share of its requested CPU that a filler must get in strict mode. */
 const minFillerCpuShare = 0.85;
 /** A worker whose runs take this many times the expected time is penalised. */
@@ -73,6 +75,7 @@
 ): boolean {
   const { report } = worker;
   if (report === undefined || !worker.isReconciled) return false;
+  if (worker.pendingStarts.size >= maxPendingStarts) return false;
   if (worker.isEvacuated || isKeptApart(task, worker, nowMs)) return false;
   if (!report.isUp || report.isDraining || report.pool !== queue.pool) {
     return false;
--- a/tests/full_scan_placement.ts
+++ b/tests/full_scan_placement.ts
@@ -206,6 +206,7 @@
   if (task.crashes >= 2) worker.quiet = undefined;
   const { job } = task.group;
   job.hasStarted = true;
+  worker.beginPendingStart(task);
   yield { kind: "save", job };
   yield { kind: "start", node: worker.node, command: buildStart(task) };
 }
