A sidecar names the lives before one that has ended

Its claim was in an earlier life of a runner whose next life had ended and was stored as ended; only the claims of that very life were released.

Fix: the row of an ended life names the lives before it that the sidecar saw (field `before`, which builds before this one ignore), and keepers release the claims of all of them. Other lives' claims are kept.

--- a/scenarios/cell_histories/history_sidecar.ts
+++ b/scenarios/cell_histories/history_sidecar.ts
@@ -33,8 +33,9 @@
     const { evacuateMs, maxHoldMs } = bounds;
     this.gate = new Gate(client, maxHoldMs, clock, log, evacuateMs);
     if (announcer !== undefined) {
-      this.gate.onEnded = (life) =>
-        void announcer.announceEnd(life).then(() => this.#isEndStored = true);
+      this.gate.onEnded = (life, before) =>
+        void announcer.announceEnd(life, before)
+          .then(() => this.#isEndStored = true);
       void announcer.run();
     }
     void this.gate.run();
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -137,9 +137,9 @@
     this.options.links.set(node, row);
   }
 
-  /** Releases what is claimed in a life of a worker that has ended for good. */
-  recordEndedLife(node: NodeId, life: RunnerLife): void {
-    this.cell.worker(node).endedLife = life;
+  /** Releases what is claimed in lives of a worker that have ended for good. */
+  recordEndedLife(node: NodeId, ...lives: RunnerLife[]): void {
+    this.cell.worker(node).endedLives = lives;
     this.#flushSoon();
   }
 
--- a/src/core/cell/release_ended_life.ts
+++ b/src/core/cell/release_ended_life.ts
@@ -2,15 +2,15 @@
 import type { CellEffect } from "./cell_effect.ts";
 import type { Worker } from "./worker.ts";
 
-/** Releases the claims in a life of a worker's runner that has ended for good. */
+/** Releases the claims in lives of a worker's runner that have ended for good. */
 export function* releaseEndedLife(
   cell: Cell,
   worker: Worker,
   nowMs: number,
 ): Generator<CellEffect, void> {
-  const { node, endedLife: life } = worker;
+  const { node, endedLife: life, endedLives } = worker;
   const ended = [...worker.claims.values()].filter(({ claim }) =>
-    claim?.life === life
+    claim !== undefined && endedLives.includes(claim.life)
   );
   if (life === undefined || ended.length === 0) return;
   const fields = { node, life, claims: ended.length };
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -29,8 +29,11 @@
    * the runs of its current life.
    */
   isReconciled = false;
-  /** A life of its runner that has ended for good, if its sidecar stored one. */
-  endedLife: RunnerLife | undefined;
+  /**
+   * The lives of its runner that have ended for good, as its sidecar stored them,
+   * the last one first.
+   */
+  endedLives: readonly RunnerLife[] = [];
   /** Whether its data centre is evacuated, so that nothing may start on it. */
   isEvacuated = false;
   /** What new fillers must leave free for services that have to move. */
@@ -127,6 +130,11 @@
     if (wasBusy) this.startsFreedCount += 1;
   }
 
+  /** The last of its runner's lives that have ended for good, if any is known. */
+  get endedLife(): RunnerLife | undefined {
+    return this.endedLives[0];
+  }
+
   /** The resources that claimed and unclaimed runs reserve. */
   get used(): Resources {
     let used = this.#claimedResources;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -40,7 +40,7 @@
  */
 export class Gate implements GateContext {
   /** Called when a life of the runner has ended after it had left. */
-  onEnded: (life: RunnerLife) => void = () => {};
+  onEnded: (life: RunnerLife, before: readonly RunnerLife[]) => void = () => {};
   lastHeartbeat: RunnerHeartbeat | undefined;
   epoch = 0;
   isDraining = false;
@@ -222,7 +222,7 @@
     this.#paceController.reset();
     this.lease.reset(this.clock.nowMs());
     this.#endLedger = new EndLedger();
-    this.#lifeEnd.reset();
+    this.#lifeEnd.reset(life);
     this.#lifeEvidence.reset(heartbeat.sequence);
     this.#running = [];
     this.#health.reset();
@@ -276,7 +276,7 @@
     if (!isNewlyEnded) return;
     const life = lifeOf(this.lastHeartbeat!);
     this.log.info("runner_ended", { life });
-    this.onEnded(life);
+    this.onEnded(life, this.#lifeEnd.livesBefore);
   }
 
   /** Applies an answer, unless one to a later poll has overtaken it. */
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -1,8 +1,11 @@
 import { maxLatenessMs } from "../core/clock/max_lateness_ms.ts";
+import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { RunTracker } from "./run_tracker.ts";
 import type { RunnerHealth } from "./runner_health.ts";
 import type { RunnerLease } from "./runner_lease.ts";
 
+const maxLivesBefore = 16;
+
 /** Tells when nothing runs in a life of the runner any more. */
 export class LifeEnd {
   /**
@@ -10,6 +13,9 @@
    * yet, may run what was meant for this one.
    */
   #nextLifeUntilMs: number | undefined;
+  /** The lives that ended before this one, the newest last. */
+  livesBefore: readonly RunnerLife[] = [];
+  #life: RunnerLife | undefined;
   /** Whether the runner has announced its exit. */
   hasLeft = false;
   #isTold = false;
@@ -21,7 +27,10 @@
   ) {}
 
   /** Starts over, for a new life of the runner. */
-  reset(): void {
+  reset(life: RunnerLife): void {
+    const before = this.#life === undefined ? [] : [this.#life];
+    this.livesBefore = [...this.livesBefore, ...before].slice(-maxLivesBefore);
+    this.#life = life;
     this.#nextLifeUntilMs = undefined;
     this.hasLeft = false;
     this.#isTold = false;
--- a/src/nodes/create_peers_tail.ts
+++ b/src/nodes/create_peers_tail.ts
@@ -29,7 +29,8 @@
       const endedNode = nodeOfEndedLifeKey(row.key);
       if (endedNode !== undefined) {
         const ended = reader.read(EndedLifeRow, row);
-        if (ended !== undefined) session.recordEndedLife(endedNode, ended.life);
+        if (ended === undefined) continue;
+        session.recordEndedLife(endedNode, ended.life, ...ended.before);
         continue;
       }
       const member = reader.read(MemberRow, row);
--- a/src/nodes/peer_announcer.ts
+++ b/src/nodes/peer_announcer.ts
@@ -56,15 +56,18 @@
   }
 
   /**
-   * Stores that a life of the runner has ended, until a later one has; returns
-   * once it is stored. A late append of the address, or that of a next process,
+   * Stores that a life of the runner has ended, and those before it with it, until
+   * a later one has; returns once it is stored. A late append of the address, or that of a next process,
    * does not overwrite this row.
    */
-  async announceEnd(life: RunnerLife): Promise<void> {
+  async announceEnd(
+    life: RunnerLife,
+    before: readonly RunnerLife[] = [],
+  ): Promise<void> {
     this.#endedLife = life;
     const row = {
       key: endedLifeKey(this.node),
-      value: JSON.stringify({ life }),
+      value: JSON.stringify({ life, before }),
     };
     const isNewest = () => this.#endedLife === life;
     if (await this.#store(row, isNewest, endTimeoutMs)) this.storedEnd = life;
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -32,7 +32,8 @@
       log,
       options.bounds.evacuateMs,
     );
-    this.gate.onEnded = (life) => void this.#announcer?.announceEnd(life);
+    this.gate.onEnded = (life, before) =>
+      void this.#announcer?.announceEnd(life, before);
     this.#server = new PeerServer((channel, hello) =>
       acceptKeeper(this.gate, channel, hello, log)
     );
--- a/tests/ended_life_test.ts
+++ b/tests/ended_life_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { Logger } from "../src/adapters/logger.ts";
 import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
+import { releaseEndedLife } from "../src/core/cell/release_ended_life.ts";
 import { JobDirectory } from "../src/cellhost/job_directory.ts";
 import type { KeeperLinks } from "../src/cellhost/keeper_links.ts";
 import { KeeperSession } from "../src/cellhost/keeper_session.ts";
@@ -10,6 +11,8 @@
 import { createPeersTail } from "../src/nodes/create_peers_tail.ts";
 import { PeerAnnouncer } from "../src/nodes/peer_announcer.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
+import { CellFixture } from "./cell_fixture.ts";
+import { GateFixture } from "./gate_fixture.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
 
 const log = new Logger("silent", {});
@@ -29,6 +32,10 @@
 
 /** What a keeper that is elected now knows of the worker's ended life. */
 async function readEndedLife(store: StoreModel) {
+  return (await readWorker(store)).endedLife;
+}
+
+async function readWorker(store: StoreModel) {
   const clock = new VirtualClock();
   const heartbeat = () => ({ key: "keeper", value: "{}" });
   const links: KeeperLinks = {
@@ -54,7 +61,7 @@
   });
   await createPeersTail(session, "k" as NodeId, store, log).refresh();
   session.close();
-  return session.cell.worker(node).endedLife;
+  return session.cell.worker(node);
 }
 
 // Guards against an ended life that is lost to keepers elected later.
@@ -84,3 +91,55 @@
     });
   }
 });
+
+// Guards against a claim in a life before the one that is stored as ended, which
+// waits for a lease though the sidecar saw that life end.
+describe("the lives before an ended life", () => {
+  const earlier = "w@0" as RunnerLife;
+  const later = "w@2" as RunnerLife;
+
+  it("are told by the sidecar that has seen them", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    const { instance, bornMs } = fixture.runner;
+    fixture.runner.restart();
+    fixture.sendHeartbeat(1);
+    await fixture.clock.advance(8_000);
+    const told: unknown[] = [];
+    fixture.gate.onEnded = (...ended) => told.push(ended);
+    fixture.gate.handleLeave(instance);
+    fixture.runner.exit();
+    await fixture.clock.advance(20_000);
+    fixture.gate.stop();
+    const known = `${instance}@${bornMs}`;
+    expect(told).to.eql([[`${instance}@${fixture.runner.bornMs}`, [known]]]);
+  });
+
+  it("are stored with it", async () => {
+    const store = new StoreModel();
+    const announcer = createAnnouncer(store, new VirtualClock());
+    await announcer.announceEnd(life, [earlier]);
+    expect((await readWorker(store)).endedLives).to.eql([life, earlier]);
+  });
+
+  const cases = [
+    { claimed: "w@0", endedLives: [life, earlier], isReleased: true },
+    { claimed: "w@1", endedLives: [life, earlier], isReleased: true },
+    { claimed: "w@0", endedLives: [life], isReleased: false },
+    { claimed: "w@2", endedLives: [life, earlier], isReleased: false },
+    { claimed: "w@2", endedLives: [later], isReleased: true },
+  ];
+  for (const { claimed, endedLives, isReleased } of cases) {
+    const verb = isReleased ? "release" : "keep";
+    it(`${verb} a claim in ${claimed} if ${endedLives.join(", ")} ended`, () => {
+      const fixture = new CellFixture();
+      fixture.reportWorker("w", { life: claimed as RunnerLife });
+      fixture.submit("j", [CellFixture.step()]);
+      fixture.advance();
+      const worker = fixture.cell.worker(node);
+      worker.endedLives = endedLives;
+      fixture.collect(releaseEndedLife(fixture.cell, worker, fixture.nowMs));
+      expect(fixture.runsOn("w").length).to.equal(isReleased ? 0 : 1);
+    });
+  }
+});
