An entry that is elected again knows when its own term ended

Its successor in the same process waited for leases as after a stranger's term. The predecessor as an election shows it has tests now, also that a row between two elections which cannot be read leaves it unknown.

--- a/src/cellhost/election.ts
+++ b/src/cellhost/election.ts
@@ -53,8 +53,9 @@
   }
 
   /**
-   * The keeper before the newest one. What ran on this process's node before
-   * had ended when this process began, by the local monotonic clock at 0.
+   * The keeper before the newest one. An earlier process of this node had ended
+   * when this one began, at 0 of its monotonic clock; a term of this process
+   * ended when it learned of the newest election.
    */
   get predecessor(): Predecessor | undefined {
     const { node, incarnation } = this.self;
@@ -64,9 +65,10 @@
       return epoch === 1 ? { epoch: 0, ...none } : undefined;
     }
     const { winner } = previous;
-    const isEarlierSelf = winner.node === node &&
-      winner.incarnation !== incarnation;
-    const endedAtMs = isEarlierSelf ? 0 : undefined;
+    const selfEndedAtMs = winner.incarnation === incarnation
+      ? performance.now()
+      : 0;
+    const endedAtMs = winner.node === node ? selfEndedAtMs : undefined;
     return { epoch: previous.epoch, ...winner, endedAtMs };
   }
 
--- a/tests/lease_handover_test.ts
+++ b/tests/lease_handover_test.ts
@@ -2,6 +2,7 @@
 import { Logger } from "../src/adapters/logger.ts";
 import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
 import { JobDirectory } from "../src/cellhost/job_directory.ts";
+import { Election } from "../src/cellhost/election.ts";
 import type { KeeperLink } from "../src/cellhost/keeper_link.ts";
 import type { KeeperLinks } from "../src/cellhost/keeper_links.ts";
 import { KeeperSession } from "../src/cellhost/keeper_session.ts";
@@ -294,3 +295,67 @@
     second.session.close();
   });
 });
+
+describe("an elected keeper knows of the one before", () => {
+  const self = { node: "a" as NodeId, incarnation: "2" };
+  const won = { key: "cell", value: JSON.stringify(self) };
+  const wonBy = (node: string, incarnation: string) => ({
+    key: "cell",
+    value: JSON.stringify({ node, incarnation }),
+  });
+  const unreadable = { key: "cell", value: "7" };
+  const cases = [
+    { name: "that there was none", rows: [won], epoch: 0, ended: "at 0" },
+    {
+      name: "that it was an earlier process of its node",
+      rows: [wonBy("a", "1"), won],
+      epoch: 1,
+      ended: "at 0",
+    },
+    {
+      name: "that it was itself",
+      rows: [wonBy("a", "2"), won],
+      epoch: 1,
+      ended: "by now",
+    },
+    {
+      name: "only who it was",
+      rows: [wonBy("a", "1"), wonBy("b", "1"), won],
+      epoch: 2,
+      ended: "unknown",
+    },
+    {
+      name: "nothing if a row between them cannot be read",
+      rows: [wonBy("a", "1"), unreadable, won],
+      epoch: undefined,
+      ended: "unknown",
+    },
+    {
+      name: "nothing if no row before can be read",
+      rows: [unreadable, won],
+      epoch: undefined,
+      ended: "unknown",
+    },
+  ];
+  for (const { name, rows, epoch, ended } of cases) {
+    it(name, async () => {
+      const store = new StoreModel();
+      const election = new Election(store, self, log);
+      await election.tail.refresh();
+      for (const row of rows) {
+        await store.append("epochs", [row], { kind: "none" });
+        await election.tail.refresh();
+      }
+      expect(election.isWon).to.equal(true);
+      const { predecessor: known } = election;
+      expect(known?.epoch).to.equal(epoch);
+      const endedAtMs = known?.endedAtMs;
+      const by = endedAtMs === undefined
+        ? "unknown"
+        : endedAtMs === 0
+        ? "at 0"
+        : "by now";
+      expect(by).to.equal(ended);
+    });
+  }
+});
