--- a/src/cellhost/earlier_keepers.ts
+++ b/src/cellhost/earlier_keepers.ts
@@ -16,22 +16,22 @@
   /** When the leases that nobody renewed in the term before end at the latest. */
   readonly #endsAtMs: ReadonlyMap<NodeId, number>;
 
-  /** `row` is what the newest keeper that told of leases has stored. */
+  /** `row` is the newest one of leases, whichever keeper wrote it. */
   constructor(
     readonly clock: Clock,
     readonly predecessor?: Predecessor | undefined,
     row?: LeaseRow | undefined,
   ) {
     const nowMs = clock.nowMs();
-    const told = row?.epoch === predecessor?.epoch ? row : undefined;
-    const othersMs = told?.earlierMs ?? confirmationValidMs;
+    const published = row?.epoch === predecessor?.epoch ? row : undefined;
+    const othersMs = published?.earlierMs ?? confirmationValidMs;
     this.#othersUntilMs = predecessor?.epoch === 0
       ? -Infinity
       : nowMs + Math.min(othersMs, confirmationValidMs);
     this.#predecessorUntilMs = predecessor?.endedAtMs ??
       nowMs + confirmationValidMs;
     this.#endsAtMs = new Map(
-      told?.lost.map(([node, leftMs]) => [node, nowMs + leftMs]),
+      published?.lost.map(([node, leftMs]) => [node, nowMs + leftMs]),
     );
   }
 
@@ -45,7 +45,7 @@
     return Math.max(0, Math.ceil(this.untilMs - this.clock.nowMs()));
   }
 
-  /** When a worker's lease ends at the latest, if the predecessor told it. */
+  /** When a worker's lease ends at the latest, if the predecessor published that. */
   endsAtMs(node: NodeId): number | undefined {
     return this.#endsAtMs.get(node);
   }
--- a/src/cellhost/job_directory.ts
+++ b/src/cellhost/job_directory.ts
@@ -85,7 +85,7 @@
     return this.#cellReader.read(QueuesRow, row)?.queues ?? [];
   }
 
-  /** What the newest keeper that told of leases has stored. */
+  /** What the newest keeper that published leases has stored. */
   get leases(): LeaseRow | undefined {
     const row = { key: leasesKey, value: this.#leases };
     return this.#cellReader.read(LeaseRow, row);
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -220,7 +220,7 @@
     if (isUnsure && worker.isReconciled) sendKnownRuns(link, worker);
     const age = this.#evacuation?.recordReport(node);
     this.#leases.recordReport(node);
-    if (!this.#leases.mayRenew || this.#leaseRegister.isTold(node)) return;
+    if (!this.#leaseRegister.mayRenew(node)) return;
     // A sidecar renews no lease of a runner that does not answer.
     if (report.isUp) this.#leases.renew(node);
     const pressures = servicePressures(worker, this.cell.pressure);
--- a/src/cellhost/lease_register.ts
+++ b/src/cellhost/lease_register.ts
@@ -8,31 +8,31 @@
 
 const checkIntervalMs = 250;
 const repeatIntervalMs = 1_000;
-/** A worker that has not reported for this long is told to be lost. */
+/** A worker that has not reported for this long is published as lost. */
 const lostAfterMs = 1_000;
-/** Bounds the row; the leases of further workers are waited for as untold. */
+/** Bounds the row; for further workers a successor assumes the longest lease. */
 const maxLost = 2_000;
 
-/** The workers that one row tells to be lost. */
-interface Told {
+/** The lost workers of one row. */
+interface PublishedRow {
   readonly number: number;
   readonly nodes: ReadonlySet<NodeId>;
 }
 
 /**
- * Tells a keeper's successor how long leases may last yet, which would
- * otherwise have to wait for the longest lease anew. A worker that the stored
- * row calls lost may be renewed only once a row without it is stored.
+ * Publishes to a keeper's successor how long leases may still last, which would
+ * otherwise wait for the longest lease again. The lease of a worker that the
+ * stored row lists as lost may be renewed only once a row without it is stored.
  */
 export class LeaseRegister {
   /** The rows that the store may hold, the newest one last. */
-  #told: readonly Told[] = [];
+  #published: PublishedRow[] = [];
   #number = 0;
   readonly #missingSinceMs = new Map<NodeId, number>();
   #checkedAtMs = -Infinity;
   #takenAtMs = -Infinity;
-  /** Whether a further row would tell more. */
-  #isOpen = true;
+  /** Whether the newest row is out of date, or becomes so as time passes. */
+  #isOutdated = true;
 
   constructor(
     readonly epoch: number,
@@ -40,16 +40,17 @@
     readonly clock: Clock,
   ) {}
 
-  /** Whether a row that may be stored tells that nobody renews the lease. */
-  isTold(node: NodeId): boolean {
-    return this.#told.some(({ nodes }) => nodes.has(node));
+  /** Whether a worker's lease may be renewed: no stored row lists it as lost. */
+  mayRenew(node: NodeId): boolean {
+    return this.leases.mayRenew &&
+      !this.#published.some(({ nodes }) => nodes.has(node));
   }
 
   /** The row to store, if it is due: soon once a worker is back. */
   takeRows({ workers }: Cell): Row[] {
     const nowMs = this.clock.nowMs();
-    const isBack = this.#told.at(-1)?.nodes ?? new Set();
-    const hasReturned = [...isBack].some((node) =>
+    const listed = this.#published.at(-1)?.nodes ?? new Set();
+    const hasReturned = [...listed].some((node) =>
       workers.get(node)?.isReconciled
     );
     if (!hasReturned && nowMs - this.#checkedAtMs < checkIntervalMs) return [];
@@ -57,13 +58,13 @@
     const lost = this.#findLost(workers.values(), nowMs);
     const earlierMs = this.leases.earlier.leftMs;
     const isDue = nowMs - this.#takenAtMs >= repeatIntervalMs;
-    if (lost.length > 0) this.#isOpen = true;
-    if (!this.#isOpen || !hasReturned && !isDue) return [];
-    this.#isOpen = lost.length > 0 || earlierMs > 0;
+    if (lost.length > 0) this.#isOutdated = true;
+    if (!this.#isOutdated || !hasReturned && !isDue) return [];
+    this.#isOutdated = lost.length > 0 || earlierMs > 0;
     this.#takenAtMs = nowMs;
     this.#number += 1;
     const nodes = new Set(lost.map(([node]) => node));
-    this.#told = [...this.#told, { number: this.#number, nodes }];
+    this.#published.push({ number: this.#number, nodes });
     const row: LeaseRow = { epoch: this.epoch, earlierMs, lost };
     return [{ key: leasesKey, value: JSON.stringify(row) }];
   }
@@ -76,7 +77,7 @@
   /** Records that all rows up to a number are stored, or replaced by later ones. */
   recordStored(number: number, rejected: ReadonlySet<string>): void {
     if (rejected.has(leasesKey)) return;
-    this.#told = this.#told.filter((told) => told.number >= number);
+    this.#published = this.#published.filter((row) => row.number >= number);
   }
 
   #findLost(
