--- a/src/gate/start_run.ts
+++ b/src/gate/start_run.ts
@@ -1,10 +1,10 @@
 import type { StartCommand } from "../core/cell/start_command.ts";
 import { awaitKnownLife } from "./await_known_life.ts";
 import type { GateContext } from "./gate_context.ts";
-import { leaseEndForStart } from "./lease_end_for_start.ts";
 import { mayBeEarlierRun } from "./may_be_earlier_run.ts";
 import { refusalFor } from "./refusal_for.ts";
 import type { Run } from "./run.ts";
+import { sendStart } from "./send_start.ts";
 import type { StartOwner } from "./start_owner.ts";
 
 /** Whether the runner has begun to drain before the run was first sent to it. */
@@ -20,7 +20,6 @@
 ): Promise<void> {
   const { context } = owner;
   const { clock, startWindow } = context;
-  const instance = context.lastHeartbeat!.instance;
   const arrivedAtMs = clock.nowMs();
   const mayRepeat = () =>
     owner.isStarting(run) && !run.isStopRequested &&
@@ -30,22 +29,14 @@
       owner.giveUpStart(run, "late");
       break;
     }
-    let sentAtMs = arrivedAtMs;
-    const answer = await context.slots.run("start", async () => {
-      sentAtMs = clock.nowMs();
-      // The wait for a slot may have outlasted the reason for the start.
-      if (!mayRepeat() || isDrainedFor(run, context)) return undefined;
-      return await context.runner.start({
-        instance,
-        epoch: context.epoch,
-        task: run.task,
-        run: run.run,
-        payload: command.payload,
-        ticket: command.ticket,
-        checkpoint: command.checkpoint,
-        leaseEndClockMs: leaseEndForStart(context, arrivedAtMs),
-      });
-    });
+    // The wait for a slot may outlast the reason for the start.
+    const isNeeded = () => mayRepeat() && !isDrainedFor(run, context);
+    const { answer, sentAtMs } = await sendStart(
+      command,
+      context,
+      arrivedAtMs,
+      isNeeded,
+    );
     if (answer === undefined) {
       if (isDrainedFor(run, context)) owner.giveUpStart(run, "draining");
       continue;
