--- a/tests/sidecar_exit_test.ts
+++ b/tests/sidecar_exit_test.ts
@@ -92,9 +92,11 @@
     expect(isEarly).to.equal(undefined);
     store.isDown = false;
     await done;
-    const life = lifeOf({ instance: "i", bornMs: 2 });
+    const [before, life] = [1, 2].map((bornMs) =>
+      lifeOf({ instance: "i", bornMs })
+    );
     const stored = store.newestValue("members", endedLifeKey(node));
-    expect(stored).to.equal(JSON.stringify({ life }));
+    expect(stored).to.equal(JSON.stringify({ life, before: [before] }));
     sidecar.close();
   });
 });
