--- a/tests/lease_handover_test.ts
+++ b/tests/lease_handover_test.ts
@@ -1,161 +1,18 @@
 import { expect } from "chai";
 import { Logger } from "../src/adapters/logger.ts";
-import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
-import { JobDirectory } from "../src/cellhost/job_directory.ts";
 import { Election } from "../src/cellhost/election.ts";
-import type { KeeperLink } from "../src/cellhost/keeper_link.ts";
-import type { KeeperLinks } from "../src/cellhost/keeper_links.ts";
-import { KeeperSession } from "../src/cellhost/keeper_session.ts";
 import type { Predecessor } from "../src/cellhost/predecessor.ts";
-import { RowWriter } from "../src/cellhost/row_writer.ts";
-import type { JobId } from "../src/core/jobs/job_id.ts";
 import type { NodeId } from "../src/core/jobs/node_id.ts";
-import type { KeeperMessage } from "../src/link/keeper_message.ts";
-import type { PeerMessage } from "../src/link/peer_message.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
-import { CellFixture } from "./cell_fixture.ts";
-import { idleReport } from "./idle_report.ts";
+import { KeeperTerm } from "./keeper_term.ts";
 
 const log = new Logger("silent", {});
-const maxHoldMs = 6_000;
+const { maxHoldMs, stepMs } = KeeperTerm;
 const longestLeaseMs = maxHoldMs * 1.02 + 250;
 const confirmationMs = 8_000;
-const stepMs = 50;
 const lostWorker = "w" as NodeId;
 const otherWorker = "v" as NodeId;
-const queue = {
-  name: "q",
-  pool: "pool",
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 2,
-  targetMs: 500,
-  advice: undefined,
-};
-const job = {
-  id: "j" as JobId,
-  queue: "q",
-  payload: "",
-  steps: [CellFixture.step({ isService: true })],
-  schedule: undefined,
-  receivedMs: 0,
-};
-
-/** A keeper's term on a store and a clock that outlast it. */
-class Term {
-  readonly session: KeeperSession;
-  readonly sent: { node: NodeId; message: KeeperMessage }[] = [];
-  readonly #links: KeeperLinks;
-
-  constructor(
-    readonly store: StoreModel,
-    readonly clock: VirtualClock,
-    readonly epoch: number,
-    readonly predecessor: Predecessor | undefined,
-    readonly writer: RowWriter,
-    directory: JobDirectory,
-  ) {
-    this.#links = {
-      onEntryConnected: () => {},
-      onMessage: () => {},
-      onSidecarLost: () => {},
-      set: () => {},
-      send: (node, message) => this.sent.push({ node, message }),
-      sendToEntries: () => {},
-      hasEntry: () => true,
-      close: () => {},
-    };
-    this.session = new KeeperSession({
-      epoch,
-      predecessor,
-      writer,
-      directory,
-      bounds: { maxHoldMs },
-      links: this.#links,
-      advisor: { requestTickets: () => Promise.resolve(new Map()) },
-      clock,
-      metrics: new PrometheusMetrics(),
-      log,
-    });
-    this.session.load([queue]);
-  }
-
-  static async begin(
-    store: StoreModel,
-    clock: VirtualClock,
-    epoch: number,
-    predecessor: Predecessor | undefined,
-  ): Promise<Term> {
-    const heartbeat = () => ({ key: "keeper", value: "{}" });
-    const writer = new RowWriter(
-      store,
-      "cell",
-      epoch,
-      heartbeat,
-      () => {},
-      clock,
-      log,
-    );
-    await writer.takeOver();
-    const directory = new JobDirectory(log);
-    directory.submit(job);
-    const rows = (await store.readNewest("cell")).unwrapOr(undefined as never);
-    directory.applyProgressRows(rows.rows);
-    return new Term(store, clock, epoch, predecessor, writer, directory);
-  }
-
-  receive(node: NodeId, message: PeerMessage): void {
-    this.#links.onMessage(this.#linkTo(node), message);
-  }
-
-  report(node: NodeId, isWithRun = false): void {
-    const running = isWithRun
-      ? [{
-        task: "j.0.0.0",
-        run: 1,
-        checkpoint: "",
-        percent: 50,
-        figure: 0,
-      }] as never
-      : [];
-    const report = { ...idleReport(node), running };
-    this.receive(node, { kind: "report", number: 1, report });
-  }
-
-  /** Lets time pass in which a worker reports, if any, until a run starts. */
-  async awaitStart(withinMs: number, node?: NodeId): Promise<number> {
-    const beganAtMs = this.clock.nowMs();
-    while (this.clock.nowMs() - beganAtMs < withinMs) {
-      if (node !== undefined) this.report(node);
-      if (this.starts().length > 0) break;
-      await this.#pass(stepMs);
-    }
-    return this.clock.nowMs() - beganAtMs;
-  }
-
-  /** Lets time pass; the store is written to all the while. */
-  async #pass(ms: number): Promise<void> {
-    this.writer.write([this.writer.heartbeatRow()], () => {});
-    await this.clock.advance(ms);
-  }
-
-  starts(): NodeId[] {
-    return this.sent.flatMap(({ node, message }) =>
-      message.kind === "orders" && message.starts.length > 0 ? [node] : []
-    );
-  }
-
-  renewals(): NodeId[] {
-    return this.sent.flatMap(({ node, message }) =>
-      message.kind === "renew" ? [node] : []
-    );
-  }
-
-  #linkTo(node: NodeId): KeeperLink {
-    return { node, send: (message) => this.sent.push({ node, message }) };
-  }
-}
 
 function predecessor(
   epoch: number,
@@ -167,7 +24,7 @@
 /** A store in which the first keeper has a run on a worker, until it ends. */
 async function afterFirstTerm() {
   const [store, clock] = [new StoreModel(), new VirtualClock()];
-  const first = await Term.begin(store, clock, 1, predecessor(0, 0));
+  const first = await KeeperTerm.begin(store, clock, 1, predecessor(0, 0));
   first.report(lostWorker);
   await first.awaitStart(1_000);
   expect(first.starts()).to.eql([lostWorker]);
@@ -216,7 +73,7 @@
       const { store, clock } = await afterFirstTerm();
       const endedAtMs = isEnded ? clock.nowMs() : undefined;
       const before = predecessor(1, endedAtMs);
-      const term = await Term.begin(store, clock, 2, before);
+      const term = await KeeperTerm.begin(store, clock, 2, before);
       if (process !== undefined) term.receive(from as NodeId, process);
       const waitedMs = await term.awaitStart(20_000, otherWorker);
       expect(waitedMs).to.be.within(dueMs, dueMs + 4 * stepMs);
@@ -233,7 +90,7 @@
   async function begin(isTold: boolean) {
     const { store, clock } = await afterFirstTerm();
     const before = predecessor(1, clock.nowMs());
-    const second = await Term.begin(store, clock, 2, before);
+    const second = await KeeperTerm.begin(store, clock, 2, before);
     await second.awaitStart(waitedBeforeMs);
     second.session.close();
     const epochBefore = isTold ? 2 : 3;
@@ -243,7 +100,7 @@
   it("waits for the rest of it", async () => {
     const { store, clock, epochBefore } = await begin(true);
     const before = predecessor(epochBefore, undefined);
-    const third = await Term.begin(store, clock, epochBefore + 1, before);
+    const third = await KeeperTerm.begin(store, clock, epochBefore + 1, before);
     const waitedMs = await third.awaitStart(20_000, otherWorker);
     const restMs = longestLeaseMs - waitedBeforeMs;
     expect(waitedMs).to.be.within(restMs, restMs + 1_300);
@@ -253,7 +110,7 @@
   it("waits anew if an earlier build's keeper, which tells nothing, was between", async () => {
     const { store, clock, epochBefore } = await begin(false);
     const before = predecessor(epochBefore, undefined);
-    const later = await Term.begin(store, clock, epochBefore + 1, before);
+    const later = await KeeperTerm.begin(store, clock, epochBefore + 1, before);
     const waitedMs = await later.awaitStart(20_000, otherWorker);
     expect(waitedMs).to.be.at.least(confirmationMs + longestLeaseMs);
     later.session.close();
@@ -262,7 +119,7 @@
   it("waits anew for a worker that was renewed in between", async () => {
     const { store, clock } = await afterFirstTerm();
     const before = predecessor(1, clock.nowMs());
-    const second = await Term.begin(store, clock, 2, before);
+    const second = await KeeperTerm.begin(store, clock, 2, before);
     await second.awaitStart(waitedBeforeMs);
     second.report(lostWorker, true);
     expect(second.renewals(), "told to be lost").to.eql([]);
@@ -270,7 +127,7 @@
     second.report(lostWorker, true);
     expect(second.renewals()).to.eql([lostWorker]);
     second.session.close();
-    const third = await Term.begin(
+    const third = await KeeperTerm.begin(
       store,
       clock,
       3,
@@ -284,7 +141,7 @@
   it("renews no worker that a stored row calls lost while it cannot be replaced", async () => {
     const { store, clock } = await afterFirstTerm();
     const before = predecessor(1, clock.nowMs());
-    const second = await Term.begin(store, clock, 2, before);
+    const second = await KeeperTerm.begin(store, clock, 2, before);
     await second.awaitStart(waitedBeforeMs);
     store.isDown = true;
     for (let round = 0; round < 4; round++) {
