Gate: one function waits for a slot and calls the runner

Starts, stops and paces each had a copy of it, two of them with the time of the call in a variable that the closure set. Whether the newest poll listed all ends was kept twice, in the tracker and in the ledger of ends; it is read from the ledger now, which begins anew with each life of the runner.

The tests of the gate and the random histories pass.

--- a/src/gate/call_slots.ts
+++ b/src/gate/call_slots.ts
@@ -1,6 +1,7 @@
-/** The kinds of calls; those that come first in this list go first. */
-const kinds = ["stop", "start", "pace"] as const;
-type CallKind = typeof kinds[number];
+import type { CallKind } from "./call_kind.ts";
+
+/** Calls of a kind that comes first in this list go first. */
+const kinds: readonly CallKind[] = ["stop", "start", "pace"];
 
 const defaultMaxCalls = 32;
 
@@ -33,7 +34,7 @@
 
   async #awaitSlot(kind: CallKind): Promise<void> {
     const taken = new Promise<void>((take) => this.#waiting[kind].push(take));
-    this.#tellWaiting();
+    this.#notifyWaiting();
     await taken;
   }
 
@@ -42,14 +43,14 @@
     for (const kind of kinds) {
       const take = this.#waiting[kind].shift();
       if (take === undefined) continue;
-      this.#tellWaiting();
+      this.#notifyWaiting();
       take();
       return;
     }
     this.#active -= 1;
   }
 
-  #tellWaiting(): void {
+  #notifyWaiting(): void {
     const { stop, start, pace } = this.#waiting;
     this.onWaiting(stop.length + start.length + pace.length);
   }
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -194,7 +194,9 @@
       if (isAnswered) this.#paceController.update(this.#running);
       const isReportDue =
         this.clock.nowMs() - this.#reportedAtMs >= reportIntervalMs;
-      if (isReportDue || this.#tracker.hasUnconfirmedStop) this.#sendReport();
+      const mayConfirmStop = this.#endLedger.hasAll &&
+        this.#tracker.hasUnconfirmedStop;
+      if (isReportDue || mayConfirmStop) this.#sendReport();
       if (!isAnswered) await this.#pause.sleep(failedPollPauseMs);
       else if (this.#endLedger.ends.length > 0) {
         await this.#pause.sleep(pendingEndsPauseMs);
--- a/src/gate/pace_controller.ts
+++ b/src/gate/pace_controller.ts
@@ -3,6 +3,7 @@
 import type { ServiceSample } from "../core/interfere/service_sample.ts";
 import type { RunStatus } from "../core/jobs/run_status.ts";
 import type { ServicePressure } from "../link/service_pressure.ts";
+import { callRunner } from "./call_runner.ts";
 import type { GateContext } from "./gate_context.ts";
 import type { Run } from "./run.ts";
 import type { RunTracker } from "./run_tracker.ts";
@@ -92,22 +93,14 @@
     const { context } = this;
     const { instance, bornMs } = context.lastHeartbeat!;
     context.log.info("pace", { task: run.task, percent, was: run.pace });
-    let sentAtMs = 0;
-    const answer = await context.slots.run("pace", async () => {
-      sentAtMs = context.clock.nowMs();
-      if (context.lastHeartbeat?.bornMs !== bornMs) return undefined;
-      const { epoch } = context;
-      const { task, run: number } = run;
-      return await context.runner.pace({
-        instance,
-        epoch,
-        task,
-        run: number,
-        percent,
-      });
+    const isKnownLife = () => context.lastHeartbeat?.bornMs === bornMs;
+    const { task, run: number } = run;
+    const sent = await callRunner(context, "pace", isKnownLife, () => {
+      const { epoch, runner } = context;
+      return runner.pace({ instance, epoch, task, run: number, percent });
     });
-    const isKnownLife = context.lastHeartbeat?.bornMs === bornMs;
-    if (answer === undefined || !isKnownLife) return;
+    if (sent === undefined || !isKnownLife()) return;
+    const { answer, sentAtMs } = sent;
     context.recordClock(answer, sentAtMs);
     run.isSettingPace = false;
     if (answer.isOk) run.pace = percent;
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -37,14 +37,11 @@
   readonly refused = new RefusedStarts();
   readonly unanswered = new UnansweredStarts();
   readonly #evidence = new CrashEvidence();
-  /** Whether the newest poll listed all ends. */
-  #hasAllEnds = true;
 
   constructor(readonly context: GateContext) {}
 
-  /** Whether the next poll may confirm that a stopped run is gone. */
+  /** Whether a poll has yet to confirm that a stopped run is gone. */
   get hasUnconfirmedStop(): boolean {
-    if (!this.#hasAllEnds) return false;
     return [...this.runs.values()].some((run) =>
       run.stopAcknowledgedAtMs !== undefined
     );
@@ -93,7 +90,6 @@
    */
   applyPoll(poll: RunnerPollResult, sentAtMs: number): void {
     this.#evidence.recordPoll();
-    this.#hasAllEnds = poll.hasAllEnds;
     const listed = new Set(poll.running.map(runKey));
     const ended = new Set(poll.ends.map(runKey));
     for (const [key, run] of this.runs) {
--- a/src/gate/send_stop.ts
+++ b/src/gate/send_stop.ts
@@ -1,3 +1,4 @@
+import { callRunner } from "./call_runner.ts";
 import type { GateContext } from "./gate_context.ts";
 import type { Run } from "./run.ts";
 
@@ -16,21 +17,19 @@
   { task, run }: Run,
   isNeeded: () => boolean,
 ): Promise<boolean> {
-  const { clock, slots } = context;
+  const { clock } = context;
   const { instance, bornMs } = context.lastHeartbeat!;
+  const isKnownLife = () => context.lastHeartbeat?.bornMs === bornMs;
   const sinceMs = clock.nowMs();
   let logAtMs = sinceMs + minLoggedMs;
   while (isNeeded()) {
-    let sentAtMs = sinceMs;
-    const answer = await slots.run("stop", async () => {
-      sentAtMs = clock.nowMs();
-      const isKnownLife = context.lastHeartbeat?.bornMs === bornMs;
-      if (!isKnownLife || !isNeeded()) return undefined;
-      const { epoch } = context;
-      return await context.runner.stop({ instance, epoch, task, run });
+    const isNeededNow = () => isKnownLife() && isNeeded();
+    const sent = await callRunner(context, "stop", isNeededNow, () => {
+      const { epoch, runner } = context;
+      return runner.stop({ instance, epoch, task, run });
     });
-    if (answer === undefined) return false;
-    if (context.lastHeartbeat?.bornMs !== bornMs) return false;
+    if (sent === undefined || !isKnownLife()) return false;
+    const { answer, sentAtMs } = sent;
     context.recordClock(answer, sentAtMs);
     if (answer.isOk) return isNeeded();
     const nowMs = clock.nowMs();
--- a/src/gate/start_run.ts
+++ b/src/gate/start_run.ts
@@ -31,16 +31,12 @@
     }
     // The wait for a slot may outlast the reason for the start.
     const isNeeded = () => mayRepeat() && !isDrainedFor(run, context);
-    const { answer, sentAtMs } = await sendStart(
-      command,
-      context,
-      arrivedAtMs,
-      isNeeded,
-    );
-    if (answer === undefined) {
+    const sent = await sendStart(command, context, arrivedAtMs, isNeeded);
+    if (sent === undefined) {
       if (isDrainedFor(run, context)) owner.giveUpStart(run, "draining");
       continue;
     }
+    const { answer, sentAtMs } = sent;
     // Meanwhile a poll may have listed the run as running or ended.
     if (!owner.isStarting(run)) return;
     context.recordClock(answer, sentAtMs);
