Call what there is: groupBy, one clock drift, one relation to a winner

Starts and stops were grouped by worker in two classes of one shape beside groupBy, which both now call; the share by which clocks may drift stood three times; and an election compared a winner with its own process in three places. The comment on known runs said that all of them have begun, which is not so: a sidecar applies them to the runs that it has found. No behaviour changes.

--- a/src/cellhost/earlier_keepers.ts
+++ b/src/cellhost/earlier_keepers.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../core/clock/clock.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import type { LeaseRow } from "../schema/rows/lease_row.ts";
-import { clockDrift } from "./clock_drift.ts";
+import { clockDrift } from "../core/clock/clock_drift.ts";
 import { confirmationValidMs } from "./confirmation_valid_ms.ts";
 import type { Predecessor } from "./predecessor.ts";
 
--- a/src/cellhost/election.ts
+++ b/src/cellhost/election.ts
@@ -28,7 +28,7 @@
   epoch = 0;
   winner: ElectionRow | undefined;
   /** The winner of the election just before, and its epoch, if known. */
-  previous:
+  #previous:
     | { readonly epoch: number; readonly winner: ElectionRow }
     | undefined;
   onWinner: (epoch: number, winner: ElectionRow) => void = () => {};
@@ -48,8 +48,7 @@
 
   /** Whether this incarnation of this process won the newest election. */
   get isWon(): boolean {
-    return this.winner?.node === this.self.node &&
-      this.winner.incarnation === this.self.incarnation;
+    return this.winnerKind === "self";
   }
 
   /**
@@ -58,25 +57,27 @@
    * ended when it learned of the newest election.
    */
   get predecessor(): Predecessor | undefined {
-    const { node, incarnation } = this.self;
-    const { epoch, previous } = this;
-    if (previous === undefined) {
+    if (this.#previous === undefined) {
       const none = { node: undefined, incarnation: undefined, endedAtMs: 0 };
-      return epoch === 1 ? { epoch: 0, ...none } : undefined;
+      return this.epoch === 1 ? { epoch: 0, ...none } : undefined;
     }
-    const { winner } = previous;
-    const selfEndedAtMs = winner.incarnation === incarnation
-      ? performance.now()
-      : 0;
-    const endedAtMs = winner.node === node ? selfEndedAtMs : undefined;
-    return { epoch: previous.epoch, ...winner, endedAtMs };
+    const { epoch, winner } = this.#previous;
+    const endedAtMs = {
+      other: undefined,
+      self: performance.now(),
+      earlier_self: 0,
+    }[this.#kindOf(winner)];
+    return { epoch, ...winner, endedAtMs };
   }
 
   /** Who won the newest election, relative to this process. */
   get winnerKind(): "none" | "other" | "self" | "earlier_self" {
-    if (this.winner === undefined) return "none";
-    if (this.winner.node !== this.self.node) return "other";
-    return this.isWon ? "self" : "earlier_self";
+    return this.winner === undefined ? "none" : this.#kindOf(this.winner);
+  }
+
+  #kindOf({ node, incarnation }: ElectionRow) {
+    if (node !== this.self.node) return "other";
+    return incarnation === this.self.incarnation ? "self" : "earlier_self";
   }
 
   /**
@@ -110,7 +111,7 @@
       if (winner === undefined || offset < this.epoch) continue;
       // Between two rows that do not adjoin, another may have been elected.
       const isNext = this.winner !== undefined && offset === this.epoch;
-      this.previous = isNext
+      this.#previous = isNext
         ? { epoch: this.epoch, winner: this.winner! }
         : undefined;
       this.epoch = offset + 1;
--- a/src/cellhost/lease_tracker.ts
+++ b/src/cellhost/lease_tracker.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "../core/clock/clock.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
-import { clockDrift } from "./clock_drift.ts";
+import { clockDrift } from "../core/clock/clock_drift.ts";
 import { confirmationValidMs } from "./confirmation_valid_ms.ts";
 import { EarlierKeepers } from "./earlier_keepers.ts";
 import type { RowWriter } from "./row_writer.ts";
--- a/src/cellhost/run_effects.ts
+++ b/src/cellhost/run_effects.ts
@@ -3,7 +3,7 @@
 import type { JobState } from "../core/jobs/job_state.ts";
 import type { DeferredEffect } from "./deferred_effect.ts";
 import type { KeeperSessionOptions } from "./keeper_session_options.ts";
-import { StartBatch } from "./start_batch.ts";
+import { groupBy } from "./group_by.ts";
 
 /**
  * Executes effects whose preceding rows are stored. All starts for a worker are
@@ -15,14 +15,13 @@
   cell: Cell,
   { directory, links, load, log, metrics }: KeeperSessionOptions,
 ): void {
-  const batch = new StartBatch();
+  const ordered: Extract<DeferredEffect, { kind: "start" }>[] = [];
   const jobs: (readonly [JobId, JobState])[] = [];
   for (const effect of effects) {
     switch (effect.kind) {
       case "start":
-        if (cell.markOrdered(effect.node, effect.command)) {
-          batch.add(effect.node, effect.command);
-        } else metrics.count("starts_dropped");
+        if (cell.markOrdered(effect.node, effect.command)) ordered.push(effect);
+        else metrics.count("starts_dropped");
         break;
       case "forget": {
         const { life, end } = effect;
@@ -36,7 +35,8 @@
         break;
     }
   }
-  for (const [node, starts] of batch.starts) {
+  for (const [node, group] of groupBy(ordered, ({ node }) => node)) {
+    const starts = group.map(({ command }) => command);
     for (const { task, run, checkpoint } of starts) {
       metrics.count("starts");
       log.info("start", { node, task, run, checkpoint });
--- a/src/cellhost/send_known_runs.ts
+++ b/src/cellhost/send_known_runs.ts
@@ -3,8 +3,9 @@
 import type { KeeperLink } from "./keeper_link.ts";
 
 /**
- * Sends a sidecar the details of the runs claimed on its worker. They have begun,
- * so their payloads, which may be large, are left out.
+ * Sends a sidecar the details of the runs claimed on its worker, for those that
+ * it has found active. Payloads, which may be large, serve to start runs only,
+ * and are left out.
  */
 export function sendKnownRuns(link: KeeperLink, { claims }: Worker): void {
   const runs = [...claims.values()]
--- a/src/cellhost/stop_batch.ts
+++ b/src/cellhost/stop_batch.ts
@@ -1,24 +1,23 @@
 import type { CellEffect } from "../core/cell/cell_effect.ts";
-import type { NodeId } from "../core/jobs/node_id.ts";
-import type { StopCommand } from "../link/stop_command.ts";
+import { groupBy } from "./group_by.ts";
 import type { KeeperLinks } from "./keeper_links.ts";
 
-/** Stop commands grouped by worker, so that each worker gets one message. */
+type StopEffect = Extract<CellEffect, { kind: "stop" }>;
+
+/** Stops that are sent together, so that each worker gets one message. */
 export class StopBatch {
-  readonly #stops = new Map<NodeId, StopCommand[]>();
+  readonly #stops: StopEffect[] = [];
 
-  add({ node, task, run, life }: Extract<CellEffect, { kind: "stop" }>): void {
-    const command = { task, run, life };
-    const known = this.#stops.get(node);
-    if (known === undefined) this.#stops.set(node, [command]);
-    else known.push(command);
+  add(stop: StopEffect): void {
+    this.#stops.push(stop);
   }
 
   /** Sends the stops, and forgets them. */
   sendTo(links: KeeperLinks): void {
-    for (const [node, stops] of this.#stops) {
+    const groups = groupBy(this.#stops.splice(0), ({ node }) => node);
+    for (const [node, group] of groups) {
+      const stops = group.map(({ task, run, life }) => ({ task, run, life }));
       links.send(node, { kind: "orders", starts: [], stops });
     }
-    this.#stops.clear();
   }
 }
--- a/src/gate/runner_clock.ts
+++ b/src/gate/runner_clock.ts
@@ -1,5 +1,4 @@
-/** The share by which a runner's clock may be slow. */
-const maxDrift = 0.02;
+import { clockDrift } from "../core/clock/clock_drift.ts";
 
 /** A reading this far below the bound is one of another life's clock. */
 const otherLifeLagMs = 1_000;
@@ -24,7 +23,7 @@
   isOfNextLife(clockMs: number, sentAtMs: number): boolean {
     if (this.#atMs === 0) return false;
     const sinceMs = sentAtMs - this.#atMs;
-    const rate = sinceMs < 0 ? 1 + maxDrift : 1 - maxDrift;
+    const rate = sinceMs < 0 ? 1 + clockDrift : 1 - clockDrift;
     return clockMs < this.#clockMs + sinceMs * rate - otherLifeLagMs;
   }
 
@@ -39,11 +38,11 @@
    * clock advances while this process is suspended.
    */
   lowestReadingAt(nowMs: number): number {
-    return this.#clockMs + Math.max(0, nowMs - this.#atMs) * (1 - maxDrift);
+    return this.#clockMs + Math.max(0, nowMs - this.#atMs) * (1 - clockDrift);
   }
 
   /** Returns the local time by which the clock has passed a reading. */
   passedByMs(clockMs: number): number {
-    return this.#atMs + Math.max(0, clockMs - this.#clockMs) / (1 - maxDrift);
+    return this.#atMs + Math.max(0, clockMs - this.#clockMs) / (1 - clockDrift);
   }
 }
--- a/src/gate/runner_lease.ts
+++ b/src/gate/runner_lease.ts
@@ -1,9 +1,8 @@
+import { clockDrift } from "../core/clock/clock_drift.ts";
 import { RunnerClock } from "./runner_clock.ts";
 
 /** How long after a lease has ended its runs are certainly gone. */
 const lapseMarginMs = 300;
-/** The share by which a runner's clock may be slow. */
-const maxDrift = 0.02;
 /** How many reports may await their renewal. */
 const maxOpenReports = 64;
 
@@ -87,7 +86,7 @@
 
   /** Returns when a lease granted at a local time has certainly ended. */
   latestEndFrom(nowMs: number): number {
-    return nowMs + this.maxHoldMs / (1 - maxDrift) + lapseMarginMs;
+    return nowMs + this.maxHoldMs / (1 - clockDrift) + lapseMarginMs;
   }
 
   /** Whether every lease that the runner may hold has certainly ended. */
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -18,11 +18,11 @@
 /** An older read may miss jobs that were submitted to other entries. */
 const freshWithinMs = 1_500;
 /** The states in which nothing is left to cancel. */
-const outcomes: Partial<Record<string, true>> = {
-  completed: true,
-  failed: true,
-  cancelled: true,
-};
+const outcomes: ReadonlySet<string> = new Set([
+  "completed",
+  "failed",
+  "cancelled",
+]);
 /** The share of a caller's time for reading what may name its job. */
 const readShare = 0.5;
 
@@ -115,7 +115,7 @@
     time: CallerTime,
   ): Promise<StoreOutcome | { readonly kind: "gone" }> {
     const state = await this.state(id, time);
-    if (state in outcomes) return { kind: "stored" };
+    if (outcomes.has(state)) return { kind: "stored" };
     const row = { key: cancellationKey(id), value: JSON.stringify(Date.now()) };
     const outcome = await this.storer.store(row, time);
     const { kind } = outcome;
--- a/src/nodes/peer_announcer.ts
+++ b/src/nodes/peer_announcer.ts
@@ -56,9 +56,9 @@
   }
 
   /**
-   * Stores that a life of the runner has ended, and those before it with it, until
-   * a later one has; returns once it is stored. A late append of the address, or that of a next process,
-   * does not overwrite this row.
+   * Stores that a life of the runner has ended, with those before it, until a
+   * later one has; returns once it is stored. A late append of the address, or
+   * that of a next process, does not overwrite this row.
    */
   async announceEnd(
     life: RunnerLife,
