Tests: one plain queue, and one service of an entry

The same queue stood in eight tests, benches and histories, and the service of an entry that is not started in two tests. Assertions are unchanged.

--- a/bench/admission_bench.ts
+++ b/bench/admission_bench.ts
@@ -1,6 +1,7 @@
 import type { JobDefinition } from "../src/core/jobs/job_definition.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
 import { LoadAdmission } from "../src/core/queueing/load_admission.ts";
+import { plainQueue } from "../stand_ins/plain_queue.ts";
 import { plainStep } from "../stand_ins/plain_step.ts";
 
 /**
@@ -18,15 +19,7 @@
 const pools = [{ pool: "pool", capacityMilli: 4_000, freeMilli: 0, classes }];
 const steps = [plainStep({ count: 20 }), plainStep({ count: 20, after: [0] })];
 const admission = new LoadAdmission();
-admission.setQueues([{
-  name: "q",
-  pool: "pool",
-  priority: 0,
-  maxAttempts: 1,
-  stretch: 2,
-  targetMs: 500,
-  advice: undefined,
-}]);
+admission.setQueues([plainQueue({ maxAttempts: 1 })]);
 admission.receive({ atMs: 0, pools }, 0);
 const newJob = (id: number): JobDefinition => ({
   id: `${id}` as JobId,
--- a/scenarios/cell_histories/history_world.ts
+++ b/scenarios/cell_histories/history_world.ts
@@ -6,11 +6,11 @@
 import type { JobDefinition } from "../../src/core/jobs/job_definition.ts";
 import type { JobId } from "../../src/core/jobs/job_id.ts";
 import type { NodeId } from "../../src/core/jobs/node_id.ts";
-import type { Queue } from "../../src/core/jobs/queue.ts";
 import type { TaskName } from "../../src/core/jobs/task_name.ts";
 import type { StepDefinition } from "../../src/core/jobs/step_definition.ts";
 import type { KeeperMessage } from "../../src/link/keeper_message.ts";
 import { VirtualClock } from "../../stand_ins/clock/virtual_clock.ts";
+import { plainQueue } from "../../stand_ins/plain_queue.ts";
 import { SeededRandom } from "../../stand_ins/seeded_random.ts";
 import { StoreModel } from "../../stand_ins/store/store_model.ts";
 import { Connection } from "./connection.ts";
@@ -34,15 +34,7 @@
 const electionMs = 900;
 const shownIntervalMs = 500;
 
-const queue: Queue = {
-  name: "q",
-  pool: "pool",
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 2,
-  targetMs: 500,
-  advice: undefined,
-};
+const queue = plainQueue();
 
 const metrics = new PrometheusMetrics();
 const log = new Logger("silent", {});
--- a/tests/cell_fixture.ts
+++ b/tests/cell_fixture.ts
@@ -12,6 +12,7 @@
 import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
 import type { RunOutcome } from "../src/core/jobs/run_outcome.ts";
 import type { RunStatus } from "../src/core/jobs/run_status.ts";
+import { plainQueue } from "../stand_ins/plain_queue.ts";
 import { plainStep } from "../stand_ins/plain_step.ts";
 import type { StepDefinition } from "../src/core/jobs/step_definition.ts";
 import type { Task } from "../src/core/cell/task.ts";
@@ -36,15 +37,7 @@
     options: Partial<CellOptions> = {},
   ) {
     this.cell = new Cell({ stuckFactor: 0.5, stuckMinMs: 2_000, ...options });
-    this.cell.queues.set("q", {
-      name: "q",
-      pool: "pool",
-      priority: 0,
-      maxAttempts: queue.maxAttempts,
-      stretch: 2,
-      targetMs: 500,
-      advice: undefined,
-    });
+    this.cell.queues.set("q", plainQueue(queue));
   }
 
   static step = plainStep;
--- a/tests/entry_admission_test.ts
+++ b/tests/entry_admission_test.ts
@@ -14,6 +14,7 @@
 import { RetryingStorer } from "../src/nodes/retrying_storer.ts";
 import { StoreHealth } from "../src/nodes/store_health.ts";
 import { SubmissionWriter } from "../src/nodes/submission_writer.ts";
+import { plainQueue } from "../stand_ins/plain_queue.ts";
 import { plainStep } from "../stand_ins/plain_step.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
 
@@ -68,15 +69,7 @@
   const advisor = { requestTickets: () => Promise.reject(new Error("none")) };
   const metrics = new PrometheusMetrics();
   const entry = new EntryNode(options, store, advisor, metrics, log);
-  entry.setQueues([{
-    name: "q",
-    pool: "pool",
-    priority: 0,
-    maxAttempts: 1,
-    stretch: 2,
-    targetMs: 500,
-    advice: undefined,
-  }]);
+  entry.setQueues([plainQueue({ maxAttempts: 1 })]);
   entry.load.receive(overloaded);
   const writer = new SubmissionWriter(store, streams.jobs, systemClock);
   const storer = new RetryingStorer(writer, new StoreHealth(), systemClock);
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -13,6 +13,7 @@
 import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
 import type { KeeperMessage } from "../src/link/keeper_message.ts";
+import { plainQueue } from "../stand_ins/plain_queue.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
 import { CellFixture } from "./cell_fixture.ts";
@@ -88,15 +89,7 @@
       number: 1,
       report: { ...workerReport, ...change },
     });
-  session.load([{
-    name: "q",
-    pool: "pool",
-    priority: 0,
-    maxAttempts: 3,
-    stretch: 2,
-    targetMs: 500,
-    advice: undefined,
-  }]);
+  session.load([plainQueue()]);
   session.submit({ ...jobOf("j", clock.wallMs()), steps });
   report();
   await clock.advance(1);
--- a/tests/keeper_term.ts
+++ b/tests/keeper_term.ts
@@ -10,6 +10,7 @@
 import type { NodeId } from "../src/core/jobs/node_id.ts";
 import type { KeeperMessage } from "../src/link/keeper_message.ts";
 import type { PeerMessage } from "../src/link/peer_message.ts";
+import { plainQueue } from "../stand_ins/plain_queue.ts";
 import type { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
 import type { StoreModel } from "../stand_ins/store/store_model.ts";
 import { CellFixture } from "./cell_fixture.ts";
@@ -18,15 +19,6 @@
 const log = new Logger("silent", {});
 const maxHoldMs = 6_000;
 const stepMs = 50;
-const queue = {
-  name: "q",
-  pool: "pool",
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 2,
-  targetMs: 500,
-  advice: undefined,
-};
 const job = {
   id: "j" as JobId,
   queue: "q",
@@ -77,7 +69,7 @@
       metrics: new PrometheusMetrics(),
       log,
     });
-    this.session.load([queue]);
+    this.session.load([plainQueue()]);
   }
 
   static async begin(
--- a/tests/load_admission_test.ts
+++ b/tests/load_admission_test.ts
@@ -8,6 +8,7 @@
 import type { LoadSummary } from "../src/core/queueing/load_summary.ts";
 import { isKeeperMessage } from "../src/link/is_keeper_message.ts";
 import { JobAdmission } from "../src/nodes/job_admission.ts";
+import { plainQueue } from "../stand_ins/plain_queue.ts";
 import { LoadModel } from "../stand_ins/load/load_model.ts";
 import { siteLoad } from "../stand_ins/load/site_load.ts";
 import { plainStep } from "../stand_ins/plain_step.ts";
@@ -40,15 +41,7 @@
 
 function newAdmission(): LoadAdmission {
   const admission = new LoadAdmission();
-  admission.setQueues([{
-    name: "q",
-    pool: "pool",
-    priority: 0,
-    maxAttempts: 1,
-    stretch: 2,
-    targetMs: 500,
-    advice: undefined,
-  }]);
+  admission.setQueues([plainQueue({ maxAttempts: 1 })]);
   return admission;
 }
 
--- a/tests/removed_queue_test.ts
+++ b/tests/removed_queue_test.ts
@@ -12,6 +12,7 @@
 import type { Queue } from "../src/core/jobs/queue.ts";
 import type { RunOutcome } from "../src/core/jobs/run_outcome.ts";
 import type { TaskName } from "../src/core/jobs/task_name.ts";
+import { plainQueue } from "../stand_ins/plain_queue.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
 import { CellFixture } from "./cell_fixture.ts";
@@ -22,16 +23,7 @@
 const node = "w" as NodeId;
 
 function queueOf(name: string, change: Partial<Queue> = {}): Queue {
-  return {
-    name,
-    pool: "pool",
-    priority: 0,
-    maxAttempts: 2,
-    stretch: 2,
-    targetMs: 500,
-    advice: undefined,
-    ...change,
-  };
+  return plainQueue({ name, maxAttempts: 2, ...change });
 }
 
 const job: JobDefinition = {
--- a/tests/restarted_entry_test.ts
+++ b/tests/restarted_entry_test.ts
@@ -1,21 +1,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { defaultStoreLimits } from "../src/core/store/default_store_limits.ts";
 import { expect } from "chai";
 import { Logger } from "../src/adapters/logger.ts";
-import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
-import { systemClock } from "../src/adapters/system_clock.ts";
 import { StreamTail } from "../src/cellhost/stream_tail.ts";
 import { submissionStreams } from "../src/cellhost/submission_streams.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
-import type { NodeId } from "../src/core/jobs/node_id.ts";
-import { EntryNode } from "../src/nodes/entry_node.ts";
-import { JobService } from "../src/nodes/job_service.ts";
-import { parseHardLoad } from "../src/nodes/parse_hard_load.ts";
-import { RetryingStorer } from "../src/nodes/retrying_storer.ts";
-import { StoreHealth } from "../src/nodes/store_health.ts";
-import { SubmissionWriter } from "../src/nodes/submission_writer.ts";
 import { plainStep } from "../stand_ins/plain_step.ts";
 import { PagedStoreModel } from "../stand_ins/store/paged_store_model.ts";
+import { newJobService } from "./new_job_service.ts";
 
 const log = new Logger("silent", {});
 const streams = submissionStreams(3);
@@ -41,24 +32,8 @@
   return store;
 }
 
-function newService(store: PagedStoreModel): JobService {
-  const options = {
-    node: "entry" as NodeId,
-    incarnation: "1",
-    host: "127.0.0.1",
-    peerPort: 0,
-    bounds: { maxHoldMs: 6_000 },
-    strength: 1,
-    hardLoad: parseHardLoad(new Map()),
-    submissionStreams: streams.length,
-    storeLimits: defaultStoreLimits,
-  };
-  const advisor = { requestTickets: () => Promise.reject(new Error("none")) };
-  const metrics = new PrometheusMetrics();
-  const entry = new EntryNode(options, store, advisor, metrics, log);
-  const writer = new SubmissionWriter(store, "jobs", systemClock);
-  const storer = new RetryingStorer(writer, new StoreHealth(), systemClock);
-  return new JobService(entry, storer, metrics, log);
+function newService(store: PagedStoreModel) {
+  return newJobService(store, { submissionStreams: streams.length });
 }
 
 function newTail(store: PagedStoreModel): StreamTail {
--- a/tests/unread_job_cancel_test.ts
+++ b/tests/unread_job_cancel_test.ts
@@ -1,24 +1,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { Logger } from "../src/adapters/logger.ts";
-import { PrometheusMetrics } from "../src/adapters/prometheus_metrics.ts";
-import { systemClock } from "../src/adapters/system_clock.ts";
 import { cancellationKey } from "../src/cellhost/cancellation_key.ts";
 import { JobDirectory } from "../src/cellhost/job_directory.ts";
 import type { JobDefinition } from "../src/core/jobs/job_definition.ts";
 import type { JobId } from "../src/core/jobs/job_id.ts";
-import type { NodeId } from "../src/core/jobs/node_id.ts";
-import { defaultStoreLimits } from "../src/core/store/default_store_limits.ts";
-import { EntryNode } from "../src/nodes/entry_node.ts";
-import { JobService } from "../src/nodes/job_service.ts";
-import { parseHardLoad } from "../src/nodes/parse_hard_load.ts";
-import { RetryingStorer } from "../src/nodes/retrying_storer.ts";
-import { StoreHealth } from "../src/nodes/store_health.ts";
-import { SubmissionWriter } from "../src/nodes/submission_writer.ts";
 import { UncertainKeys } from "../src/nodes/uncertain_keys.ts";
 import { plainStep } from "../stand_ins/plain_step.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
 import { CellFixture } from "./cell_fixture.ts";
+import { newJobService } from "./new_job_service.ts";
 
 const log = new Logger("silent", {});
 /** For so long after a failed append the next ones are refused. */
@@ -39,29 +30,9 @@
   signal: new AbortController().signal,
 };
 
-function newService(store: StoreModel): JobService {
-  const options = {
-    node: "entry" as NodeId,
-    incarnation: "1",
-    host: "127.0.0.1",
-    peerPort: 0,
-    bounds: { maxHoldMs: 6_000 },
-    strength: 1,
-    hardLoad: parseHardLoad(new Map()),
-    submissionStreams: 1,
-    storeLimits: defaultStoreLimits,
-  };
-  const advisor = { requestTickets: () => Promise.reject(new Error("none")) };
-  const metrics = new PrometheusMetrics();
-  const entry = new EntryNode(options, store, advisor, metrics, log);
-  const writer = new SubmissionWriter(store, "jobs", systemClock);
-  const storer = new RetryingStorer(writer, new StoreHealth(), systemClock);
-  return new JobService(entry, storer, metrics, log);
-}
-
 /** The state of the job at an entry that reads all rows now. */
 async function stateElsewhere(store: StoreModel): Promise<unknown> {
-  return await newService(store).state(id, time);
+  return await newJobService(store).state(id, time);
 }
 
 // Guards against a job that runs for good after its cancellation was answered
@@ -75,10 +46,10 @@
   for (const { name, isOwn } of submitters) {
     it(`though an append of ${name} stores it later`, async () => {
       const store = new StoreModel();
-      const service = newService(store);
+      const service = newJobService(store);
       await service.entry.jobTails.refresh();
       store.faults.push("late");
-      const submitter = isOwn ? service : newService(store);
+      const submitter = isOwn ? service : newJobService(store);
       const brief = { ...time, withinMs: 20 };
       const submitted = await submitter.submit(job, brief);
       expect(submitted.kind).to.equal("unknown");
@@ -94,18 +65,18 @@
 
   it("though another entry stored it after the last read", async () => {
     const store = new StoreModel();
-    const service = newService(store);
+    const service = newJobService(store);
     await service.entry.jobTails.refresh();
-    await newService(store).submit(job, time);
+    await newJobService(store).submit(job, time);
     expect((await service.cancel(id, time)).kind).to.equal("stored");
     expect(await stateElsewhere(store)).to.equal("cancelled");
   });
 
   it("if it is handed in later", async () => {
     const store = new StoreModel();
-    const service = newService(store);
+    const service = newJobService(store);
     expect((await service.cancel(id, time)).kind).to.equal("gone");
-    expect((await newService(store).submit(job, time)).kind)
+    expect((await newJobService(store).submit(job, time)).kind)
       .to.equal("stored");
     expect(await stateElsewhere(store)).to.equal("cancelled");
   });
@@ -115,9 +86,9 @@
   // Guards against "no such job" for one that another entry has just accepted.
   it("does not answer the cancellation of a job that it has not read", async () => {
     const store = new StoreModel();
-    const service = newService(store);
+    const service = newJobService(store);
     await service.entry.jobTails.refresh();
-    await newService(store).submit(job, time);
+    await newJobService(store).submit(job, time);
     store.isDown = true;
     expect((await service.cancel(id, time)).kind).to.equal("refused");
   });
@@ -127,7 +98,7 @@
   // Guards against "no such job" for one that is accepted seconds later.
   it("is unsure while an append of the entry may store it yet", async () => {
     const store = new StoreModel();
-    const service = newService(store);
+    const service = newJobService(store);
     await service.entry.jobTails.refresh();
     store.faults.push("late");
     await service.submit(job, { ...time, withinMs: 20 });
