Placement counts a pool's workers once a decision

It counted them for each group that it placed. The update of the demand index passes all workers already, before anything is placed.

placement_test compares the choices with those of a full scan, and passes.

--- a/src/core/cell/demand_index.ts
+++ b/src/core/cell/demand_index.ts
@@ -54,6 +54,8 @@
   readonly #classes = new Map<string, DemandClass>();
   #classesByGroup = new WeakMap<TaskGroup, GroupClasses>();
   #gangAttempts = new WeakMap<TaskGroup, GangAttempt>();
+  /** How many workers of each pool were reconciled at the last update. */
+  readonly #workerCounts = new Map<string, number>();
   #sweptAtMs = -Infinity;
 
   /**
@@ -70,7 +72,9 @@
   update(cell: Cell, nowMs: number): void {
     const { changeCount } = cell.pressure;
     this.view = new FillerView(cell.pressure, nowMs);
+    this.#workerCounts.clear();
     for (const worker of cell.workers.values()) {
+      this.#countWorker(worker);
       let state = this.#states.get(worker);
       if (state === undefined) {
         state = new WorkerState(worker);
@@ -84,6 +88,11 @@
     this.#dropUnused(nowMs);
   }
 
+  /** How many workers of a pool are reconciled. */
+  workerCountOf(pool: string): number {
+    return this.#workerCounts.get(pool) ?? 0;
+  }
+
   /** Whether a worker has room for a task of the group. */
   hasWorker(group: TaskGroup, queue: Queue, mode: PlacementMode): boolean {
     const { nowMs } = this.view;
@@ -150,6 +159,12 @@
     this.#gangAttempts.set(group, { position, pool, mayRelax, atMs: nowMs });
   }
 
+  #countWorker({ isReconciled, report }: Worker): void {
+    if (!isReconciled || report === undefined) return;
+    const { pool } = report;
+    this.#workerCounts.set(pool, this.workerCountOf(pool) + 1);
+  }
+
   #logOf({ definition }: TaskGroup): ChangeLog {
     return definition.isFiller ? this.#fillerChanges : this.#changes;
   }
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -90,7 +90,10 @@
   const tickets = cell.advice.ticketsFor(group, queue, nowMs);
   const { job } = group;
   let allowedBegins = countAllowedBegins(job, cell.options.maxRowBytes);
-  let allowedStarts = countAllowedStarts(cell, job, queue.pool);
+  let allowedStarts = countAllowedStarts(
+    job,
+    cell.demand.workerCountOf(queue.pool),
+  );
   for (const task of group.tasks) {
     if (!isWaiting(task)) continue;
     if (task.run === 0 && allowedBegins <= 0) continue;
