Histories: runners return in place and are cut off

Until now a model of a runner lost the calls of its restart, and was never cut off for longer than a lease while tasks outlasted that.

A runner now returns under its id within 0 to 400 ms and takes the calls that came meanwhile, in order; its first heartbeat comes up to 1.2 s later. A cut loses calls, or the answers to calls that are executed, for 7 to 10 s. Tasks of 8 to 14 s outlast it.

--- a/scenarios/cell_histories/history_of_seed.ts
+++ b/scenarios/cell_histories/history_of_seed.ts
@@ -1,15 +1,20 @@
 import { SeededRandom } from "../../stand_ins/seeded_random.ts";
 import type { HistoryStep } from "./history_step.ts";
+import { insertReturns } from "./insert_returns.ts";
 import { randomHistory } from "./random_history.ts";
 
 const evacuationSeedOffset = 1_000_003;
 const crashSeedOffset = 2_000_003;
 const serviceSeedOffset = 3_000_003;
+const returnSeedOffset = 4_000_003;
+const returnSeedsOf = 7;
+const seedsWithReturns = 2;
 
 /**
  * Returns the steps of a seed: those of every other seed evacuate, those of
- * every third one crash runners and change their capacity, and two of four have
- * services and runners that leave.
+ * every third one crash runners and change their capacity, two of four have
+ * services and runners that leave, and in two of seven runners return in place
+ * and are cut off.
  */
 export function historyOfSeed(seed: number): HistoryStep[] {
   const evacuations = seed % 2 === 0
@@ -21,5 +26,10 @@
   const services = seed % 4 < 2
     ? new SeededRandom(seed + serviceSeedOffset)
     : undefined;
-  return randomHistory(new SeededRandom(seed), evacuations, crashes, services);
+  const random = new SeededRandom(seed);
+  const steps = randomHistory(random, evacuations, crashes, services);
+  if (seed % returnSeedsOf < seedsWithReturns) {
+    insertReturns(steps, new SeededRandom(seed + returnSeedOffset));
+  }
+  return steps;
 }
--- a/scenarios/cell_histories/history_step.ts
+++ b/scenarios/cell_histories/history_step.ts
@@ -34,4 +34,7 @@
   "submit_service",
   "leave_runner",
   "kill_keeper_at",
+  "submit_lasting",
+  "return_runner",
+  "cut_off_runner",
 ] as const;
--- a/scenarios/cell_histories/history_worker.ts
+++ b/scenarios/cell_histories/history_worker.ts
@@ -12,20 +12,19 @@
 import { createRunner } from "./create_runner.ts";
 import { failLater } from "./fail_later.ts";
 import { failingImage as failing } from "./failing_image.ts";
+import { HistoryHeartbeats } from "./history_heartbeats.ts";
 import { ProcessClock } from "./process_clock.ts";
 import type { RunChecker } from "./run_checker.ts";
+import { runMsOf } from "./run_ms_of.ts";
+import { RunProgress } from "./run_progress.ts";
 
-const heartbeatMs = 1_000;
-const maxHeartbeatDelayMs = 500;
-const minRunMs = 150;
-const maxRunMs = 2_500;
 const failureShare = 0.08;
 const maxStopMs = 400;
 const slowestRate = 0.98;
 /** How often late commands are carried out, and by what chance each time. */
 const lateIntervalMs = 400;
 const lateShare = 0.1;
-const progressMs = 100;
+const lapseCheckMs = 100;
 /** From the end of a runner's life to the next one. */
 const restartMs = 150;
 /** The same after a crash, and from the start that causes it to the crash. */
@@ -54,19 +53,14 @@
   onSidecarEnded: () => void = () => {};
   /** Whether the runner has left, and has no next life yet. */
   hasLeft = false;
-  isDraining = false;
   /** Until when no keeper can connect to it, by the world's clock. */
   cutUntilMs = 0;
   #isSilenced = false;
   /** Whether the runner is between two lives. */
   #isDown = false;
-  #sequence = 0;
-  #cpuMilli = 4_000;
+  readonly #heartbeats: HistoryHeartbeats;
+  readonly #progress: RunProgress;
   /** How often the lease had lapsed when each end came. */
-  readonly #progress = new Map<
-    { percent: number },
-    { startedAtMs: number; runMs: number }
-  >();
   readonly #lapsesAtEnd = new Map<number, number>();
 
   constructor(
@@ -82,6 +76,8 @@
       clock: ProcessClock,
     ) => PeerAnnouncer | undefined,
   ) {
+    this.#progress = new RunProgress(world);
+    this.#heartbeats = new HistoryHeartbeats(this);
     this.runner = createRunner(world, {
       clockRate: slowestRate + random.next() * (1 - slowestRate),
       isFencing: random.next() < 0.5,
@@ -89,9 +85,13 @@
     });
     this.#observe();
     this.startSidecar();
-    void this.#sendHeartbeats();
+    void this.#heartbeats.run();
     void this.#carryOutLate();
-    void this.#makeProgress();
+    void this.#checkLapses();
+  }
+
+  get isDraining(): boolean {
+    return this.#heartbeats.isDraining;
   }
 
   /** Each worker has a data centre of its own. */
@@ -111,7 +111,7 @@
       log,
       announcer,
     );
-    this.#sendHeartbeatSoon();
+    this.#heartbeats.sendSoon();
   }
 
   killSidecar(): void {
@@ -124,6 +124,7 @@
   get isFaulty(): boolean {
     const { cutUntilMs, hasLeft, runner, sidecar, world } = this;
     return this.#isDown || this.#isSilenced || runner.faults.length > 0 ||
+      runner.cut !== undefined || this.#heartbeats.isUnheard ||
       world.nowMs() < cutUntilMs || (sidecar?.clock.pausedMs ?? 0) > 0 ||
       (sidecar === undefined && !hasLeft);
   }
@@ -186,11 +187,37 @@
     });
   }
 
+  /**
+   * The runner dies, and its next life begins in place: it takes the calls that
+   * come meanwhile. Its first heartbeat comes some time after it has begun.
+   */
+  returnInPlace(gapMs: number, heartbeatAfterMs: number): void {
+    if (this.hasLeft || this.#isDown) return;
+    this.runner.beginReturn();
+    this.#heartbeats.keepUnheard(gapMs + heartbeatAfterMs);
+    this.restartRunner(gapMs);
+  }
+
+  /** Cuts the runner off: its calls or their answers are lost, until `mend`. */
+  cutOff(lost: "calls" | "answers", forMs: number, isHeard: boolean): void {
+    if (this.hasLeft) return;
+    this.trace(`${this.node} is cut off, ${lost} are lost`);
+    this.runner.cut = lost;
+    if (!isHeard) this.#heartbeats.keepUnheard(forMs);
+    void this.world.sleep(forMs).then(() => this.mend());
+  }
+
+  /** Ends what `cutOff` began. */
+  mend(): void {
+    this.runner.cut = undefined;
+    this.#heartbeats.hear();
+  }
+
   /** Changes the capacity, which the next heartbeats tell. */
   resize(cpuMilli: number): void {
-    if (cpuMilli === this.#cpuMilli) return;
+    if (cpuMilli === this.#heartbeats.cpuMilli) return;
     this.trace(`${this.node} has ${cpuMilli}`);
-    this.#cpuMilli = cpuMilli;
+    this.#heartbeats.cpuMilli = cpuMilli;
     this.checker.resized(this.node, cpuMilli, this.world.nowMs());
   }
 
@@ -201,10 +228,8 @@
     this.runner.restart();
     this.#isDown = false;
     this.silence(this.#isSilenced);
-    this.isDraining = false;
-    this.#sequence = 0;
     this.#lapsesAtEnd.clear();
-    this.#sendHeartbeatSoon();
+    this.#heartbeats.beginLife();
   }
 
   /** Crashes the runner if it is up and a run is still active there. */
@@ -217,13 +242,14 @@
   /** Whether the runner answers no call, though it works on. */
   silence(isSilenced: boolean): void {
     this.#isSilenced = isSilenced;
-    this.runner.isSilent = isSilenced || this.#isDown;
+    const isGone = this.#isDown && !this.runner.isReturning;
+    this.runner.isSilent = isSilenced || isGone;
   }
 
   drain(): void {
     if (this.hasLeft) return;
-    this.isDraining = true;
-    this.#sendHeartbeatSoon();
+    this.#heartbeats.isDraining = true;
+    this.#heartbeats.sendSoon();
   }
 
   #observe(): void {
@@ -239,11 +265,11 @@
         checker.startedIn(this.zone, run, world.nowMs());
         const step = checker.stepOf(run.task);
         if (step?.isService) return this.#serve(run, step.image === failing);
-        const runMs = minRunMs + random.next() * (maxRunMs - minRunMs);
-        this.#progress.set(run, { startedAtMs: world.nowMs(), runMs });
+        const runMs = runMsOf(step, random);
+        this.#progress.begin(run, runMs);
         const outcome = random.next() < failureShare ? "failed" : "done";
         void world.sleep(runMs).then(() => {
-          this.#progress.delete(run);
+          this.#progress.end(run);
           if (runner.running.get(run.task) === run) {
             runner.end(run.task, outcome);
           }
@@ -267,37 +293,10 @@
   /** A run of a service works until it is stopped, or fails by itself. */
   #serve(run: ServiceRun, isFailing: boolean): void {
     const { random, runner, world } = this;
-    const startedAtMs = world.nowMs();
-    this.#progress.set(run, { startedAtMs, runMs: startupMs });
+    this.#progress.begin(run, startupMs);
     if (isFailing) void failLater(runner, run, world, random);
   }
 
-  #sendHeartbeatSoon(): void {
-    const delayMs = this.random.next() * maxHeartbeatDelayMs;
-    void this.world.sleep(delayMs).then(() => this.#sendHeartbeat());
-  }
-
-  #sendHeartbeat(): void {
-    this.#sequence += 1;
-    const { isDraining, sidecar } = this;
-    const sequence = this.#sequence;
-    const cpuMilli = this.#cpuMilli;
-    const { runner } = this;
-    const { bornMs } = runner;
-    if (this.hasLeft) return;
-    void sidecar?.clock.awake().then(() => {
-      if (bornMs !== runner.bornMs || runner.hasExited) return;
-      sidecar.sendHeartbeat(sequence, isDraining, cpuMilli);
-    });
-  }
-
-  async #sendHeartbeats(): Promise<void> {
-    while (true) {
-      await this.world.sleep(heartbeatMs);
-      this.#sendHeartbeat();
-    }
-  }
-
   async #carryOutLate(): Promise<void> {
     while (true) {
       await this.world.sleep(lateIntervalMs);
@@ -305,15 +304,11 @@
     }
   }
 
-  async #makeProgress(): Promise<void> {
+  async #checkLapses(): Promise<void> {
     while (true) {
-      await this.world.sleep(progressMs);
+      await this.world.sleep(lapseCheckMs);
       this.runner.endIfLapsed();
-      const nowMs = this.world.nowMs();
-      for (const [run, { startedAtMs, runMs }] of this.#progress) {
-        const share = Math.min(1, (nowMs - startedAtMs) / runMs);
-        run.percent = Math.floor(100 * share);
-      }
+      this.#progress.update();
     }
   }
 }
--- a/scenarios/cell_histories/history_world.ts
+++ b/scenarios/cell_histories/history_world.ts
@@ -257,6 +257,7 @@
     for (const worker of this.workers) {
       worker.cutUntilMs = 0;
       worker.silence(false);
+      worker.mend();
       worker.runner.faults.length = 0;
       worker.sidecar?.clock.resume();
       worker.resize(capacityMilli);
--- a/scenarios/cell_histories/run_cell_history.ts
+++ b/scenarios/cell_histories/run_cell_history.ts
@@ -5,6 +5,7 @@
 import { failingImage } from "./failing_image.ts";
 import { HistoryWorld } from "./history_world.ts";
 import { historyOfSeed } from "./history_of_seed.ts";
+import { lastingMs } from "./lasting_ms.ts";
 import { killPoints } from "./kill_points.ts";
 
 /** Before the first step the first keeper has connected to all workers. */
@@ -22,6 +23,12 @@
 /** The shortest time for which a runner drains, and is away. */
 const minDrainMs = 500;
 const minAwayMs = 2_000;
+/** The longest time between two lives in place, and to the heartbeat after. */
+const maxReturnMs = 400;
+const maxUnheardMs = 1_200;
+/** How long a runner that has returned is cut off. */
+const minCutOffMs = 7_000;
+const maxCutOffMs = 10_000;
 /** How long no keeper is there after a kill: a process's, or all entries'. */
 const killedForMs = [900, 2_500] as const;
 /** Steps that are no faults: the rules allow no wait for them. */
@@ -30,6 +37,7 @@
   "submit_wide",
   "submit_chain",
   "submit_long",
+  "submit_lasting",
   "submit_service",
   "cancel",
   "drain",
@@ -43,6 +51,8 @@
 const stopMs = 3_500;
 /** Work that is left after so many times `settleMs` of calm fails a history. */
 const maxSettles = 6;
+/** The same for tasks that outlast a cut. */
+const maxLastingSettles = 18;
 
 interface HistoryResult {
   readonly checks: number;
@@ -80,7 +90,9 @@
     await clock.advance(serviceCalmMs);
     world.cancelServices();
   }
-  for (let round = 0; round < maxSettles && !isAllDone(world); round++) {
+  const outlastsCut = steps.some(({ kind }) => kind === "submit_lasting");
+  const settles = outlastsCut ? maxLastingSettles : maxSettles;
+  for (let round = 0; round < settles && !isAllDone(world); round++) {
     if (checker.violations.length > 0) break;
     await clock.advance(settleMs);
   }
@@ -118,6 +130,22 @@
       const long = { savesProgress: true, expectedMs: longExpectedMs };
       return world.submit([{ ...newStep(2 + a % 4), ...long }]);
     }
+    case "submit_lasting": {
+      const { min, max } = lastingMs;
+      const expectedMs = min + Math.floor((max - min) * b / 1_000);
+      return world.submit([{ ...newStep(1 + a % 8), expectedMs }]);
+    }
+    case "return_runner":
+      return worker.returnInPlace(
+        maxReturnMs * (b % 32) / 31,
+        maxUnheardMs * Math.floor(b / 32) / 31,
+      );
+    case "cut_off_runner":
+      return worker.cutOff(
+        b % 2 === 0 ? "calls" : "answers",
+        minCutOffMs + (maxCutOffMs - minCutOffMs) * b / 1_000,
+        b % 5 === 0,
+      );
     case "submit_crashing":
       return world.submit([newStep(1 + a % 4)], true);
     case "submit_service":
--- a/stand_ins/runner/runner_model.ts
+++ b/stand_ins/runner/runner_model.ts
@@ -6,6 +6,8 @@
 import type { RunnerClient } from "../../src/gate/runner_client.ts";
 import type { RunnerFailure } from "../../src/gate/runner_failure.ts";
 import type { RunnerPollResult } from "../../src/gate/runner_poll_result.ts";
+import type { ModelRun } from "./model_run.ts";
+import type { RunnerObserver } from "./runner_observer.ts";
 
 /**
  * A fault of a command: it is applied and its answer is lost, it is applied
@@ -13,23 +15,6 @@
  */
 type Fault = "lost" | "late" | "ignored";
 
-/** Receives what a runner does, as an observer beside it would see it. */
-interface RunnerObserver {
-  onStarted?(run: ModelRun, payload: string): void;
-  onEnded?(end: RunEnd): void;
-  /** The keeper has taken note of the end: it is no longer listed. */
-  onForgotten?(end: RunEnd): void;
-}
-
-interface ModelRun {
-  readonly task: TaskName;
-  readonly run: number;
-  checkpoint: string;
-  percent: number;
-  figure: number;
-  pace: number;
-}
-
 /** The longest lease that it grants. */
 const maxHoldMs = 6_000;
 /** The latency of an answer. */
@@ -49,6 +34,8 @@
   isFencing = true;
   /** Whether no call is answered. */
   isSilent = false;
+  /** What a cut takes: the calls, or the answers to those that are executed. */
+  cut: "calls" | "answers" | undefined;
   /** Whether its process has exited, so that connections are refused. */
   hasExited = false;
   /** Whether late commands are also applied in a life after the one addressed. */
@@ -71,6 +58,10 @@
   #delayed: (() => void)[] = [];
   /** Ends the waiting polls. */
   readonly #waiting = new Set<() => void>();
+  /** The calls that wait for its next life, in the order of their arrival. */
+  #queued: (() => void)[] | undefined;
+  /** Whether its life took the calls that were meant for the one before. */
+  #hasTakenCalls = false;
 
   constructor(
     readonly clock: Clock,
@@ -85,6 +76,18 @@
     return (this.clock.nowMs() - this.#bornAtMs) * this.clockRate;
   }
 
+  /** Whether calls wait for its next life. */
+  get isReturning(): boolean {
+    return this.#queued !== undefined;
+  }
+
+  /** Ends its life; the next one takes the calls that come until it begins. */
+  beginReturn(): void {
+    this.#queued ??= [];
+    this.running.clear();
+    for (const wake of this.#waiting) wake();
+  }
+
   /** Simulates a crash and a restart under the same id. */
   restart(): void {
     this.hasExited = false;
@@ -97,6 +100,10 @@
     this.leaseEndClockMs = 0;
     this.highestEpoch = 0;
     for (const wake of this.#waiting) wake();
+    const queued = this.#queued ?? [];
+    this.#hasTakenCalls = this.isReturning;
+    this.#queued = undefined;
+    for (const take of queued) take();
   }
 
   /** Ends its process, with all runs. */
@@ -108,6 +115,7 @@
 
   /** Applies the commands that were delayed. */
   applyDelayed(): void {
+    if (this.isReturning) return;
     for (const apply of this.#delayed.splice(0)) apply();
   }
 
@@ -187,12 +195,13 @@
   async hold(
     command: Parameters<RunnerClient["hold"]>[0],
   ): Promise<RunnerResult<RunnerPollResult>> {
-    if (this.isSilent) return await this.#timeOut();
+    if (this.#losesCalls) return await this.#timeOut();
     await this.clock.sleep(latencyMs);
+    if (this.isReturning) await this.#nextLife();
     if (this.hasExited) return this.#failure("refused");
     const calledBornMs = this.bornMs;
     if (this.ends.length === 0) await this.#waitForEnd(command.waitMs);
-    if (this.isSilent) return await this.#timeOut();
+    if (this.#losesCalls) return await this.#timeOut();
     // A waiting call breaks off with the life that it waits at.
     if (calledBornMs !== this.bornMs || this.hasExited) {
       return this.#failure("unknown");
@@ -201,6 +210,7 @@
     this.endIfLapsed();
     this.#extendLease(command.leaseEndClockMs ?? 0);
     this.#forgetEnds(command.forgetUpTo);
+    if (this.cut === "answers") return await this.#timeOut();
     const { bornMs, clockMs } = this;
     const running = [...this.running.values()];
     const ends = this.ends.slice(0, this.endsPerAnswer);
@@ -209,6 +219,14 @@
     return { isOk: true, value, clockMs };
   }
 
+  get #losesCalls(): boolean {
+    return this.isSilent || this.cut === "calls";
+  }
+
+  #nextLife(): Promise<void> {
+    return new Promise((take) => this.#queued?.push(take));
+  }
+
   #extendLease(untilClockMs: number): void {
     if (this.clockMs >= this.leaseEndClockMs) this.lapseCount += 1;
     const longest = Math.min(untilClockMs, this.clockMs + maxHoldMs);
@@ -253,23 +271,35 @@
     epoch: number,
     apply: () => RunnerFailure | undefined,
   ): Promise<RunnerResult<undefined>> {
-    const fault = this.isSilent ? "ignored" : this.faults.shift();
+    const fault = this.#nextFault();
     const { bornMs } = this;
-    const applyIfCurrent = (): RunnerFailure | undefined => {
-      if (bornMs !== this.bornMs && !this.reachesNextLife) return "other_life";
+    const applyIfCurrent = (isUnderWay = false): RunnerFailure | undefined => {
+      const isReached = bornMs === this.bornMs || this.reachesNextLife ||
+        (isUnderWay && this.#hasTakenCalls);
+      if (!isReached) return "other_life";
       if (this.#isFenced(epoch)) return "fenced";
       return apply();
     };
     if (fault === "late") this.#delayed.push(() => applyIfCurrent());
-    if (fault === "lost") applyIfCurrent();
+    if (fault === "lost") {
+      if (this.#queued === undefined) applyIfCurrent();
+      else this.#queued.push(() => applyIfCurrent(true));
+    }
     if (fault !== undefined) return await this.#timeOut();
     await this.clock.sleep(latencyMs);
+    if (this.isReturning) await this.#nextLife();
     if (this.hasExited) return this.#failure("refused");
-    const failure = applyIfCurrent();
+    const failure = applyIfCurrent(true);
+    if (this.cut !== undefined) return await this.#timeOut();
     if (failure !== undefined) return this.#failure(failure);
     return { isOk: true, value: undefined, clockMs: this.clockMs };
   }
 
+  #nextFault(): Fault | undefined {
+    if (this.#losesCalls) return "ignored";
+    return this.cut === "answers" ? "lost" : this.faults.shift();
+  }
+
   async #timeOut<T>(): Promise<RunnerResult<T>> {
     await this.clock.sleep(timeoutMs);
     return { isOk: false, failure: "unknown", clockMs: undefined };
