Logs tell which life took a start, and who released a claim

The record of the incident could not tell whether the keeper's clock, the sidecar's report or the first list of a next life had released the claims of runs that were still active. worker_lost has the ages of the last report and renewal; worker_lapsed, claim_released, claim_moved and run_found are new.

--- a/src/cellhost/lease_tracker.ts
+++ b/src/cellhost/lease_tracker.ts
@@ -52,6 +52,13 @@
     return this.clock.nowMs() >= this.#endsAtMs(node);
   }
 
+  /** How long ago a worker's lease was renewed; undefined if it was not. */
+  renewedAgeMs(node: NodeId): number | undefined {
+    const renewedAtMs = this.#renewedAtMs.get(node);
+    if (renewedAtMs === undefined) return undefined;
+    return Math.round(this.clock.nowMs() - renewedAtMs);
+  }
+
   /** How long until `hasExpired`. */
   leftMs(node: NodeId): number {
     return Math.max(0, Math.ceil(this.#endsAtMs(node) - this.clock.nowMs()));
--- a/src/cellhost/term_log.ts
+++ b/src/cellhost/term_log.ts
@@ -46,9 +46,17 @@
     this.log.info("term_ended", { epoch: this.epoch, leaving });
   }
 
-  /** Records each end that no earlier report of the worker held. */
+  /**
+   * Records each end that no earlier report of the worker held, and that its
+   * claims are released since the sidecar says that nothing of them runs.
+   */
   recordEnds(worker: Worker, report: SidecarReport): void {
-    const { node, lastEnd, report: known } = worker;
+    const { claims, node, lastEnd, report: known } = worker;
+    if (report.isLapsed && claims.size > 0) {
+      const { life, isGone } = report;
+      const fields = { node, life, is_gone: isGone, claims: claims.size };
+      this.log.info("worker_lapsed", fields);
+    }
     const from = known?.life === report.life ? lastEnd : 0;
     for (const { number, task, run, outcome, checkpoint } of report.ends) {
       if (number <= from) continue;
@@ -101,9 +109,18 @@
     metrics.setGauge("extra_core_seconds", extraCoreMs / 1_000);
   }
 
-  recordLostWorker({ node, claims }: Worker): void {
+  recordLostWorker({ node, claims, report, reportedAtMs }: Worker): void {
     this.metrics.count("workers_lost");
-    this.log.warn("worker_lost", { node, claims: claims.size });
+    const nowMs = this.clock.nowMs();
+    this.log.warn("worker_lost", {
+      node,
+      claims: claims.size,
+      life: report?.life,
+      is_up: report?.isUp,
+      is_lapsed: report?.isLapsed,
+      report_age_ms: report && Math.round(nowMs - reportedAtMs),
+      renewed_age_ms: this.leases.renewedAgeMs(node),
+    });
   }
 
   /** Records that the leases of all workers are renewed, the first time. */
--- a/src/core/cell/release_claims_of_other_lives.ts
+++ b/src/core/cell/release_claims_of_other_lives.ts
@@ -1,9 +1,11 @@
 import { runKey } from "../jobs/run_key.ts";
 import type { RunStatus } from "../jobs/run_status.ts";
+import type { RunnerLife } from "../jobs/runner_life.ts";
 import type { TaskName } from "../jobs/task_name.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
+import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
 
 /**
@@ -25,9 +27,20 @@
     if (claim === undefined || claim.life === life) continue;
     const mayRunHere = runs.get(task.name)?.run === task.run ||
       unsettled.includes(runKey({ task: task.name, run: task.run }));
+    yield noteClaim(mayRunHere ? "claim_moved" : "claim_released", task, life);
     if (mayRunHere) {
       task.claim = { ...claim, life };
       yield { kind: "save", job: task.group.job };
     } else yield* cell.releaseClaim(worker, task, nowMs);
   }
 }
+
+function noteClaim(
+  event: string,
+  { claim, name, run }: Task,
+  reportedLife: RunnerLife,
+): CellEffect {
+  const { node = "", life = "" } = claim ?? {};
+  const fields = { task: name, run, node, life, reported_life: reportedLife };
+  return { kind: "note", event, fields };
+}
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -17,6 +17,7 @@
 import { sendStop } from "./send_stop.ts";
 import { RefusedStarts } from "./refused_starts.ts";
 import type { RunStatus } from "../core/jobs/run_status.ts";
+import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import { runKey } from "../core/jobs/run_key.ts";
 import { refusalReason } from "./refusal_reason.ts";
 import type { RunnerPollResult } from "./runner_poll_result.ts";
@@ -37,6 +38,8 @@
   readonly refused = new RefusedStarts();
   readonly unanswered = new UnansweredStarts();
   readonly #evidence = new CrashEvidence();
+  /** The runs of the life before, with the life that their starts named. */
+  #sentBefore: ReadonlyMap<string, RunnerLife> = new Map();
 
   constructor(readonly context: GateContext) {}
 
@@ -69,6 +72,11 @@
       this.context.isDraining,
       isAfterCrash ? startingUp : undefined,
     );
+    this.#sentBefore = new Map(
+      [...this.runs].flatMap(([key, { startCommand }]) =>
+        startCommand === undefined ? [] : [[key, startCommand.life]]
+      ),
+    );
     const mayStart = this.unanswered.runs(this.context.clock.nowMs());
     for (const [key, run] of this.runs) {
       if (run.phase === "starting") mayStart.set(key, run);
@@ -210,6 +218,11 @@
   #foundRun(status: RunStatus): Run {
     const run = newRun(status);
     this.#begin(run);
+    const { task, run: number } = run;
+    const life = lifeOf(this.context.lastHeartbeat!);
+    const sentTo = this.#sentBefore.get(runKey(run));
+    const fields = { task, run: number, life, sent_to: sentTo };
+    this.context.log.info("run_found", fields);
     return run;
   }
 
