A keeper waits longer for a start that a runner's next life may have taken

Cause: a keeper counts a lease from its last renewal. That holds for the life whose clock the lease names. A next life under the same id reads the same figure as the longest lease, from the moment at which it takes the call. Class: a deadline by one life's clock that another life takes for its own.

A claim is now `isListed` once a report of the claimed life has listed its run. The claims of such runs are released as before. The row of a job says so of services, whose claims outlive keepers; older builds read such a row and drop the field.

Evidence: reused_id_test, "after a lease that began with the last possible start", failed before: the second run began 6,400 ms after the report, and a lease that began 700 ms after it ends at 6,822 ms.

--- a/src/cellhost/lease_tracker.ts
+++ b/src/cellhost/lease_tracker.ts
@@ -1,12 +1,16 @@
 import type { Clock } from "../core/clock/clock.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import { clockDrift } from "../core/clock/clock_drift.ts";
+import { maxPermitMs } from "../core/clock/max_permit_ms.ts";
+import { maxTransitMs } from "../core/clock/max_transit_ms.ts";
 import { confirmationValidMs } from "./confirmation_valid_ms.ts";
 import { EarlierKeepers } from "./earlier_keepers.ts";
 import type { RowWriter } from "./row_writer.ts";
 
 /** Added to the longest lease before it counts as expired. */
 const marginMs = 250;
+/** How long after a renewed report a next life can begin a lease. */
+const nextLifeMs = (maxPermitMs + maxTransitMs) * (1 + clockDrift);
 
 /** Tracks which leases a keeper may renew, and which have expired. */
 export class LeaseTracker {
@@ -46,10 +50,12 @@
 
   /**
    * Whether a worker's lease has expired even by a slow runner's clock, if no
-   * other keeper renewed it.
+   * other keeper renewed it, for a claim that its life has listed or not. A next
+   * life of the runner may have taken the start of one that it has not, and
+   * counts a lease from then.
    */
-  hasExpired(node: NodeId): boolean {
-    return this.clock.nowMs() >= this.#endsAtMs(node);
+  hasExpired(node: NodeId, isListed = true): boolean {
+    return this.leftMs(node, isListed) === 0;
   }
 
   /** How long ago a worker's lease was renewed; undefined if it was not. */
@@ -60,8 +66,9 @@
   }
 
   /** How long until `hasExpired`. */
-  leftMs(node: NodeId): number {
-    return Math.max(0, Math.ceil(this.#endsAtMs(node) - this.clock.nowMs()));
+  leftMs(node: NodeId, isListed = true): number {
+    const endsAtMs = this.#endsAtMs(node) + (isListed ? 0 : nextLifeMs);
+    return Math.max(0, Math.ceil(endsAtMs - this.clock.nowMs()));
   }
 
   #endsAtMs(node: NodeId): number {
--- a/src/cellhost/release_lost_workers.ts
+++ b/src/cellhost/release_lost_workers.ts
@@ -13,9 +13,16 @@
 ): Generator<CellEffect, void> {
   for (const worker of cell.workers.values()) {
     if (worker.isReconciled || worker.claims.size === 0) continue;
-    if (leases.hasExpired(worker.node)) {
-      termLog.recordLostWorker(worker);
-      yield* cell.handleWorkerLost(worker.node, nowMs);
-    } else yield* releaseEndedLife(cell, worker, nowMs);
+    const { node } = worker;
+    if (!leases.hasExpired(node)) {
+      yield* releaseEndedLife(cell, worker, nowMs);
+      continue;
+    }
+    const tasks = [...worker.claims.values()].filter(({ claim }) =>
+      leases.hasExpired(node, claim?.isListed || !claim?.isOrdered)
+    );
+    if (tasks.length === 0) continue;
+    termLog.recordLostWorker(worker, tasks.length);
+    yield* cell.handleWorkerLost(node, nowMs, tasks);
   }
 }
--- a/src/cellhost/term_log.ts
+++ b/src/cellhost/term_log.ts
@@ -109,12 +109,16 @@
     metrics.setGauge("extra_core_seconds", extraCoreMs / 1_000);
   }
 
-  recordLostWorker({ node, claims, report, reportedAtMs }: Worker): void {
+  /** Records that so many claims of a worker are released since it is lost. */
+  recordLostWorker(
+    { node, report, reportedAtMs }: Worker,
+    claims: number,
+  ): void {
     this.metrics.count("workers_lost");
     const nowMs = this.clock.nowMs();
     this.log.warn("worker_lost", {
       node,
-      claims: claims.size,
+      claims,
       life: report?.life,
       is_up: report?.isUp,
       is_lapsed: report?.isLapsed,
--- a/src/cellhost/waiting_explainer.ts
+++ b/src/cellhost/waiting_explainer.ts
@@ -39,7 +39,7 @@
     if (claim !== undefined) {
       const explanation = explainWaitingTask(this.cell, task, this.#view);
       if (explanation === undefined) return undefined;
-      const leftMs = this.leases.leftMs(claim.node);
+      const leftMs = this.leases.leftMs(claim.node, claim.isListed);
       const inputs = { ...explanation.inputs, lease_left_ms: leftMs };
       return { ...explanation, inputs };
     }
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -132,8 +132,7 @@
    */
   *handleReport(node: NodeId, report: SidecarReport, nowMs: number): Effects {
     const worker = this.worker(node);
-    const isNewLife = worker.report?.life !== report.life;
-    if (isNewLife) {
+    if (worker.report?.life !== report.life) {
       yield* recordCrash(this, worker, report, "next_life", nowMs);
       worker.lastEnd = 0;
       worker.statuses.clear();
@@ -167,13 +166,15 @@
     if (isSampled && this.mayMove) yield* moveFillers(this, worker, nowMs);
   }
 
-  /** Releases all claims of a worker whose lease has certainly expired. */
-  *handleWorkerLost(node: NodeId, nowMs: number): Effects {
+  /** Releases a worker's claims, of which certainly nothing runs any more. */
+  *handleWorkerLost(
+    node: NodeId,
+    nowMs: number,
+    tasks: readonly Task[] = [...this.worker(node).claims.values()],
+  ): Effects {
     const worker = this.worker(node);
     worker.isReconciled = false;
-    for (const task of [...worker.claims.values()]) {
-      yield* this.releaseClaim(worker, task, nowMs);
-    }
+    for (const task of tasks) yield* this.releaseClaim(worker, task, nowMs);
   }
 
   /** Sets the data centres to evacuate, and withdraws the starts there. */
--- a/src/core/cell/claim.ts
+++ b/src/core/cell/claim.ts
@@ -18,6 +18,11 @@
   phaseSinceMs: number;
   /** Whether the worker has confirmed that the run has begun. */
   hasBegun: boolean;
+  /**
+   * Whether the life that it names has listed the run. Until then, another life
+   * of the runner may have taken its start.
+   */
+  isListed: boolean;
   /** Whether the run may still crash its worker by starting. */
   isStartingUp: boolean;
   /** The advisor's ticket for the run, in queues that have an advisor. */
--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -86,6 +86,7 @@
       workerIndex,
       startCheckpoint,
       crashes = 0,
+      listed = 0,
     ] = row;
     Object.assign(task, { run, failures, checkpoint, crashes });
     const worker = workers[workerIndex ?? -1];
@@ -98,6 +99,7 @@
       isOrdered: true,
       phaseSinceMs: nowMs,
       hasBegun: false,
+      isListed: listed === 1,
       isStartingUp: true,
       ticket: undefined,
       progressPercent: 0,
--- a/src/core/cell/encode_job.ts
+++ b/src/core/cell/encode_job.ts
@@ -63,6 +63,9 @@
   const worker = workers.get(key) ?? workers.size;
   workers.set(key, worker);
   const startCheckpoint = withCheckpoints ? claim.startCheckpoint : "";
+  if (claim.isListed && task.group.definition.isService) {
+    return [...start, worker, startCheckpoint, crashes, 1];
+  }
   if (crashes > 0) return [...start, worker, startCheckpoint, crashes];
   return startCheckpoint === ""
     ? [...start, worker]
--- a/src/core/cell/is_progress_row.ts
+++ b/src/core/cell/is_progress_row.ts
@@ -38,11 +38,12 @@
 function isTask(value: unknown): boolean {
   if (value === 0 || value === 1) return true;
   if (!Array.isArray(value)) return false;
-  const [run, failures, checkpoint, worker, from, crashes] = value;
+  const [run, failures, checkpoint, worker, from, crashes, listed] = value;
   return isCount(run) && isCount(failures) && typeof checkpoint === "string" &&
     (worker === undefined || worker === null || isCount(worker)) &&
     (from === undefined || typeof from === "string") &&
-    (crashes === undefined || isCount(crashes));
+    (crashes === undefined || isCount(crashes)) &&
+    (listed === undefined || isCount(listed));
 }
 
 function isCount(value: unknown): boolean {
--- a/src/core/cell/job_progress_row.ts
+++ b/src/core/cell/job_progress_row.ts
@@ -22,7 +22,8 @@
  * 1 if the task is done, 0 if it has never been started. `worker` is an index
  * into `w`, given while the run is claimed; `from` is the checkpoint that the
  * run started from. `crashes` counts the runs in a row that crashed their worker
- * or were starting up beside one that did.
+ * or were starting up beside one that did. `listed` is 1 once the claimed life
+ * has listed the run of a service; builds that do not know it drop it.
  */
 type TaskRow =
   | 0
@@ -34,4 +35,5 @@
     worker?: number | null,
     from?: string,
     crashes?: number,
+    listed?: number,
   ];
--- a/src/core/cell/place_waiting_tasks.ts
+++ b/src/core/cell/place_waiting_tasks.ts
@@ -238,6 +238,7 @@
     isOrdered: false,
     phaseSinceMs: nowMs,
     hasBegun: false,
+    isListed: false,
     isStartingUp: true,
     ticket: tickets?.get(worker.report!.life),
     progressPercent: 0,
--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -39,6 +39,7 @@
       continue;
     }
     cell.recordCheckpoint(task, status.checkpoint);
+    noteListed(cell, task);
     yield* cell.markStarted(worker.node, status, nowMs);
     recordProgress(task, status.percent, nowMs);
     settleRun(cell, worker, task, status);
@@ -56,6 +57,13 @@
   }
 }
 
+/** A service may run for long, so that its claim outlives the keeper. */
+function noteListed(cell: Cell, { claim, group }: Task): void {
+  if (claim === undefined || claim.isListed) return;
+  claim.isListed = true;
+  if (group.definition.isService) cell.saveSoon(group.job);
+}
+
 function* stopUnclaimed(
   cell: Cell,
   worker: Worker,
@@ -104,6 +112,7 @@
   // The others follow with a later report.
   if (worker.isBusyStarting && !worker.pendingStarts.has(task)) return;
   claim.phaseSinceMs = nowMs;
+  claim.isListed = false;
   worker.beginPendingStart(task);
   yield { kind: "start", node: worker.node, command: buildStart(task) };
 }
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -142,6 +142,9 @@
 
   it("waits for the lease that the runner got, and no longer", async () => {
     const { session, clock, links, report, sent } = await startSession();
+    const task = "j.0.0.0" as TaskName;
+    const run = { task, run: 1, checkpoint: "", percent: 10, figure: 0 };
+    report({ running: [run] });
     await clock.advance(100);
     for (let passedMs = 0; passedMs < downMs; passedMs += intervalMs) {
       report({ isUp: false });
@@ -165,6 +168,10 @@
 
 // Guards against a claim that nobody can release: its worker never reports.
 describe("the task of a job that is read after the takeover", () => {
+  /** How long an earlier keeper may renew, and a next life keep, a lease. */
+  const dueMs = 8_000 + (6_000 + 700 + 1_200) * 1.02 + 250;
+  const intervalMs = 500;
+
   it("runs once the lease of a worker without a report has ended", async () => {
     const { session, clock, links, sent } = await startSession();
     const earlier = new CellFixture();
@@ -175,13 +182,17 @@
     const row = encodeJob(earlier.cell.jobs.get("late" as JobId)!);
     session.options.directory.rows.set(definition.id, row);
     session.submit(definition);
-    for (let passedMs = 0; passedMs < 16_000; passedMs += 500) {
+    for (
+      let passedMs = 0;
+      passedMs < dueMs + intervalMs;
+      passedMs += intervalMs
+    ) {
       links.onMessage({ node, send: () => {} }, {
         kind: "report",
         number: 1,
         report: workerReport,
       });
-      await clock.advance(500);
+      await clock.advance(intervalMs);
     }
     const names = sent.flatMap((message) =>
       message.kind === "orders" ? message.starts.map(({ task }) => task) : []
--- /dev/null
+++ b/tests/reused_id_test.ts
@@ -0,0 +1,67 @@
+import { expect } from "chai";
+import { maxPermitMs } from "../src/core/clock/max_permit_ms.ts";
+import { maxTransitMs } from "../src/core/clock/max_transit_ms.ts";
+import type { NodeId } from "../src/core/jobs/node_id.ts";
+import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
+import { StoreModel } from "../stand_ins/store/store_model.ts";
+import { KeeperTerm } from "./keeper_term.ts";
+
+const { maxHoldMs, stepMs } = KeeperTerm;
+/** The longest lease by a clock that is 2 % slow. */
+const slowLeaseMs = maxHoldMs / 0.98;
+/** A keeper's bound for a lease of a life that it knows. */
+const knownLeaseMs = maxHoldMs * 1.02 + 250;
+const lostWorker = "w" as NodeId;
+const otherWorker = "v" as NodeId;
+const noneBefore = {
+  epoch: 0,
+  node: "k" as NodeId,
+  incarnation: "i",
+  endedAtMs: 0,
+};
+
+// Guards against a second run beside one that a runner's next life has taken.
+describe("the run of a worker that falls silent starts elsewhere", () => {
+  const cases = [
+    {
+      name: "after a lease that began with the last possible start",
+      isListed: false,
+      fromMs: maxPermitMs + slowLeaseMs,
+      toMs: knownLeaseMs + (maxPermitMs + maxTransitMs) * 1.02 + 4 * stepMs,
+    },
+    {
+      name: "after the lease of the life that has listed it",
+      isListed: true,
+      fromMs: slowLeaseMs,
+      toMs: knownLeaseMs + 4 * stepMs,
+    },
+  ];
+  for (const { name, isListed, fromMs, toMs } of cases) {
+    for (const isReplaced of [false, true]) {
+      it(`${name}, keeper replaced: ${isReplaced}`, async () => {
+        const [store, clock] = [new StoreModel(), new VirtualClock()];
+        let term = await KeeperTerm.begin(store, clock, 1, noneBefore);
+        term.report(lostWorker);
+        let reportedAtMs = clock.nowMs();
+        await term.awaitStart(1_000);
+        if (isListed) {
+          term.report(lostWorker, true);
+          reportedAtMs = clock.nowMs();
+        }
+        if (isReplaced) {
+          await clock.advance(1_500);
+          term.session.close();
+          const before = { ...noneBefore, epoch: 1 };
+          reportedAtMs = before.endedAtMs = clock.nowMs();
+          term = await KeeperTerm.begin(store, clock, 2, before);
+        }
+        term.session.cell.handleDisconnect(lostWorker);
+        term.sent.splice(0);
+        await term.awaitStart(20_000, otherWorker);
+        expect(term.starts()).to.eql([otherWorker]);
+        expect(clock.nowMs() - reportedAtMs).to.be.within(fromMs, toMs);
+        term.session.close();
+      });
+    }
+  }
+});
--- a/tests/run_time_estimator_test.ts
+++ b/tests/run_time_estimator_test.ts
@@ -44,6 +44,7 @@
     isOrdered: true,
     phaseSinceMs: 0,
     hasBegun: true,
+    isListed: true,
     isStartingUp: false,
     ticket: undefined,
     progressPercent: 0,
