A sidecar lets a start leave only soon after a renewed report

A start now leaves within 0.7 s of a report that the keeper has renewed, by both clocks, since the monotonic one may stop while the machine is suspended. One that comes later asks for a renewal and waits for it.

"does not while the runner's next life has a run from it" let the lease end first.

--- a/src/gate/apply_keeper_message.ts
+++ b/src/gate/apply_keeper_message.ts
@@ -1,14 +1,11 @@
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
+import type { GateContext } from "./gate_context.ts";
 import type { PaceController } from "./pace_controller.ts";
 import type { RunTracker } from "./run_tracker.ts";
-import type { RunnerLease } from "./runner_lease.ts";
-import type { StartWindow } from "./start_window.ts";
 
-/** What a keeper's messages act on. */
+/** What a keeper's messages act on, beside what the gate shares. */
 interface Parts {
-  readonly lease: RunnerLease;
-  readonly startWindow: StartWindow;
   readonly tracker: RunTracker;
   readonly paceController: PaceController;
   /** Ends of the life up to this number are stored. */
@@ -18,11 +15,13 @@
 /** Applies a message from the keeper; a kind that is not known is ignored. */
 export function applyKeeperMessage(
   message: KeeperMessage,
-  { lease, startWindow, tracker, paceController, setStored }: Parts,
+  { lease, permit, startWindow }: GateContext,
+  { tracker, paceController, setStored }: Parts,
 ): void {
   switch (message.kind) {
     case "renew":
       lease.renew(message.report);
+      permit.renew(message.report);
       startWindow.renew(message.report, message.operatorAgeMs);
       paceController.pressures = message.pressures;
       break;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -23,6 +23,7 @@
 import type { RunnerPollResult } from "./runner_poll_result.ts";
 import { CallSlots } from "./call_slots.ts";
 import { SharedPoll } from "./shared_poll.ts";
+import { StartPermit } from "./start_permit.ts";
 import { StartWindow } from "./start_window.ts";
 import { WakeablePause } from "./wakeable_pause.ts";
 
@@ -46,6 +47,7 @@
   isDraining = false;
   isStopped = false;
   readonly lease: RunnerLease;
+  readonly permit: StartPermit;
   readonly startWindow: StartWindow;
   readonly slots = new CallSlots();
   readonly #tracker = new RunTracker(this);
@@ -73,6 +75,7 @@
     evacuateMs?: number,
   ) {
     this.startWindow = new StartWindow(evacuateMs);
+    this.permit = new StartPermit(clock, () => this.#sendReport());
     this.#pause = new WakeablePause(clock);
     this.lease = new RunnerLease(maxHoldMs, clock.nowMs());
     this.#lifeEnd = new LifeEnd(this.#health, this.lease, this.#tracker);
@@ -165,9 +168,7 @@
 
   /** Handles a message from the keeper. */
   handleMessage(message: KeeperMessage): void {
-    applyKeeperMessage(message, {
-      lease: this.lease,
-      startWindow: this.startWindow,
+    applyKeeperMessage(message, this, {
       tracker: this.#tracker,
       paceController: this.#paceController,
       setStored: (life, end) => this.#setStored(life, end),
@@ -299,21 +300,20 @@
     this.#reportedAtMs = nowMs;
     this.#endLedger.setReported();
     this.startWindow.recordReport(this.#reportNumber, nowMs);
-    if (this.isUp) this.lease.recordReport(this.#reportNumber, nowMs);
-    this.#keeper.send({
-      kind: "report",
-      number: this.#reportNumber,
-      report: {
-        ...describeRunner(heartbeat),
-        coldForMs: this.startWindow.evacuateMs && heartbeat.coldForMs,
-        isDraining: this.isDraining,
-        isUp: this.#health.isUp,
-        isGone: this.#health.isGone,
-        isLapsed: this.#lifeEnd.hasLapsed(nowMs),
-        running: this.#running,
-        ...this.#endLedger.report(),
-        ...this.#tracker.report(this.#health.isGone),
-      },
-    });
+    if (this.isUp) {
+      this.lease.recordReport(this.#reportNumber, nowMs);
+      this.permit.recordReport(this.#reportNumber);
+    }
+    const report = {
+      ...describeRunner(heartbeat),
+      coldForMs: this.startWindow.evacuateMs && heartbeat.coldForMs,
+      isDraining: this.isDraining,
+      ...this.#lifeEnd.report(nowMs),
+      running: this.#running,
+      ...this.#endLedger.report(),
+      ...this.#tracker.report(this.#health.isGone),
+    };
+    const number = this.#reportNumber;
+    this.#keeper.send({ kind: "report", number, report });
   }
 }
--- a/src/gate/gate_context.ts
+++ b/src/gate/gate_context.ts
@@ -6,6 +6,7 @@
 import type { RunnerClient } from "./runner_client.ts";
 import type { RunnerHeartbeat } from "./runner_heartbeat.ts";
 import type { RunnerLease } from "./runner_lease.ts";
+import type { StartPermit } from "./start_permit.ts";
 import type { StartWindow } from "./start_window.ts";
 
 /** What a gate shares with its parts. */
@@ -13,6 +14,7 @@
   readonly runner: RunnerClient;
   readonly lease: RunnerLease;
   readonly startWindow: StartWindow;
+  readonly permit: StartPermit;
   /** Bounds the calls that start, stop or pace runs. */
   readonly slots: CallSlots;
   readonly clock: Clock;
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -79,6 +79,12 @@
       this.tracker.abandonStarts();
   }
 
+  /** The part of a report about whether the runner answers, and has ended. */
+  report(nowMs: number) {
+    const { isUp, isGone } = this.health;
+    return { isUp, isGone, isLapsed: this.hasLapsed(nowMs) };
+  }
+
   /** Whether a runner that left is found to have ended, the first time. */
   isNewlyEnded(nowMs: number): boolean {
     if (!this.hasLeft || this.#isTold) return false;
--- a/src/gate/start_run.ts
+++ b/src/gate/start_run.ts
@@ -19,7 +19,7 @@
   owner: StartOwner,
 ): Promise<void> {
   const { context } = owner;
-  const { clock, startWindow } = context;
+  const { clock, permit, startWindow } = context;
   const arrivedAtMs = clock.nowMs();
   const mayRepeat = () =>
     owner.isStarting(run) && !run.isStopRequested &&
@@ -29,9 +29,11 @@
       owner.giveUpStart(run, "late");
       break;
     }
-    // The wait for a slot may outlast the reason for the start.
     const isNeeded = () => mayRepeat() && !isDrainedFor(run, context);
-    const sent = await sendStart(command, context, arrivedAtMs, isNeeded);
+    await permit.wait(isNeeded);
+    // The wait for a slot may outlast the permit and the reason for the start.
+    const maySend = () => permit.isValid && isNeeded();
+    const sent = await sendStart(command, context, arrivedAtMs, maySend);
     if (sent === undefined) {
       if (isDrainedFor(run, context)) owner.giveUpStart(run, "draining");
       continue;
--- a/tests/lapse_test.ts
+++ b/tests/lapse_test.ts
@@ -31,11 +31,23 @@
     fixture.gate.stop();
   });
 
-  it("does not while the runner's next life has a run from it", async () => {
+  it("lets no start reach the runner's next life after it has ended", async () => {
     const fixture = new GateFixture();
     await fixture.start();
     fixture.isRenewing = false;
     await fixture.clock.advance(lapsedMs);
+    const command = fixture.startCommand();
+    fixture.runner.restart();
+    fixture.sendStarts(command);
+    await fixture.clock.advance(lapsedMs);
+    expect(fixture.runner.startCount).to.equal(0);
+    fixture.gate.stop();
+  });
+
+  it("does not while the runner's next life has a run from it", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    fixture.isRenewing = false;
     // No heartbeat has come, so the start is meant for the earlier life.
     const command = fixture.startCommand();
     fixture.runner.restart();
