A sidecar counts a next life's lease from the last start that it may have taken

hasLapsed released claims by the clock of the life that was known, unless an answer showed a next one. An answer shows it by a clock that lags by a second or more, or by the birth in a list. If the life before had just begun, or the runner is cut off before it answers, a next life may hold a run for longer.

UnconfirmedStarts keeps when the last call to start a run ended, until the known life answers a poll that was sent later. Until then a lease counts from that call, and the time in which polls may extend it is added. Starts under way are given up as soon as the lease of the known life has ended, as before.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -258,7 +258,7 @@
       this.#handleFailedPoll(failure);
       return false;
     }
-    this.#lifeEnd.recordKnownLife();
+    this.#lifeEnd.recordKnownLife(sentAtMs);
     this.#lifeEvidence.confirm();
     this.#endLedger.confirm(forgetUpTo, this.clock.nowMs());
     if (this.#health.recordAnswer()) {
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -1,4 +1,5 @@
 import { maxLatenessMs } from "../core/clock/max_lateness_ms.ts";
+import { maxTransitMs } from "../core/clock/max_transit_ms.ts";
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { RunTracker } from "./run_tracker.ts";
 import type { RunnerHealth } from "./runner_health.ts";
@@ -51,9 +52,10 @@
     );
   }
 
-  /** Records that this life has answered a poll. */
-  recordKnownLife(): void {
+  /** Records that this life has answered a poll that was sent at that time. */
+  recordKnownLife(pollSentAtMs: number): void {
     this.#nextLifeUntilMs = undefined;
+    this.tracker.unconfirmed.confirm(pollSentAtMs);
   }
 
   /** Records a failed poll, which may have extended a next life's lease. */
@@ -74,9 +76,9 @@
    * life of the runner may have taken starts that were meant for this one.
    */
   hasLapsed(nowMs: number): boolean {
-    if (this.health.isUp || this.#mayRunInNextLife(nowMs)) return false;
-    return (this.#hasExited(nowMs) || this.lease.hasLapsed(nowMs)) &&
-      this.tracker.abandonStarts();
+    if (this.health.isUp) return false;
+    if (!this.#hasExited(nowMs) && !this.lease.hasLapsed(nowMs)) return false;
+    return this.tracker.abandonStarts() && !this.#mayRunInNextLife(nowMs);
   }
 
   /** The part of a report about whether the runner answers, and has ended. */
@@ -93,6 +95,11 @@
   }
 
   #mayRunInNextLife(nowMs: number): boolean {
+    const { lastAtMs } = this.tracker.unconfirmed;
+    if (lastAtMs !== undefined) {
+      const untilMs = this.lease.latestEndFrom(lastAtMs) + maxTransitMs;
+      if (nowMs <= untilMs) return true;
+    }
     return this.#nextLifeUntilMs !== undefined &&
       (nowMs <= this.#nextLifeUntilMs || this.tracker.unanswered.hasAny(nowMs));
   }
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -21,6 +21,7 @@
 import { runKey } from "../core/jobs/run_key.ts";
 import { refusalReason } from "./refusal_reason.ts";
 import type { RunnerPollResult } from "./runner_poll_result.ts";
+import { UnconfirmedStarts } from "./unconfirmed_starts.ts";
 import { UnansweredStarts } from "./unanswered_starts.ts";
 
 /** A run that was active for this long did not crash its runner by starting. */
@@ -37,11 +38,14 @@
   readonly runs = new Map<string, Run>();
   readonly refused = new RefusedStarts();
   readonly unanswered = new UnansweredStarts();
+  readonly unconfirmed: UnconfirmedStarts;
   readonly #evidence = new CrashEvidence();
   /** The runs of the life before, with the life that their starts named. */
   #sentBefore: ReadonlyMap<string, RunnerLife> = new Map();
 
-  constructor(readonly context: GateContext) {}
+  constructor(readonly context: GateContext) {
+    this.unconfirmed = new UnconfirmedStarts(() => context.clock.nowMs());
+  }
 
   /** Whether a poll has yet to confirm that a stopped run is gone. */
   get hasUnconfirmedStop(): boolean {
--- a/src/gate/send_start.ts
+++ b/src/gate/send_start.ts
@@ -1,12 +1,12 @@
 import type { StartCommand } from "../core/cell/start_command.ts";
 import { callRunner } from "./call_runner.ts";
-import type { GateContext } from "./gate_context.ts";
 import { leaseEndForStart } from "./lease_end_for_start.ts";
+import type { StartOwner } from "./start_owner.ts";
 
 /** Sends a start once the runner may be called, if it is still needed then. */
 export function sendStart(
   { task, run, payload, ticket, checkpoint }: StartCommand,
-  context: GateContext,
+  { context, unconfirmed }: Pick<StartOwner, "context" | "unconfirmed">,
   arrivedAtMs: number,
   isNeeded: () => boolean,
 ) {
@@ -14,15 +14,17 @@
   return callRunner(context, "start", isNeeded, () => {
     const { epoch, runner } = context;
     const leaseEndClockMs = leaseEndForStart(context, arrivedAtMs);
-    return runner.start({
-      instance,
-      epoch,
-      task,
-      run,
-      payload,
-      ticket,
-      checkpoint,
-      leaseEndClockMs,
-    });
+    return unconfirmed.track(() =>
+      runner.start({
+        instance,
+        epoch,
+        task,
+        run,
+        payload,
+        ticket,
+        checkpoint,
+        leaseEndClockMs,
+      })
+    );
   });
 }
--- a/src/gate/start_run.ts
+++ b/src/gate/start_run.ts
@@ -33,7 +33,7 @@
     await permit.wait(isNeeded);
     // The wait for a slot may outlast the permit and the reason for the start.
     const maySend = () => permit.isValid && isNeeded();
-    const sent = await sendStart(command, context, arrivedAtMs, maySend);
+    const sent = await sendStart(command, owner, arrivedAtMs, maySend);
     if (sent === undefined) {
       if (isDrainedFor(run, context)) owner.giveUpStart(run, "draining");
       continue;
--- a/tests/lapse_test.ts
+++ b/tests/lapse_test.ts
@@ -62,6 +62,37 @@
   });
 });
 
+// Guards against a lease that is counted from before a next life began it. The
+// clock of a life that has just begun does not tell it from the next one.
+describe("a start that a next life takes just before it is cut off", () => {
+  const renewedMs = 600;
+  for (const youngMs of [850, 900, 950, 1_000]) {
+    it(`keeps the lease from lapsing, after a life of ${youngMs} ms`, async () => {
+      const fixture = new GateFixture(0.98);
+      await fixture.start();
+      const { clock, gate, runner } = fixture;
+      runner.restart();
+      fixture.sendHeartbeat(1);
+      await clock.advance(renewedMs);
+      fixture.isRenewing = false;
+      await clock.advance(youngMs - renewedMs);
+      const command = fixture.startCommand();
+      runner.restart();
+      fixture.sendStarts(command);
+      await clock.advance(10);
+      runner.isSilent = true;
+      expect(runner.running.size).to.equal(1);
+      while (runner.clockMs < runner.leaseEndClockMs) {
+        expect(hasReportedLapse(fixture)).to.equal(false);
+        await clock.advance(50);
+      }
+      await clock.advance(lapsedMs);
+      expect(hasReportedLapse(fixture)).to.equal(true);
+      gate.stop();
+    });
+  }
+});
+
 describe("a runner that leaves", () => {
   // Guards against claims that wait for a lease though nothing runs any more.
   const cases = [
