--- a/scenarios/cell_histories/history_keeper.ts
+++ b/scenarios/cell_histories/history_keeper.ts
@@ -30,8 +30,10 @@
   readonly evacuateMs: number | undefined;
   readonly queue: Queue;
   readonly workers: readonly NodeId[];
-  /** Whether it follows the stream of members, and appends when idle. */
+  /** Whether it follows the stream of members. */
   readonly isLasting: boolean;
+  /** Whether it appends when idle, so that it may renew leases. */
+  readonly appendsWhenIdle: boolean;
   readonly metrics: PrometheusMetrics;
   readonly log: Logger;
 }
@@ -126,7 +128,7 @@
     const members = this.options.isLasting
       ? this.#followMembers(session)
       : undefined;
-    if (members !== undefined) void this.#appendWhenIdle(session);
+    if (this.options.appendsWhenIdle) void this.#appendWhenIdle(session);
     while (session.isOpen) {
       await clock.sleep(readIntervalMs);
       next = await this.#readJobs(next);
--- a/scenarios/cell_histories/history_world.ts
+++ b/scenarios/cell_histories/history_world.ts
@@ -66,6 +66,7 @@
     readonly seed: number,
     evacuateMs?: number,
     readonly isLasting = false,
+    readonly appendsWhenIdle = isLasting,
   ) {
     this.#bounds = { maxHoldMs, evacuateMs };
     this.checker = new RunChecker(
@@ -153,6 +154,7 @@
         queue,
         workers: this.workers.map(({ node }) => node),
         isLasting: this.isLasting,
+        appendsWhenIdle: this.appendsWhenIdle,
         metrics,
         log,
       }),
--- a/scenarios/cell_histories/insert_returns.ts
+++ b/scenarios/cell_histories/insert_returns.ts
@@ -25,6 +25,7 @@
   "pause_keeper",
   "pause_sidecar",
   "lose_commands",
+  "cut_store",
   "submit_lasting",
 ] as const;
 
--- a/scenarios/cell_histories/run_cell_history.ts
+++ b/scenarios/cell_histories/run_cell_history.ts
@@ -71,10 +71,12 @@
 ): Promise<HistoryResult> {
   const isEvacuating = steps.some(({ kind }) => kind === "evacuate");
   const isLasting = steps.some(({ kind }) => kind === "submit_service");
+  const outlastsCuts = steps.some(({ kind }) => kind === "submit_lasting");
   const world = new HistoryWorld(
     seed,
     isEvacuating ? evacuateMs : undefined,
     isLasting,
+    isLasting || outlastsCuts,
   );
   const { checker, clock, trace } = world;
   await clock.advance(leadMs);
@@ -90,8 +92,7 @@
     await clock.advance(serviceCalmMs);
     world.cancelServices();
   }
-  const outlastsCut = steps.some(({ kind }) => kind === "submit_lasting");
-  const settles = outlastsCut ? maxLastingSettles : maxSettles;
+  const settles = outlastsCuts ? maxLastingSettles : maxSettles;
   for (let round = 0; round < settles && !isAllDone(world); round++) {
     if (checker.violations.length > 0) break;
     await clock.advance(settleMs);
