A claim of a former life is kept until the next life has refused its run

When a sidecar was replaced and its runner began a next life, the keeper released the claims of the former life by the first list of the next one. A start that the sidecar's earlier process had sent may still be under way then, for instance while TCP sends it again after the runner was dark, and would run beside the next run.

If the sidecar says that it had not listed the former life, and no list ever showed the run, the claim moves to the next life and its run is stopped there. The runner rejects a run that it was told to stop before it began; the refusal then releases the claim. The poll that confirms a stop of an unknown run is sent at once, so that this takes no longer than two calls.

CrashFixture refuses the stop of a run that a worker does not have, as gates do; without that the task waits for ever.

--- a/src/core/cell/release_claims_of_other_lives.ts
+++ b/src/core/cell/release_claims_of_other_lives.ts
@@ -11,12 +11,14 @@
 /**
  * Releases claims made for other lives of the runner, except those whose run is
  * active or unsettled in the current life: a start command does not tell lives
- * of one runner id apart, so it can reach a later life.
+ * of one runner id apart, so it can reach a later life. One that an earlier
+ * process of the sidecar sent may do so yet if no life has listed its run, which
+ * is then stopped in the current life first, so that this rejects it.
  */
 export function* releaseClaimsOfOtherLives(
   cell: Cell,
   worker: Worker,
-  { hasMoreEnds, life, unsettled }: SidecarReport,
+  { hasMoreEnds, isLifeBeforeUnknown, life, unsettled }: SidecarReport,
   runs: ReadonlyMap<TaskName, RunStatus>,
   nowMs: number,
 ): Generator<CellEffect, void> {
@@ -27,11 +29,17 @@
     if (claim === undefined || claim.life === life) continue;
     const mayRunHere = runs.get(task.name)?.run === task.run ||
       unsettled.includes(runKey({ task: task.name, run: task.run }));
-    yield noteClaim(mayRunHere ? "claim_moved" : "claim_released", task, life);
-    if (mayRunHere) {
-      task.claim = { ...claim, life };
-      yield { kind: "save", job: task.group.job };
-    } else yield* cell.releaseClaim(worker, task, nowMs);
+    const mayArrive = isLifeBeforeUnknown && claim.isOrdered &&
+      !claim.isListed;
+    const isReleased = !mayRunHere && !mayArrive;
+    yield noteClaim(isReleased ? "claim_released" : "claim_moved", task, life);
+    if (isReleased) {
+      yield* cell.releaseClaim(worker, task, nowMs);
+      continue;
+    }
+    task.claim = { ...claim, life };
+    yield { kind: "save", job: task.group.job };
+    if (!mayRunHere) yield* cell.stopRun(task, "other_life", nowMs);
   }
 }
 
--- a/src/gate/run_tracker.ts
+++ b/src/gate/run_tracker.ts
@@ -248,7 +248,7 @@
   /** Stops a run; the next poll then shows whether it is gone. */
   async stopRun(run: Run): Promise<void> {
     const { context } = this;
-    const mayBeListed = run.phase === "running";
+    const mayBeListed = run.phase === "running" && run.hasBegun;
     run.phase = "stopping";
     if (!await sendStop(context, run, () => this.#isCurrent(run))) return;
     run.stopAcknowledgedAtMs = context.clock.nowMs();
--- a/tests/crash_fixture.ts
+++ b/tests/crash_fixture.ts
@@ -146,9 +146,10 @@
 
   #stop(stop: string): void {
     const { task, run, node } = parseRun(stop);
-    if (this.#isUp(node) && this.#beganAtMs.has(task)) {
-      this.#end(node, task, run, "stopped");
-    }
+    if (!this.#isUp(node)) return;
+    if (this.#beganAtMs.has(task)) this.#end(node, task, run, "stopped");
+    // A gate refuses a run that its runner has not, and will reject.
+    else this.fixture.refuse(node, task, run, "old");
   }
 
   #work(node: string): void {
--- a/tests/reused_id_test.ts
+++ b/tests/reused_id_test.ts
@@ -2,8 +2,11 @@
 import { maxPermitMs } from "../src/core/clock/max_permit_ms.ts";
 import { maxTransitMs } from "../src/core/clock/max_transit_ms.ts";
 import type { NodeId } from "../src/core/jobs/node_id.ts";
+import type { RunnerLife } from "../src/core/jobs/runner_life.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
+import { CellFixture } from "./cell_fixture.ts";
+import { GateFixture } from "./gate_fixture.ts";
 import { KeeperTerm } from "./keeper_term.ts";
 
 const { maxHoldMs, stepMs } = KeeperTerm;
@@ -65,3 +68,56 @@
     }
   }
 });
+
+// Guards against a run that begins in a next life after its claim was released,
+// since the sidecar's earlier process had sent its start.
+describe("a claim whose sidecar was replaced before its runner's next life", () => {
+  const life = "w@2" as RunnerLife;
+  const cases = [
+    { name: "is kept until the run is refused there", isListed: false },
+    { name: "is released at once if its life had listed it", isListed: true },
+  ];
+  for (const { name, isListed } of cases) {
+    it(name, () => {
+      const fixture = new CellFixture();
+      fixture.reportWorker("w");
+      fixture.submit("j", [CellFixture.step()]);
+      fixture.advance();
+      fixture.newStarts();
+      const running = fixture.runningOn("w");
+      if (isListed) fixture.reportWorker("w", { running });
+      fixture.reportWorker("w", { life, isLifeBeforeUnknown: true });
+      fixture.advance();
+      if (!isListed) {
+        expect(fixture.newStarts()).to.eql([]);
+        expect(fixture.newStops()).to.eql(["j.0.0.0#1@w"]);
+        fixture.refuse("w", "j.0.0.0", 1, "old");
+        fixture.advance();
+      }
+      expect(fixture.newStops()).to.eql([]);
+      expect(fixture.newStarts()).to.eql(["j.0.0.0#2@w"]);
+    });
+  }
+
+  it("never runs there once it is refused", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    const { clock, runner } = fixture;
+    const command = fixture.startCommand();
+    runner.faults.push("late");
+    runner.reachesNextLife = true;
+    fixture.sendStarts(command);
+    await clock.advance(10);
+    runner.restart();
+    fixture.restartSidecar();
+    await clock.advance(1_000);
+    const { instance, bornMs } = runner;
+    const nextLife = `${instance}@${bornMs}` as RunnerLife;
+    fixture.sendStop({ ...command, life: nextLife });
+    await clock.advance(600);
+    expect(fixture.refusals()).to.eql(["j.0.0.0#1 old"]);
+    runner.applyDelayed();
+    expect(runner.running.size).to.equal(0);
+    fixture.gate.stop();
+  });
+});
