The exit of a runner does not settle starts that its sidecar does not know of

The sidecar cannot know such starts; the keeper knows which claims no life has listed. It releases these not at the exit, nor by the row of an ended life, but when the lease that such a start could get has ended.

Evidence: reused_id_test, "keeps its claim while a start may reach its next life", failed before: run 2 started on another worker while the next life had run 1.

--- a/src/cellhost/release_lost_workers.ts
+++ b/src/cellhost/release_lost_workers.ts
@@ -1,4 +1,5 @@
 import type { Cell } from "../core/cell/cell.ts";
+import { isStartSettled } from "../core/cell/is_start_settled.ts";
 import type { CellEffect } from "../core/cell/cell_effect.ts";
 import { releaseEndedLife } from "../core/cell/release_ended_life.ts";
 import type { LeaseTracker } from "./lease_tracker.ts";
@@ -18,8 +19,8 @@
       yield* releaseEndedLife(cell, worker, nowMs);
       continue;
     }
-    const tasks = [...worker.claims.values()].filter(({ claim }) =>
-      leases.hasExpired(node, claim?.isListed || !claim?.isOrdered)
+    const tasks = [...worker.claims.values()].filter((task) =>
+      leases.hasExpired(node, isStartSettled(task))
     );
     if (tasks.length === 0) continue;
     termLog.recordLostWorker(worker, tasks.length);
--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -14,6 +14,7 @@
 import { Job } from "./job.ts";
 import { RunMoves } from "./run_moves.ts";
 import { releaseClaimsOfOtherLives } from "./release_claims_of_other_lives.ts";
+import { releaseLapsedClaims } from "./release_lapsed_claims.ts";
 import type { EvacuationPlanner } from "../evacuate/evacuation_planner.ts";
 import { stopUnseenStart } from "../evacuate/stop_unseen_start.ts";
 import { DemandIndex } from "./demand_index.ts";
@@ -147,10 +148,7 @@
     }
     yield* applyEnds(this, worker, report, nowMs);
     if (report.isLapsed) {
-      if (report.isGone && !report.isDraining) {
-        yield* recordCrash(this, worker, report, "gone", nowMs);
-      }
-      yield* this.handleWorkerLost(node, nowMs);
+      yield* releaseLapsedClaims(this, worker, report, nowMs);
       return;
     }
     if (!report.isUp) {
--- a/src/core/cell/release_claims_of_other_lives.ts
+++ b/src/core/cell/release_claims_of_other_lives.ts
@@ -4,6 +4,7 @@
 import type { TaskName } from "../jobs/task_name.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
+import { isStartSettled } from "./is_start_settled.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
@@ -29,8 +30,7 @@
     if (claim === undefined || claim.life === life) continue;
     const mayRunHere = runs.get(task.name)?.run === task.run ||
       unsettled.includes(runKey({ task: task.name, run: task.run }));
-    const mayArrive = isLifeBeforeUnknown && claim.isOrdered &&
-      !claim.isListed;
+    const mayArrive = isLifeBeforeUnknown && !isStartSettled(task);
     const isReleased = !mayRunHere && !mayArrive;
     yield noteClaim(isReleased ? "claim_released" : "claim_moved", task, life);
     if (isReleased) {
--- a/src/core/cell/release_ended_life.ts
+++ b/src/core/cell/release_ended_life.ts
@@ -1,5 +1,6 @@
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
+import { isStartSettled } from "./is_start_settled.ts";
 import type { Worker } from "./worker.ts";
 
 /** Releases the claims in lives of a worker's runner that have ended for good. */
@@ -9,8 +10,9 @@
   nowMs: number,
 ): Generator<CellEffect, void> {
   const { node, endedLife: life, endedLives } = worker;
-  const ended = [...worker.claims.values()].filter(({ claim }) =>
-    claim !== undefined && endedLives.includes(claim.life)
+  const ended = [...worker.claims.values()].filter((task) =>
+    task.claim !== undefined && endedLives.includes(task.claim.life) &&
+    isStartSettled(task)
   );
   if (life === undefined || ended.length === 0) return;
   const fields = { node, life, claims: ended.length };
--- a/tests/reused_id_test.ts
+++ b/tests/reused_id_test.ts
@@ -121,3 +121,39 @@
     fixture.gate.stop();
   });
 });
+
+// Guards against a start of an earlier process that a next life executes late.
+describe("a runner that leaves soon after its sidecar was replaced", () => {
+  for (const isListed of [false, true]) {
+    it(`keeps its claim while a start may reach its next life: ${!isListed}`, async () => {
+      const fixture = new GateFixture();
+      await fixture.start();
+      const { clock, runner } = fixture;
+      const cell = new CellFixture();
+      cell.reportWorker("w", fixture.lastReport());
+      cell.submit("j", [CellFixture.step()]);
+      cell.advance();
+      const [command] = cell.newStartCommands();
+      if (!isListed) runner.faults.push("late");
+      runner.reachesNextLife = true;
+      fixture.sendStarts(command!);
+      await clock.advance(900);
+      cell.reportWorker("w", fixture.lastReport());
+      cell.reportWorker("v");
+      fixture.restartSidecar();
+      await clock.advance(500);
+      fixture.sendHeartbeat(2, true);
+      fixture.gate.handleLeave(runner.instance);
+      runner.exit();
+      await clock.advance(1_000);
+      expect(fixture.lastReport()?.isLapsed).to.equal(true);
+      cell.reportWorker("w", fixture.lastReport());
+      cell.advance();
+      runner.restart();
+      runner.applyDelayed();
+      expect(runner.running.size).to.equal(isListed ? 0 : 1);
+      expect(cell.newStarts()).to.eql(isListed ? ["j.0.0.0#2@v"] : []);
+      fixture.gate.stop();
+    });
+  }
+});
