--- a/scenarios/cell_histories/history_heartbeats.ts
+++ b/scenarios/cell_histories/history_heartbeats.ts
@@ -34,6 +34,20 @@
     void world.sleep(forMs).then(() => this.#send());
   }
 
+  /** Delivers one that the present life has sent, whatever becomes of it. */
+  deliverLate(delayMs: number): void {
+    const { cpuMilli, isDraining, worker } = this;
+    const { instance, bornMs } = worker.runner;
+    const sequence = this.#sequence;
+    const runner = { instance, bornMs };
+    void worker.world.sleep(delayMs).then(() => {
+      const { sidecar } = worker;
+      void sidecar?.clock.awake().then(() =>
+        sidecar.sendHeartbeat(sequence, isDraining, cpuMilli, runner)
+      );
+    });
+  }
+
   /** Ends what `keepUnheard` began. */
   hear(): void {
     this.#unheardUntilMs = 0;
--- a/scenarios/cell_histories/history_sidecar.ts
+++ b/scenarios/cell_histories/history_sidecar.ts
@@ -73,8 +73,9 @@
     sequence: number,
     isDraining: boolean,
     cpuMilli: number,
+    { instance, bornMs }: Pick<RunnerModel, "instance" | "bornMs"> =
+      this.runner,
   ): void {
-    const { instance, bornMs } = this.runner;
     this.gate.handleHeartbeat({
       instance,
       bornMs,
--- a/scenarios/cell_histories/history_worker.ts
+++ b/scenarios/cell_histories/history_worker.ts
@@ -189,10 +189,12 @@
 
   /**
    * The runner dies, and its next life begins in place: it takes the calls that
-   * come meanwhile. Its first heartbeat comes some time after it has begun.
+   * come meanwhile. Its first heartbeat comes some time after it has begun, and
+   * the last one of the life before arrives late.
    */
   returnInPlace(gapMs: number, heartbeatAfterMs: number): void {
     if (this.hasLeft || this.#isDown) return;
+    this.#heartbeats.deliverLate(heartbeatAfterMs / 2);
     this.runner.beginReturn();
     this.#heartbeats.keepUnheard(gapMs + heartbeatAfterMs);
     this.restartRunner(gapMs);
--- a/scenarios/cell_histories/insert_returns.ts
+++ b/scenarios/cell_histories/insert_returns.ts
@@ -5,6 +5,9 @@
 const maxReturns = 3;
 /** From tasks that outlast the cut to the return of their runner. */
 const maxStartMs = 500;
+/** So many returns follow a restart of the sidecar, within this time. */
+const replacedShare = 0.15;
+const maxBeforeReturnMs = 30;
 /** So many returns are followed by another life, within this time. */
 const againShare = 0.3;
 const maxAgainMs = 1_000;
@@ -58,8 +61,11 @@
     );
   const steps = [
     step("submit_lasting", maxStartMs, draw(choices)),
-    step("return_runner", maxStartMs),
   ];
+  if (draw(choices) < replacedShare * choices) {
+    steps.push(step("restart_sidecar", maxStartMs));
+    steps.push(step("return_runner", maxBeforeReturnMs));
+  } else steps.push(step("return_runner", maxStartMs));
   if (draw(choices) < againShare * choices) {
     steps.push(step("return_runner", maxAgainMs));
   }
