A poll that lets ends be forgotten does not wait

End numbers begin anew in each life, so ends are let go right after an answer of the known life only. Such a poll could still wait at the runner for 0.4 s; a next life that takes it may list an end meanwhile, and forgets it by the number of the former life. The task then ran again after it was done.

--- a/src/gate/end_ledger.ts
+++ b/src/gate/end_ledger.ts
@@ -23,7 +23,10 @@
   /** The runner has confirmed that it forgot the ends up to this number. */
   #forgottenUpTo = 0;
 
-  /** The number up to which a poll now lets ends be forgotten; 0 for none. */
+  /**
+   * The number up to which a poll now lets ends be forgotten; 0 for none. One that
+   * names a number must not wait: at a next life, ends could come meanwhile.
+   */
   upToForPoll(nowMs: number): number {
     const isConfirmed = nowMs - this.#confirmedAtMs <= confirmationValidMs;
     const isNeeded = this.#storedUpTo > this.#forgottenUpTo;
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -248,7 +248,7 @@
       epoch: this.epoch,
       forgetUpTo,
       leaseEndClockMs: this.lease.grantIf(this.#health.hasAnswered),
-      waitMs,
+      waitMs: forgetUpTo > 0 ? 0 : waitMs,
     });
     if (!this.#isKnownLife(heartbeat)) return false;
     if (!answer.isOk || answer.value.bornMs !== heartbeat.bornMs) {
--- a/tests/listed_ends_test.ts
+++ b/tests/listed_ends_test.ts
@@ -118,6 +118,32 @@
   });
 });
 
+// Guards against ends of a next life that a poll for the life before forgets.
+describe("a poll that lets ends be forgotten", () => {
+  it("does not wait for further ones", async () => {
+    const fixture = new GateFixture();
+    await fixture.start();
+    const { clock, gate, runner } = fixture;
+    const waits: number[] = [];
+    const hold = runner.hold.bind(runner);
+    runner.hold = (command) => {
+      if (command.forgetUpTo > 0) waits.push(command.waitMs);
+      return hold(command);
+    };
+    fixture.sendStarts(fixture.startCommand());
+    await clock.advance(1_000);
+    runner.end("j.0.0.0", "done");
+    await clock.advance(100);
+    const { instance, bornMs } = runner;
+    const life = `${instance}@${bornMs}` as never;
+    gate.handleMessage({ kind: "forget", life, end: 1 });
+    await clock.advance(1_000);
+    expect(runner.ends).to.eql([]);
+    expect(waits).to.eql([0]);
+    gate.stop();
+  });
+});
+
 describe("a runner's list of ends", () => {
   const end = (number: number) => [number, `j.0.0.${number}`, 1, "done", ""];
   const cases = [
