A late answer does not show that the known life is still there

A sidecar took the moment at which it handled an answer for the moment at which the runner gave it. After a stall of some seconds an answer of the former life so counted as new: the next poll let the next life forget ends by the former life's numbers, and gave it a lease again long after the last renewal, beyond what a keeper waits for.

The runner's clock in the answer tells when it was given, and lies below the known bound by as much as the answer is late. Ends are let go, and leases extended, only right after that time.

--- a/src/gate/accept_keeper.ts
+++ b/src/gate/accept_keeper.ts
@@ -32,7 +32,7 @@
   }
   log.info("keeper_heard", { epoch, keeper });
   channel.onMessage = (message) => {
-    if (gate.isAttached(send)) gate.handleMessage(message);
+    if (gate.keeper.isAttached(send)) gate.handleMessage(message);
     else if (epoch < gate.epoch) rejectSuperseded();
     else channel.close("replaced by a newer connection");
   };
--- a/src/gate/end_ledger.ts
+++ b/src/gate/end_ledger.ts
@@ -38,9 +38,9 @@
     return (this.ends.at(-1)?.number ?? 0) > this.#reportedUpTo;
   }
 
-  /** Records that the known life answered a poll with that number. */
-  confirm(forgottenUpTo: number, nowMs: number): void {
-    this.#confirmedAtMs = nowMs;
+  /** Records when the known life answered a poll with that number. */
+  confirm(forgottenUpTo: number, answeredAtMs: number): void {
+    this.#confirmedAtMs = answeredAtMs;
     this.#forgottenUpTo = Math.max(this.#forgottenUpTo, forgottenUpTo);
   }
 
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -53,7 +53,7 @@
   readonly #tracker = new RunTracker(this);
   readonly #orderWatch = new OrderWatch(this);
   readonly #paceController: PaceController;
-  readonly #keeper = new KeeperAttachment();
+  readonly keeper = new KeeperAttachment();
   #reportNumber = 0;
   #reportedAtMs = -Infinity;
   #endLedger = new EndLedger();
@@ -65,7 +65,7 @@
   readonly #pause: WakeablePause;
   readonly #sharedPoll = new SharedPoll(() => this.#poll(0));
   readonly pollNow = () => this.#sharedPoll.request();
-  readonly send = (message: PeerMessage) => this.#keeper.send(message);
+  readonly send = (message: PeerMessage) => this.keeper.send(message);
 
   constructor(
     readonly runner: RunnerClient,
@@ -149,21 +149,16 @@
     if (epoch < this.epoch) return false;
     this.epoch = epoch;
     this.startWindow.reset(this.clock.nowMs());
-    this.#keeper.attach(send);
+    this.keeper.attach(send);
     void this.#poll(0).then(() => {
-      if (this.#keeper.begin(send)) this.#sendReport();
+      if (this.keeper.begin(send)) this.#sendReport();
     });
     return true;
   }
 
-  /** Whether this is the newest connection of a keeper. */
-  isAttached(send: GateContext["send"]): boolean {
-    return this.#keeper.isAttached(send);
-  }
-
   /** Drops a closed connection, unless a newer one has replaced it. */
   detachKeeper(send: GateContext["send"]): void {
-    this.#keeper.detach(send);
+    this.keeper.detach(send);
   }
 
   /** Handles a message from the keeper. */
@@ -193,11 +188,12 @@
       const isAnswered = await this.#poll(pollWaitMs);
       this.#orderWatch.update(this.#tracker.runs.values());
       if (isAnswered) this.#paceController.update(this.#running);
-      const isReportDue =
-        this.clock.nowMs() - this.#reportedAtMs >= reportIntervalMs;
+      const sinceReportMs = this.clock.nowMs() - this.#reportedAtMs;
       const mayConfirmStop = this.#endLedger.hasAll &&
         this.#tracker.hasUnconfirmedStop;
-      if (isReportDue || mayConfirmStop) this.#sendReport();
+      if (sinceReportMs >= reportIntervalMs || mayConfirmStop) {
+        this.#sendReport();
+      }
       if (!isAnswered) await this.#pause.sleep(failedPollPauseMs);
       else if (this.#endLedger.ends.length > 0) {
         await this.#pause.sleep(pendingEndsPauseMs);
@@ -247,7 +243,7 @@
       instance: heartbeat.instance,
       epoch: this.epoch,
       forgetUpTo,
-      leaseEndClockMs: this.lease.grantIf(this.#health.hasAnswered),
+      leaseEndClockMs: this.lease.grantIf(this.#health.hasAnswered(sentAtMs)),
       waitMs: forgetUpTo > 0 ? 0 : waitMs,
     });
     if (!this.#isKnownLife(heartbeat)) return false;
@@ -260,8 +256,10 @@
     }
     this.#lifeEnd.recordKnownLife(sentAtMs);
     this.#lifeEvidence.confirm();
-    this.#endLedger.confirm(forgetUpTo, this.clock.nowMs());
-    if (this.#health.recordAnswer()) {
+    const { clock } = this.lease;
+    const atMs = clock.latestTimeOf(answer.clockMs, this.clock.nowMs());
+    this.#endLedger.confirm(forgetUpTo, atMs);
+    if (this.#health.recordAnswer(atMs)) {
       this.log.info("runner_up", { life: lifeOf(heartbeat) });
     }
     this.recordClock(answer, sentAtMs);
@@ -294,7 +292,7 @@
 
   #sendReport(): void {
     const { lastHeartbeat: heartbeat } = this;
-    if (!this.#keeper.isReporting || heartbeat === undefined) return;
+    if (!this.keeper.isReporting || heartbeat === undefined) return;
     const nowMs = this.clock.nowMs();
     this.#reportNumber += 1;
     this.#reportedAtMs = nowMs;
@@ -314,6 +312,6 @@
       ...this.#tracker.report(this.#health.isGone),
     };
     const number = this.#reportNumber;
-    this.#keeper.send({ kind: "report", number, report });
+    this.keeper.send({ kind: "report", number, report });
   }
 }
--- a/src/gate/keeper_attachment.ts
+++ b/src/gate/keeper_attachment.ts
@@ -19,6 +19,7 @@
     this.#send = undefined;
   }
 
+  /** Whether this is the newest connection. */
   isAttached(send: Send): boolean {
     return this.#attached === send;
   }
--- a/src/gate/runner_clock.ts
+++ b/src/gate/runner_clock.ts
@@ -27,6 +27,12 @@
     return clockMs < this.#clockMs + sinceMs * rate - otherLifeLagMs;
   }
 
+  /** Returns the latest local time at which the clock can have shown a reading. */
+  latestTimeOf(clockMs: number, nowMs: number): number {
+    if (this.#atMs === 0) return nowMs;
+    return nowMs - Math.max(0, this.lowestReadingAt(nowMs) - clockMs);
+  }
+
   /** Forgets all readings, for a new life of the runner. */
   reset(): void {
     this.#clockMs = 0;
--- a/src/gate/runner_health.ts
+++ b/src/gate/runner_health.ts
@@ -1,3 +1,5 @@
+/** For how long an answer shows that the known life is there. */
+const answerValidMs = 250;
 /** Consecutive polls without answer after which a runner counts as down. */
 const pollsBeforeDown = 2;
 
@@ -7,10 +9,13 @@
   /** Whether the runner refused the connection of the newest poll. */
   isGone = false;
   #failedPolls = 0;
+  /** When its known life gave the newest answer. */
+  #answeredAtMs = -Infinity;
 
-  /** Whether its known life answered the newest poll. */
-  get hasAnswered(): boolean {
-    return this.isUp && this.#failedPolls === 0;
+  /** Whether its known life has just answered the newest poll. */
+  hasAnswered(nowMs: number): boolean {
+    return this.isUp && this.#failedPolls === 0 &&
+      nowMs - this.#answeredAtMs <= answerValidMs;
   }
 
   /** Starts over, for a new life of the runner. */
@@ -19,12 +24,13 @@
     this.isGone = false;
   }
 
-  /** Records an answer; returns whether the runner has come up. */
-  recordAnswer(): boolean {
+  /** Records an answer of a time; returns whether the runner has come up. */
+  recordAnswer(answeredAtMs: number): boolean {
     const wasUp = this.isUp;
     this.isUp = true;
     this.isGone = false;
     this.#failedPolls = 0;
+    this.#answeredAtMs = answeredAtMs;
     return !wasUp;
   }
 
