--- a/src/gate/end_ledger.ts
+++ b/src/gate/end_ledger.ts
@@ -23,7 +23,10 @@
   /** The runner has confirmed that it forgot the ends up to this number. */
   #forgottenUpTo = 0;
 
-  /** The number up to which a poll now lets ends be forgotten; 0 for none. */
+  /**
+   * The number up to which a poll now lets ends be forgotten; 0 for none. One that
+   * names a number must not wait: at a next life, ends could come meanwhile.
+   */
   upToForPoll(nowMs: number): number {
     const isConfirmed = nowMs - this.#confirmedAtMs <= confirmationValidMs;
     const isNeeded = this.#storedUpTo > this.#forgottenUpTo;
@@ -35,9 +38,9 @@
     return (this.ends.at(-1)?.number ?? 0) > this.#reportedUpTo;
   }
 
-  /** Records that the known life answered a poll with that number. */
-  confirm(forgottenUpTo: number, nowMs: number): void {
-    this.#confirmedAtMs = nowMs;
+  /** Records when the known life answered a poll with that number. */
+  confirm(forgottenUpTo: number, answeredAtMs: number): void {
+    this.#confirmedAtMs = answeredAtMs;
     this.#forgottenUpTo = Math.max(this.#forgottenUpTo, forgottenUpTo);
   }
 
