A replaced sidecar waits for leases that its predecessor's starts may yet begin

A new process of a sidecar counted the leases that it does not know of from its own start, as if its predecessor's last start could not be under way any more. It then reported a lapse, and the keeper released all claims, while a next life of the runner still held a lease that came with that start.

The time for which a call may be under way is added, there and at a new life.

--- a/src/gate/runner_lease.ts
+++ b/src/gate/runner_lease.ts
@@ -1,4 +1,5 @@
 import { clockDrift } from "../core/clock/clock_drift.ts";
+import { maxTransitMs } from "../core/clock/max_transit_ms.ts";
 import { RunnerClock } from "./runner_clock.ts";
 
 /** How long after a lease has ended its runs are certainly gone. */
@@ -22,18 +23,18 @@
   /**
    * The latest local time at which a lease that is not known here may end: one
    * granted by an earlier incarnation of this process, or one that came with a
-   * start that reached a new life of the runner.
+   * start that reached a new life of the runner. Either may have been under way.
    */
   #unknownLeaseUntilMs: number;
 
   constructor(readonly maxHoldMs: number, startedAtMs: number) {
-    this.#unknownLeaseUntilMs = this.latestEndFrom(startedAtMs);
+    this.#unknownLeaseUntilMs = this.latestEndFrom(startedAtMs) + maxTransitMs;
   }
 
   /** Starts over, for a new life of the runner. */
   reset(nowMs: number): void {
     this.clock.reset();
-    this.#unknownLeaseUntilMs = this.latestEndFrom(nowMs);
+    this.#unknownLeaseUntilMs = this.latestEndFrom(nowMs) + maxTransitMs;
     this.#reports.clear();
     this.endClockMs = undefined;
     this.#grantedClockMs = 0;
--- a/tests/lapse_test.ts
+++ b/tests/lapse_test.ts
@@ -196,3 +196,32 @@
     });
   }
 });
+
+// Guards against a lease that is counted from before a late start began it.
+describe("a sidecar that has replaced another", () => {
+  it("reports no lapse while a next life holds a start of that one", async () => {
+    const fixture = new GateFixture(0.98);
+    await fixture.start();
+    const { clock, runner } = fixture;
+    runner.faults.push("late");
+    runner.reachesNextLife = true;
+    fixture.sendStarts(fixture.startCommand());
+    await clock.advance(10);
+    runner.isSilent = true;
+    fixture.restartSidecar();
+    await clock.advance(1_000);
+    runner.restart();
+    runner.applyDelayed();
+    expect(runner.running.size).to.equal(1);
+    const lapsedAt: number[] = [];
+    while (runner.clockMs < runner.leaseEndClockMs) {
+      if (fixture.lastReport()?.isLapsed) {
+        lapsedAt.push(Math.round(runner.leaseEndClockMs - runner.clockMs));
+        break;
+      }
+      await clock.advance(50);
+    }
+    expect(lapsedAt, "lease left at the lapse, ms").to.eql([]);
+    fixture.gate.stop();
+  });
+});
