A claim that moves to another life is not listed by it

The claim of a run that was unsettled in the next life kept the mark that the life before had listed it. The exit of the next life, or a further one, then released it as if its start were settled. The mark is taken back, also in the stored row, when the claim moves or its start is sent again.

--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -39,7 +39,7 @@
       continue;
     }
     cell.recordCheckpoint(task, status.checkpoint);
-    noteListed(cell, task);
+    setListed(cell, task, true);
     yield* cell.markStarted(worker.node, status, nowMs);
     recordProgress(task, status.percent, nowMs);
     settleRun(cell, worker, task, status);
@@ -58,9 +58,9 @@
 }
 
 /** A service may run for long, so that its claim outlives the keeper. */
-function noteListed(cell: Cell, { claim, group }: Task): void {
-  if (claim === undefined || claim.isListed) return;
-  claim.isListed = true;
+function setListed(cell: Cell, { claim, group }: Task, isListed: boolean) {
+  if (claim === undefined || claim.isListed === isListed) return;
+  claim.isListed = isListed;
   if (group.definition.isService) cell.saveSoon(group.job);
 }
 
@@ -112,7 +112,7 @@
   // The others follow with a later report.
   if (worker.isBusyStarting && !worker.pendingStarts.has(task)) return;
   claim.phaseSinceMs = nowMs;
-  claim.isListed = false;
+  setListed(cell, task, false);
   worker.beginPendingStart(task);
   yield { kind: "start", node: worker.node, command: buildStart(task) };
 }
--- a/src/core/cell/release_claims_of_other_lives.ts
+++ b/src/core/cell/release_claims_of_other_lives.ts
@@ -37,7 +37,7 @@
       yield* cell.releaseClaim(worker, task, nowMs);
       continue;
     }
-    task.claim = { ...claim, life };
+    task.claim = { ...claim, life, isListed: false };
     yield { kind: "save", job: task.group.job };
     if (!mayRunHere) yield* cell.stopRun(task, "other_life", nowMs);
   }
--- a/tests/reused_id_test.ts
+++ b/tests/reused_id_test.ts
@@ -157,3 +157,21 @@
     });
   }
 });
+
+// Guards against a claim that an earlier life listed, and a later one did not.
+describe("a claim that moved to the next life while unsettled", () => {
+  it("is not listed by that life", () => {
+    const fixture = new CellFixture();
+    fixture.reportWorker("w");
+    fixture.submit("j", [CellFixture.step()]);
+    fixture.advance();
+    fixture.newStarts();
+    fixture.reportWorker("w", { running: fixture.runningOn("w") });
+    // The gate had an unanswered start of it, and stops it in life 2.
+    const unsettled = ["j.0.0.0#1"];
+    fixture.reportWorker("w", { life: "w@2" as RunnerLife, unsettled });
+    const [task] = fixture.runsOn("w");
+    expect(task?.claim?.life).to.equal("w@2");
+    expect(task?.claim?.isListed).to.equal(false);
+  });
+});
