A sidecar tells whether its predecessor's calls may still be under way

A start of an earlier process of the sidecar was forgotten once the next process had listed the runner's life: its claim was released by the first list of the next life, which then took the start and ran the task beside the next run. A list does not settle it either if the start had been sent again.

A report says whether the process is older than a call can be late (isPredecessorSettled). Until then, a claim that the next life does not list is kept until that life has refused the run, and the exit of a runner releases the listed claims only; after that, both release all claims at once again. Sidecars of older builds do not tell and count as not settled; older keepers ignore the field.

--- a/src/core/cell/release_claims_of_other_lives.ts
+++ b/src/core/cell/release_claims_of_other_lives.ts
@@ -4,7 +4,6 @@
 import type { TaskName } from "../jobs/task_name.ts";
 import type { Cell } from "./cell.ts";
 import type { CellEffect } from "./cell_effect.ts";
-import { isStartSettled } from "./is_start_settled.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
 import type { Task } from "./task.ts";
 import type { Worker } from "./worker.ts";
@@ -12,14 +11,14 @@
 /**
  * Releases claims made for other lives of the runner, except those whose run is
  * active or unsettled in the current life: a start command does not tell lives
- * of one runner id apart, so it can reach a later life. One that an earlier
- * process of the sidecar sent may do so yet if no life has listed its run, which
- * is then stopped in the current life first, so that this rejects it.
+ * of one runner id apart, so it can reach a later life. While one that an earlier
+ * process of the sidecar sent may do so yet, the run is stopped in the current
+ * life first, which then rejects it.
  */
 export function* releaseClaimsOfOtherLives(
   cell: Cell,
   worker: Worker,
-  { hasMoreEnds, isLifeBeforeUnknown, life, unsettled }: SidecarReport,
+  { hasMoreEnds, isPredecessorSettled, life, unsettled }: SidecarReport,
   runs: ReadonlyMap<TaskName, RunStatus>,
   nowMs: number,
 ): Generator<CellEffect, void> {
@@ -30,7 +29,7 @@
     if (claim === undefined || claim.life === life) continue;
     const mayRunHere = runs.get(task.name)?.run === task.run ||
       unsettled.includes(runKey({ task: task.name, run: task.run }));
-    const mayArrive = isLifeBeforeUnknown && !isStartSettled(task);
+    const mayArrive = !isPredecessorSettled && claim.isOrdered;
     const isReleased = !mayRunHere && !mayArrive;
     yield noteClaim(isReleased ? "claim_released" : "claim_moved", task, life);
     if (isReleased) {
--- a/src/core/cell/release_lapsed_claims.ts
+++ b/src/core/cell/release_lapsed_claims.ts
@@ -16,11 +16,13 @@
   report: SidecarReport,
   nowMs: number,
 ): Generator<CellEffect, void> {
-  const { isDraining, isGone } = report;
+  const { isDraining, isGone, isPredecessorSettled } = report;
   if (isGone && !isDraining) {
     yield* recordCrash(cell, worker, report, "gone", nowMs);
   }
   const tasks = [...worker.claims.values()];
-  const released = isGone && isDraining ? tasks.filter(isStartSettled) : tasks;
+  const hasExited = isGone && isDraining;
+  const mayArrive = hasExited && !isPredecessorSettled;
+  const released = mayArrive ? tasks.filter(isStartSettled) : tasks;
   yield* cell.handleWorkerLost(worker.node, nowMs, released);
 }
--- a/src/core/cell/sidecar_report.ts
+++ b/src/core/cell/sidecar_report.ts
@@ -26,6 +26,11 @@
    * of an earlier version do not tell.
    */
   readonly isGone?: boolean | undefined;
+  /**
+   * Whether certainly no call of an earlier process of the sidecar is under way;
+   * sidecars of an earlier version do not tell.
+   */
+  readonly isPredecessorSettled?: boolean | undefined;
   /** The lease of this life has certainly expired, so nothing of it runs. */
   readonly isLapsed: boolean;
   readonly running: readonly RunStatus[];
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -84,7 +84,9 @@
   /** The part of a report about whether the runner answers, and has ended. */
   report(nowMs: number) {
     const { isUp, isGone } = this.health;
-    return { isUp, isGone, isLapsed: this.hasLapsed(nowMs) };
+    const isPredecessorSettled = nowMs - this.lease.startedAtMs > maxLatenessMs;
+    const isLapsed = this.hasLapsed(nowMs);
+    return { isUp, isGone, isPredecessorSettled, isLapsed };
   }
 
   /** Whether a runner that left is found to have ended, the first time. */
--- a/src/gate/runner_lease.ts
+++ b/src/gate/runner_lease.ts
@@ -27,7 +27,7 @@
    */
   #unknownLeaseUntilMs: number;
 
-  constructor(readonly maxHoldMs: number, startedAtMs: number) {
+  constructor(readonly maxHoldMs: number, readonly startedAtMs: number) {
     this.#unknownLeaseUntilMs = this.latestEndFrom(startedAtMs) + maxTransitMs;
   }
 
--- a/src/link/is_peer_message.ts
+++ b/src/link/is_peer_message.ts
@@ -40,6 +40,8 @@
       isListOf(value.crashedStarts, isText)) &&
     (value.isLifeBeforeUnknown === undefined ||
       typeof value.isLifeBeforeUnknown === "boolean") &&
+    (value.isPredecessorSettled === undefined ||
+      typeof value.isPredecessorSettled === "boolean") &&
     (value.refusals === undefined || isListOf(value.refusals, isRefusal));
 }
 
--- a/tests/crash_fixture.ts
+++ b/tests/crash_fixture.ts
@@ -67,6 +67,7 @@
       startingUp,
       crashedStarts,
       isLifeBeforeUnknown,
+      isPredecessorSettled: !isLifeBeforeUnknown,
       ...this.#capacityOf(node),
       ...change,
     };
--- a/tests/idle_report.ts
+++ b/tests/idle_report.ts
@@ -21,6 +21,7 @@
     },
     isDraining: false,
     isUp: true,
+    isPredecessorSettled: true,
     isLapsed: false,
     running: [],
     ends: [],
--- a/tests/reused_id_test.ts
+++ b/tests/reused_id_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { maxLatenessMs } from "../src/core/clock/max_lateness_ms.ts";
 import { maxPermitMs } from "../src/core/clock/max_permit_ms.ts";
 import { maxTransitMs } from "../src/core/clock/max_transit_ms.ts";
 import type { NodeId } from "../src/core/jobs/node_id.ts";
@@ -74,11 +75,17 @@
 describe("a claim whose sidecar was replaced before its runner's next life", () => {
   const life = "w@2" as RunnerLife;
   const cases = [
-    { name: "is kept until the run is refused there", isListed: false },
-    { name: "is released at once if its life had listed it", isListed: true },
+    { isPredecessorSettled: undefined, isListed: false, isKept: true },
+    { isPredecessorSettled: false, isListed: false, isKept: true },
+    { isPredecessorSettled: false, isListed: true, isKept: true },
+    { isPredecessorSettled: true, isListed: false, isKept: false },
   ];
-  for (const { name, isListed } of cases) {
-    it(name, () => {
+  for (const { isPredecessorSettled, isListed, isKept } of cases) {
+    const name = isKept
+      ? "is kept until the run is refused there"
+      : "is released at once";
+    const told = `settled: ${isPredecessorSettled}, listed: ${isListed}`;
+    it(`${name}, ${told}`, () => {
       const fixture = new CellFixture();
       fixture.reportWorker("w");
       fixture.submit("j", [CellFixture.step()]);
@@ -86,9 +93,9 @@
       fixture.newStarts();
       const running = fixture.runningOn("w");
       if (isListed) fixture.reportWorker("w", { running });
-      fixture.reportWorker("w", { life, isLifeBeforeUnknown: true });
+      fixture.reportWorker("w", { life, isPredecessorSettled });
       fixture.advance();
-      if (!isListed) {
+      if (isKept) {
         expect(fixture.newStarts()).to.eql([]);
         expect(fixture.newStops()).to.eql(["j.0.0.0#1@w"]);
         fixture.refuse("w", "j.0.0.0", 1, "old");
@@ -175,3 +182,59 @@
     expect(task?.claim?.isListed).to.equal(false);
   });
 });
+
+function isUpAgain(fixture: GateFixture): boolean {
+  const { isUp, life } = fixture.lastReport()!;
+  return isUp && life === fixture.startCommand().life;
+}
+
+// Guards against a start that the list of a later process takes for settled.
+describe("a start of an earlier process of the sidecar", () => {
+  for (const isResent of [false, true]) {
+    it(`keeps its claim though the next process listed the life, resent: ${isResent}`, async () => {
+      const fixture = new GateFixture();
+      await fixture.start();
+      const { clock, runner } = fixture;
+      const cell = new CellFixture();
+      cell.reportWorker("w", fixture.lastReport());
+      cell.submit("j", [CellFixture.step()]);
+      cell.advance();
+      const [command] = cell.newStartCommands();
+      runner.faults.push("late");
+      runner.reachesNextLife = true;
+      fixture.sendStarts(command!);
+      const sentAtMs = clock.nowMs();
+      await clock.advance(10);
+      cell.cell.handleDisconnect("w" as NodeId);
+      fixture.detach();
+      fixture.restartSidecar();
+      await clock.advance(100);
+      const report = () => cell.reportWorker("w", fixture.lastReport());
+      report();
+      const again = cell.newStartCommands();
+      expect(again.map(({ run }) => run)).to.eql([1]);
+      if (isResent) {
+        fixture.sendStarts(...again);
+        await clock.advance(900);
+        report();
+      }
+      runner.restart();
+      fixture.sendHeartbeat(1);
+      for (let ms = 0; ms < 1_000 && !isUpAgain(fixture); ms += 10) {
+        await clock.advance(10);
+      }
+      report();
+      cell.reportWorker("v");
+      cell.advance();
+      await clock.advance(20);
+      runner.applyDelayed();
+      expect(clock.nowMs() - sentAtMs).to.be.below(
+        isResent ? maxLatenessMs : maxTransitMs,
+      );
+      const starts = cell.newStarts();
+      expect([runner.running.size, ...starts]).to.not.eql([1, "j.0.0.0#2@v"]);
+      expect(starts).to.eql([]);
+      fixture.gate.stop();
+    });
+  }
+});
