Starts that wait for a permit load no keeper with reports

A start that waits while the keeper cannot renew asked for a full report each 100 ms, from every sidecar with such a start, and at the moment at which the keeper lacks the store. It asks as often as there are reports anyway; a renewal still wakes it at once.

--- a/src/gate/start_permit.ts
+++ b/src/gate/start_permit.ts
@@ -1,8 +1,10 @@
 import type { Clock } from "../core/clock/clock.ts";
 import { maxPermitMs } from "../core/clock/max_permit_ms.ts";
 
-/** How often a waiting start asks for a report, and looks whether it is needed. */
-const retryMs = 100;
+/** How often a waiting start looks whether it is still needed. */
+const checkMs = 100;
+/** While there is no renewal, reports are asked for as rarely as usual ones. */
+const requestIntervalMs = 450;
 const maxOpenReports = 64;
 
 interface SentAt {
@@ -12,7 +14,7 @@
 
 /**
  * Lets starts leave only soon after a report that the keeper has renewed. The
- * keeper so knows when the last of them left, though a next life of the runner
+ * keeper thus knows when the last of them left, though a next life of the runner
  * may have taken it.
  */
 export class StartPermit {
@@ -64,7 +66,7 @@
 
   #requestReport(): void {
     const nowMs = this.clock.nowMs();
-    if (nowMs - this.#askedAtMs < retryMs) return;
+    if (nowMs - this.#askedAtMs < requestIntervalMs) return;
     this.#askedAtMs = nowMs;
     this.sendReport();
   }
@@ -73,7 +75,7 @@
     let wake = () => {};
     const renewed = new Promise<void>((resolve) => wake = resolve);
     this.#waiting.add(wake);
-    await Promise.race([this.clock.sleep(retryMs), renewed]);
+    await Promise.race([this.clock.sleep(checkMs), renewed]);
     this.#waiting.delete(wake);
   }
 }
