A start that found no connection delays no lapse

A call whose connection was refused, or not opened in time, sent nothing, so no next life can have taken it; it still counted as the last start, and kept claims for up to 7.6 s longer.

--- a/src/gate/unconfirmed_starts.ts
+++ b/src/gate/unconfirmed_starts.ts
@@ -1,3 +1,5 @@
+import type { RunnerResult } from "./runner_result.ts";
+
 /**
  * The calls that start runs and that a next life of the runner may have taken:
  * the life that they were meant for has answered no poll that was sent later.
@@ -9,14 +11,15 @@
   constructor(readonly nowMs: () => number) {}
 
   /** Makes a call that starts a run. */
-  async track<T>(call: () => Promise<T>): Promise<T> {
+  async track<T>(
+    call: () => Promise<RunnerResult<T>>,
+  ): Promise<RunnerResult<T>> {
     this.#underWay += 1;
-    try {
-      return await call();
-    } finally {
-      this.#underWay -= 1;
-      this.#endedAtMs = this.nowMs();
-    }
+    const answer = await call().finally(() => this.#underWay -= 1);
+    const isUnsent = !answer.isOk &&
+      (answer.failure === "refused" || answer.failure === "unreached");
+    if (!isUnsent) this.#endedAtMs = this.nowMs();
+    return answer;
   }
 
   /** Records that the runner's known life has answered a poll. */
