An answer that a next life's has overtaken brings the former life up no more

Answers on different connections overtake each other. If the former life's answer to an earlier poll was handled after one of the next life, the sidecar took the runner for up again, and for the former life.

--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -247,6 +247,7 @@
       waitMs: forgetUpTo > 0 ? 0 : waitMs,
     });
     if (!this.#isKnownLife(heartbeat)) return false;
+    if (this.#lifeEnd.isOutdated(sentAtMs)) return false;
     if (!answer.isOk || answer.value.bornMs !== heartbeat.bornMs) {
       const failure = answer.isOk ? "other_life" : answer.failure;
       if (answer.isOk) this.#lifeEnd.recordNextLife(this.clock.nowMs());
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -14,6 +14,8 @@
    * yet, may run what was meant for this one.
    */
   #nextLifeUntilMs: number | undefined;
+  /** When a next life last answered. */
+  #nextLifeSeenAtMs = -Infinity;
   /** The lives that ended before this one, the newest last. */
   livesBefore: readonly RunnerLife[] = [];
   #life: RunnerLife | undefined;
@@ -33,6 +35,7 @@
     this.livesBefore = [...this.livesBefore, ...before].slice(-maxLivesBefore);
     this.#life = life;
     this.#nextLifeUntilMs = undefined;
+    this.#nextLifeSeenAtMs = -Infinity;
     this.hasLeft = false;
     this.#isTold = false;
   }
@@ -44,8 +47,18 @@
     else clock.applyReading(clockMs, nowMs);
   }
 
+  /** Whether an answer to an earlier poll has come after one of a next life. */
+  isOutdated(pollSentAtMs: number): boolean {
+    return pollSentAtMs <= this.#nextLifeSeenAtMs;
+  }
+
   /** Records that a next life has answered a call. */
   recordNextLife(nowMs: number): void {
+    this.#nextLifeSeenAtMs = nowMs;
+    this.#extendNextLife(nowMs);
+  }
+
+  #extendNextLife(nowMs: number): void {
     this.#nextLifeUntilMs = Math.max(
       this.#nextLifeUntilMs ?? 0,
       this.lease.latestEndFrom(nowMs),
@@ -62,7 +75,8 @@
   recordFailure(failure: string, nowMs: number): void {
     const isUnsent = failure === "refused" || failure === "unreached";
     if (this.#nextLifeUntilMs === undefined || isUnsent) return;
-    this.recordNextLife(nowMs + (failure === "unknown" ? maxLatenessMs : 0));
+    const lateMs = failure === "unknown" ? maxLatenessMs : 0;
+    this.#extendNextLife(nowMs + lateMs);
   }
 
   /** Records that the runner has announced its exit. */
--- a/tests/late_answer_test.ts
+++ b/tests/late_answer_test.ts
@@ -3,6 +3,7 @@
 import { maxPermitMs } from "../src/core/clock/max_permit_ms.ts";
 import { maxTransitMs } from "../src/core/clock/max_transit_ms.ts";
 import { GateFixture } from "./gate_fixture.ts";
+import { LineLog } from "./line_log.ts";
 
 const { maxHoldMs } = GateFixture;
 /** A keeper's bound for a claim that is not listed. */
@@ -73,4 +74,20 @@
     expect(forgotten).to.eql([]);
     gate.stop();
   });
+
+  it("does not count once the next life has answered", async () => {
+    const lines = new LineLog();
+    const fixture = new GateFixture(1, {}, lines);
+    await fixture.start();
+    const { clock, gate, runner } = fixture;
+    await freezeNextPoll(fixture);
+    runner.restart();
+    lines.lines.splice(0);
+    const polled = gate.pollNow();
+    await clock.advance(500);
+    expect(await polled).to.equal(false);
+    await clock.advance(lateMs);
+    expect(lines.of("runner_up")).to.eql([]);
+    gate.stop();
+  });
 });
