worker_lapsed is logged once, with what is released

It was written with each report while claims were kept, and by the number of all claims. The line that explains a waiting task uses the bound of its own claim.

--- a/src/cellhost/term_log.ts
+++ b/src/cellhost/term_log.ts
@@ -46,17 +46,9 @@
     this.log.info("term_ended", { epoch: this.epoch, leaving });
   }
 
-  /**
-   * Records each end that no earlier report of the worker held, and that its
-   * claims are released since the sidecar says that nothing of them runs.
-   */
+  /** Records each end that no earlier report of the worker held. */
   recordEnds(worker: Worker, report: SidecarReport): void {
-    const { claims, node, lastEnd, report: known } = worker;
-    if (report.isLapsed && claims.size > 0) {
-      const { life, isGone } = report;
-      const fields = { node, life, is_gone: isGone, claims: claims.size };
-      this.log.info("worker_lapsed", fields);
-    }
+    const { node, lastEnd, report: known } = worker;
     const from = known?.life === report.life ? lastEnd : 0;
     for (const { number, task, run, outcome, checkpoint } of report.ends) {
       if (number <= from) continue;
--- a/src/cellhost/waiting_explainer.ts
+++ b/src/cellhost/waiting_explainer.ts
@@ -1,3 +1,4 @@
+import { isStartSettled } from "../core/cell/is_start_settled.ts";
 import type { Cell } from "../core/cell/cell.ts";
 import { explainWaitingTask } from "../core/cell/explain_waiting_task.ts";
 import { FillerView } from "../core/cell/filler_view.ts";
@@ -39,7 +40,7 @@
     if (claim !== undefined) {
       const explanation = explainWaitingTask(this.cell, task, this.#view);
       if (explanation === undefined) return undefined;
-      const leftMs = this.leases.leftMs(claim.node, claim.isListed);
+      const leftMs = this.leases.leftMs(claim.node, isStartSettled(task));
       const inputs = { ...explanation.inputs, lease_left_ms: leftMs };
       return { ...explanation, inputs };
     }
--- a/src/core/cell/release_lapsed_claims.ts
+++ b/src/core/cell/release_lapsed_claims.ts
@@ -24,5 +24,11 @@
   const hasExited = isGone && isDraining;
   const mayArrive = hasExited && !isPredecessorSettled;
   const released = mayArrive ? tasks.filter(isStartSettled) : tasks;
+  if (released.length > 0) {
+    const { node } = worker;
+    const exited = hasExited ? 1 : 0;
+    const fields = { node, life: report.life, exited, claims: released.length };
+    yield { kind: "note", event: "worker_lapsed", fields };
+  }
   yield* cell.handleWorkerLost(worker.node, nowMs, released);
 }
