A run counts as listed only by a report that was renewed

A keeper renews no report of a worker that a stored row calls lost. A list of the next life in such a report marked the claim as listed, so that its lease counted from a renewal before that life began, and run 2 started before the lease of run 1 had ended.

--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -206,9 +206,9 @@
   }
 
   #handleReport(link: KeeperLink, number: number, report: SidecarReport): void {
-    const nowMs = this.options.clock.nowMs();
-    const { node } = link;
+    const [{ node }, nowMs] = [link, this.options.clock.nowMs()];
     const worker = this.cell.worker(node);
+    worker.isRenewed = this.#leaseRegister.mayRenew(node);
     const isFirst = !worker.isReconciled;
     this.#termLog.recordEnds(worker, report);
     // Any other change without effects can wait for the next regular tick.
@@ -220,7 +220,7 @@
     if (isUnsure && worker.isReconciled) sendKnownRuns(link, worker);
     const age = this.#evacuation?.recordReport(node);
     this.#leases.recordReport(node);
-    if (!this.#leaseRegister.mayRenew(node)) return;
+    if (!worker.isRenewed) return;
     // A sidecar renews no lease of a runner that does not answer.
     if (report.isUp) this.#leases.renew(node);
     const pressures = servicePressures(worker, this.cell.pressure);
--- a/src/core/cell/claim.ts
+++ b/src/core/cell/claim.ts
@@ -19,8 +19,9 @@
   /** Whether the worker has confirmed that the run has begun. */
   hasBegun: boolean;
   /**
-   * Whether the life that it names has listed the run. Until then, another life
-   * of the runner may have taken its start.
+   * Whether the life that it names has listed the run, in a report that was
+   * renewed. Until then, another life of the runner may have taken its start, and
+   * has a lease that began with that.
    */
   isListed: boolean;
   /** Whether the run may still crash its worker by starting. */
--- a/src/core/cell/reconcile_runs.ts
+++ b/src/core/cell/reconcile_runs.ts
@@ -39,7 +39,7 @@
       continue;
     }
     cell.recordCheckpoint(task, status.checkpoint);
-    setListed(cell, task, true);
+    if (worker.isRenewed) setListed(cell, task, true);
     yield* cell.markStarted(worker.node, status, nowMs);
     recordProgress(task, status.percent, nowMs);
     settleRun(cell, worker, task, status);
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -24,6 +24,8 @@
   report: SidecarReport | undefined;
   /** When that came, by the keeper's monotonic clock. */
   reportedAtMs = -Infinity;
+  /** Whether the lease is renewed by that report. */
+  isRenewed = true;
   /**
    * Whether its sidecar is connected and the claims have been reconciled with
    * the runs of its current life.
