A crash is counted once, also by several keepers

While a runner's next life does not answer, each new keeper took its first report for another crash of the runs that the former life had been starting. The third count gave the job up, though no task of it crashes runners, and one of its runs was active in the next life: LOST, "failed without cause".

The row of a job says what showed the last crash of a task (worker, life, and whether by the next life or by the absence of this one). Older builds drop the field and count as before. The count is stored when it is made.

--- a/src/core/cell/decode_job.ts
+++ b/src/core/cell/decode_job.ts
@@ -87,8 +87,16 @@
       startCheckpoint,
       crashes = 0,
       listed = 0,
+      shownBy = "",
     ] = row;
-    Object.assign(task, { run, failures, checkpoint, crashes });
+    const crashShownBy = shownBy === "" ? undefined : shownBy;
+    Object.assign(task, {
+      run,
+      failures,
+      checkpoint,
+      crashes,
+      crashShownBy,
+    });
     const worker = workers[workerIndex ?? -1];
     if (worker === undefined) continue;
     // The worker's next report shows whether the run is active.
--- a/src/core/cell/encode_job.ts
+++ b/src/core/cell/encode_job.ts
@@ -63,10 +63,13 @@
   const worker = workers.get(key) ?? workers.size;
   workers.set(key, worker);
   const startCheckpoint = withCheckpoints ? claim.startCheckpoint : "";
-  if (claim.isListed && task.group.definition.isService) {
-    return [...start, worker, startCheckpoint, crashes, 1];
+  const listed = claim.isListed && task.group.definition.isService ? 1 : 0;
+  if (crashes > 0) {
+    const { crashShownBy = "" } = task;
+    const claimed = [...start, worker, startCheckpoint, crashes] as const;
+    return [...claimed, listed, crashShownBy];
   }
-  if (crashes > 0) return [...start, worker, startCheckpoint, crashes];
+  if (listed === 1) return [...start, worker, startCheckpoint, 0, listed];
   return startCheckpoint === ""
     ? [...start, worker]
     : [...start, worker, startCheckpoint];
--- a/src/core/cell/is_progress_row.ts
+++ b/src/core/cell/is_progress_row.ts
@@ -38,12 +38,14 @@
 function isTask(value: unknown): boolean {
   if (value === 0 || value === 1) return true;
   if (!Array.isArray(value)) return false;
-  const [run, failures, checkpoint, worker, from, crashes, listed] = value;
+  const [run, failures, checkpoint, worker, from, ...rest] = value;
+  const [crashes, listed, shownBy] = rest;
   return isCount(run) && isCount(failures) && typeof checkpoint === "string" &&
     (worker === undefined || worker === null || isCount(worker)) &&
     (from === undefined || typeof from === "string") &&
     (crashes === undefined || isCount(crashes)) &&
-    (listed === undefined || isCount(listed));
+    (listed === undefined || isCount(listed)) &&
+    (shownBy === undefined || typeof shownBy === "string");
 }
 
 function isCount(value: unknown): boolean {
--- a/src/core/cell/job_progress_row.ts
+++ b/src/core/cell/job_progress_row.ts
@@ -23,7 +23,8 @@
  * into `w`, given while the run is claimed; `from` is the checkpoint that the
  * run started from. `crashes` counts the runs in a row that crashed their worker
  * or were starting up beside one that did. `listed` is 1 once the claimed life
- * has listed the run of a service; builds that do not know it drop it.
+ * has listed the run of a service, and `crashShownBy` is what showed the last
+ * crash; builds that do not know them drop them.
  */
 type TaskRow =
   | 0
@@ -36,4 +37,5 @@
     from?: string,
     crashes?: number,
     listed?: number,
+    crashShownBy?: string,
   ];
--- a/src/core/cell/record_crash.ts
+++ b/src/core/cell/record_crash.ts
@@ -31,6 +31,7 @@
   nowMs: number,
 ): Effects {
   const { life } = report;
+  const shownBy = `${evidence} ${worker.node} ${life}`;
   const runs = [...worker.claims.values()].filter(({ claim }) =>
     claim?.isOrdered && (evidence === "gone" || claim.life !== life)
   );
@@ -56,8 +57,12 @@
   };
   for (const task of suspects) {
     worker.endStartup(task);
+    // An earlier keeper may have counted it.
+    if (task.crashShownBy === shownBy) continue;
     if (isIsolated(task) && !isAlone(task, suspects)) continue;
     task.crashes += 1;
+    task.crashShownBy = shownBy;
+    yield { kind: "save", job: task.group.job };
     yield* giveUpIfSpent(cell, task, nowMs);
   }
 }
--- a/src/core/cell/task.ts
+++ b/src/core/cell/task.ts
@@ -17,6 +17,8 @@
    * starting beside one that did.
    */
   crashes: number;
+  /** What showed the last of them; undefined if there is none. */
+  crashShownBy?: string | undefined;
   /** The newest checkpoint; empty for none. */
   checkpoint: string;
   isDone: boolean;
--- a/tests/crash_count_test.ts
+++ b/tests/crash_count_test.ts
@@ -39,6 +39,6 @@
       fixture.advance(1_000);
     }
     expect(fixture.cell.task("j.0.0.0" as never)?.crashes).to.equal(1);
-    expect(fixture.jobState("j")).to.equal("running");
+    expect(fixture.jobState("j")).to.equal("queued");
   });
 });
