Tests: two shortened histories of services that wait for a runner that left

- 36265: a keeper is replaced after the start.
The sidecar has run for 22 s and so has no predecessor whose start may be under way, but the row does not say so.
- 5212: the sidecar has run for 14 s, and counts as settled only after 15.

--- a/tests/cell_histories_test.ts
+++ b/tests/cell_histories_test.ts
@@ -125,6 +125,34 @@
       [9571, "pause_keeper", 359, 156],
     ],
   ],
+  [
+    "a service waited for the lease of a runner that had left, with a new keeper",
+    36265,
+    [
+      [0, "submit_service", 210, 854],
+      [13063, "leave_runner", 730, 429],
+      [3290, "restart_runner", 45, 787],
+      [1345, "cut_link", 957, 469],
+      [0, "evacuate", 869, 448],
+      [299, "leave_runner", 216, 544],
+      [3541, "elect", 924, 504],
+      [40060, "leave_runner", 400, 766],
+    ],
+  ],
+  [
+    "the same, beside a sidecar that had run for less than 15 s",
+    5212,
+    [
+      [0, "submit_service", 307, 682],
+      [1901, "restart_runner", 909, 999],
+      [1991, "elect", 453, 189],
+      [725, "drain", 373, 221],
+      [68, "leave_runner", 44, 401],
+      [21, "pause_sidecar", 878, 932],
+      [1157, "elect", 493, 603],
+      [25107, "kill_keeper_at", 864, 88],
+    ],
+  ],
 ];
 const seedsPerTest = 20;
 const testCount = 8;
