The row of an ended life tells whether its sidecar knows of all starts

Since claims that are not listed outlast the exit of a runner, tasks that last waited for 10 to 14 s after a runner had left in order: a keeper that had just taken over had listed no run yet, and the row of the ended life did not say that the sidecar had no predecessor whose starts could be under way. Users bound that wait by 9 s.

The row says so (isSettled), and claims of such a life are released at once again. Older builds drop the field; rows of older sidecars release listed claims only.

--- a/scenarios/cell_histories/history_sidecar.ts
+++ b/scenarios/cell_histories/history_sidecar.ts
@@ -33,8 +33,8 @@
     const { evacuateMs, maxHoldMs } = bounds;
     this.gate = new Gate(client, maxHoldMs, clock, log, evacuateMs);
     if (announcer !== undefined) {
-      this.gate.onEnded = (life, before) =>
-        void announcer.announceEnd(life, before)
+      this.gate.onEnded = (life, before, isSettled) =>
+        void announcer.announceEnd(life, before, isSettled)
           .then(() => this.#isEndStored = true);
       void announcer.run();
     }
--- a/src/cellhost/keeper_session.ts
+++ b/src/cellhost/keeper_session.ts
@@ -1,4 +1,5 @@
 import type { Cell } from "../core/cell/cell.ts";
+import type { EndedLives } from "../core/cell/ended_lives.ts";
 import type { CellEffect } from "../core/cell/cell_effect.ts";
 import type { SidecarReport } from "../core/cell/sidecar_report.ts";
 import { applyRefusal } from "../core/cell/apply_refusal.ts";
@@ -6,7 +7,6 @@
 import type { JobId } from "../core/jobs/job_id.ts";
 import type { NodeId } from "../core/jobs/node_id.ts";
 import { runIdOf } from "../core/jobs/run_id_of.ts";
-import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { Queue } from "../core/jobs/queue.ts";
 import type { PeerMessage } from "../link/peer_message.ts";
 import type { KeeperLink } from "./keeper_link.ts";
@@ -138,8 +138,8 @@
   }
 
   /** Releases what is claimed in lives of a worker that have ended for good. */
-  recordEndedLife(node: NodeId, ...lives: RunnerLife[]): void {
-    this.cell.worker(node).endedLives = lives;
+  recordEndedLives(node: NodeId, ended: EndedLives): void {
+    Object.assign(this.cell.worker(node), ended);
     this.#flushSoon();
   }
 
--- a/src/core/cell/release_ended_life.ts
+++ b/src/core/cell/release_ended_life.ts
@@ -9,10 +9,10 @@
   worker: Worker,
   nowMs: number,
 ): Generator<CellEffect, void> {
-  const { node, endedLife: life, endedLives } = worker;
+  const { node, endedLife: life, endedLives, isEndSettled } = worker;
   const ended = [...worker.claims.values()].filter((task) =>
     task.claim !== undefined && endedLives.includes(task.claim.life) &&
-    isStartSettled(task)
+    (isEndSettled || isStartSettled(task))
   );
   if (life === undefined || ended.length === 0) return;
   const fields = { node, life, claims: ended.length };
--- a/src/core/cell/worker.ts
+++ b/src/core/cell/worker.ts
@@ -12,12 +12,13 @@
 import { reservedResources } from "./reserved_resources.ts";
 import type { Task } from "./task.ts";
 import type { TaskGroup } from "./task_group.ts";
+import type { EndedLives } from "./ended_lives.ts";
 import type { SidecarReport } from "./sidecar_report.ts";
 
 let workerCount = 0;
 
 /** A worker, as its keeper knows it. */
-export class Worker {
+export class Worker implements EndedLives {
   /** Of workers of equal cost, the one created first is chosen. */
   readonly order = workerCount++;
   /** The newest report of its sidecar. */
@@ -31,11 +32,8 @@
    * the runs of its current life.
    */
   isReconciled = false;
-  /**
-   * The lives of its runner that have ended for good, as its sidecar stored them,
-   * the last one first.
-   */
   endedLives: readonly RunnerLife[] = [];
+  isEndSettled = false;
   /** Whether its data centre is evacuated, so that nothing may start on it. */
   isEvacuated = false;
   /** What new fillers must leave free for services that have to move. */
--- a/src/gate/gate.ts
+++ b/src/gate/gate.ts
@@ -6,6 +6,7 @@
 import type { PeerMessage } from "../link/peer_message.ts";
 import { applyKeeperMessage } from "./apply_keeper_message.ts";
 import { describeRunner } from "./describe_runner.ts";
+import type { EndListener } from "./end_listener.ts";
 import { EndLedger } from "./end_ledger.ts";
 import type { GateContext } from "./gate_context.ts";
 import { LifeEnd } from "./life_end.ts";
@@ -41,7 +42,7 @@
  */
 export class Gate implements GateContext {
   /** Called when a life of the runner has ended after it had left. */
-  onEnded: (life: RunnerLife, before: readonly RunnerLife[]) => void = () => {};
+  onEnded: EndListener = () => {};
   lastHeartbeat: RunnerHeartbeat | undefined;
   epoch = 0;
   isDraining = false;
@@ -188,12 +189,10 @@
       const isAnswered = await this.#poll(pollWaitMs);
       this.#orderWatch.update(this.#tracker.runs.values());
       if (isAnswered) this.#paceController.update(this.#running);
-      const sinceReportMs = this.clock.nowMs() - this.#reportedAtMs;
+      const ageMs = this.clock.nowMs() - this.#reportedAtMs;
       const mayConfirmStop = this.#endLedger.hasAll &&
         this.#tracker.hasUnconfirmedStop;
-      if (sinceReportMs >= reportIntervalMs || mayConfirmStop) {
-        this.#sendReport();
-      }
+      if (ageMs >= reportIntervalMs || mayConfirmStop) this.#sendReport();
       if (!isAnswered) await this.#pause.sleep(failedPollPauseMs);
       else if (this.#endLedger.ends.length > 0) {
         await this.#pause.sleep(pendingEndsPauseMs);
@@ -273,12 +272,14 @@
     this.#lifeEnd.recordFailure(failure, this.clock.nowMs());
     const isNewlyDown = this.#health.recordFailure(failure);
     if (isNewlyDown) this.log.warn("runner_down", { failure });
-    const isNewlyEnded = this.#lifeEnd.isNewlyEnded(this.clock.nowMs());
+    const nowMs = this.clock.nowMs();
+    const isNewlyEnded = this.#lifeEnd.isNewlyEnded(nowMs);
     if (isNewlyDown || isNewlyEnded) this.#sendReport();
     if (!isNewlyEnded) return;
     const life = lifeOf(this.lastHeartbeat!);
     this.log.info("runner_ended", { life });
-    this.onEnded(life, this.#lifeEnd.livesBefore);
+    const { livesBefore } = this.#lifeEnd;
+    this.onEnded(life, livesBefore, this.#lifeEnd.isPredecessorSettled(nowMs));
   }
 
   /** Applies an answer, unless one to a later poll has overtaken it. */
--- a/src/gate/life_end.ts
+++ b/src/gate/life_end.ts
@@ -1,4 +1,5 @@
 import { maxLatenessMs } from "../core/clock/max_lateness_ms.ts";
+import { predecessorSettledMs } from "../core/clock/predecessor_settled_ms.ts";
 import { maxTransitMs } from "../core/clock/max_transit_ms.ts";
 import type { RunnerLife } from "../core/jobs/runner_life.ts";
 import type { RunTracker } from "./run_tracker.ts";
@@ -98,11 +99,16 @@
   /** The part of a report about whether the runner answers, and has ended. */
   report(nowMs: number) {
     const { isUp, isGone } = this.health;
-    const isPredecessorSettled = nowMs - this.lease.startedAtMs > maxLatenessMs;
+    const isPredecessorSettled = this.isPredecessorSettled(nowMs);
     const isLapsed = this.hasLapsed(nowMs);
     return { isUp, isGone, isPredecessorSettled, isLapsed };
   }
 
+  /** Whether no start of an earlier process of the sidecar is under way. */
+  isPredecessorSettled(nowMs: number): boolean {
+    return nowMs - this.lease.startedAtMs > predecessorSettledMs;
+  }
+
   /** Whether a runner that left is found to have ended, the first time. */
   isNewlyEnded(nowMs: number): boolean {
     if (!this.hasLeft || this.#isTold) return false;
--- a/src/nodes/create_peers_tail.ts
+++ b/src/nodes/create_peers_tail.ts
@@ -30,7 +30,9 @@
       if (endedNode !== undefined) {
         const ended = reader.read(EndedLifeRow, row);
         if (ended === undefined) continue;
-        session.recordEndedLife(endedNode, ended.life, ...ended.before);
+        const { life, before, isSettled: isEndSettled } = ended;
+        const endedLives = [life, ...before];
+        session.recordEndedLives(endedNode, { endedLives, isEndSettled });
         continue;
       }
       const member = reader.read(MemberRow, row);
--- a/src/nodes/peer_announcer.ts
+++ b/src/nodes/peer_announcer.ts
@@ -63,11 +63,12 @@
   async announceEnd(
     life: RunnerLife,
     before: readonly RunnerLife[] = [],
+    isSettled = false,
   ): Promise<void> {
     this.#endedLife = life;
     const row = {
       key: endedLifeKey(this.node),
-      value: JSON.stringify({ life, before }),
+      value: JSON.stringify({ life, before, isSettled }),
     };
     const isNewest = () => this.#endedLife === life;
     if (await this.#store(row, isNewest, endTimeoutMs)) this.storedEnd = life;
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -32,8 +32,8 @@
       log,
       options.bounds.evacuateMs,
     );
-    this.gate.onEnded = (life, before) =>
-      void this.#announcer?.announceEnd(life, before);
+    this.gate.onEnded = (life, before, isSettled) =>
+      void this.#announcer?.announceEnd(life, before, isSettled);
     this.#server = new PeerServer((channel, hello) =>
       acceptKeeper(this.gate, channel, hello, log)
     );
--- a/src/schema/rows/ended_life_row.ts
+++ b/src/schema/rows/ended_life_row.ts
@@ -16,4 +16,9 @@
   life: Life,
   /** The lives before it, as far as the sidecar has seen them. */
   before: v.fallback(v.optional(v.array(Life), []), []),
+  /**
+   * Whether no start can be under way that it does not know of; builds that do
+   * not know this drop it.
+   */
+  isSettled: v.fallback(v.optional(v.boolean(), false), false),
 });
--- a/tests/ended_life_test.ts
+++ b/tests/ended_life_test.ts
@@ -112,7 +112,8 @@
     await fixture.clock.advance(20_000);
     fixture.gate.stop();
     const known = `${instance}@${bornMs}`;
-    expect(told).to.eql([[`${instance}@${fixture.runner.bornMs}`, [known]]]);
+    const ended = `${instance}@${fixture.runner.bornMs}`;
+    expect(told).to.eql([[ended, [known], true]]);
   });
 
   it("are stored with it", async () => {
--- a/tests/keeper_session_test.ts
+++ b/tests/keeper_session_test.ts
@@ -115,10 +115,19 @@
       isListed: false,
       isStarted: false,
     },
+    {
+      name: "at once if its sidecar knows of all starts",
+      life: "w@1",
+      isListed: false,
+      isEndSettled: true,
+      isStarted: true,
+    },
     { name: "later if another life has", life: "w@0", isStarted: false },
     { name: "later if nothing is known", life: undefined, isStarted: false },
   ];
-  for (const { name, life, isListed = true, isStarted } of cases) {
+  for (const each of cases) {
+    const { name, life, isStarted } = each;
+    const { isListed = true, isEndSettled = false } = each;
     it(`runs elsewhere ${name}`, async () => {
       const { session, clock, links, report, sent } = await startSession();
       if (isListed) report({ running: [listedRun] });
@@ -137,7 +146,10 @@
         incarnation: "1",
         strength: 1,
       });
-      if (life !== undefined) session.recordEndedLife(node, life as RunnerLife);
+      if (life !== undefined) {
+        const endedLives = [life as RunnerLife];
+        session.recordEndedLives(node, { endedLives, isEndSettled });
+      }
       await clock.advance(200);
       const starts = sent.flatMap((message) =>
         message.kind === "orders" ? message.starts : []
--- a/tests/sidecar_exit_test.ts
+++ b/tests/sidecar_exit_test.ts
@@ -96,7 +96,9 @@
       lifeOf({ instance: "i", bornMs })
     );
     const stored = store.newestValue("members", endedLifeKey(node));
-    expect(stored).to.equal(JSON.stringify({ life, before: [before] }));
+    expect(stored).to.equal(
+      JSON.stringify({ life, before: [before], isSettled: false }),
+    );
     sidecar.close();
   });
 });
