--- a/src/adapters/prometheus_metrics.ts
+++ b/src/adapters/prometheus_metrics.ts
@@ -45,6 +45,7 @@
   jobs_returned: ["Jobs admitted after a refusal", ["queue", "party"]],
   jobs_refused: ["Jobs refused for load", ["queue", "party"]],
   decisions: ["Decisions about uneven runs and workers", ["event"]],
+  limits_reached: ["Requests and connections cut at a limit", ["reason"]],
   terms: ["Terms of office begun", []],
 } as const;
 
--- a/src/entry/job_api.ts
+++ b/src/entry/job_api.ts
@@ -50,7 +50,9 @@
     const { node, settings } = this.entry;
     const config = node.config.state;
     const member = readMember(config, request);
-    const body = await readJsonBody(request, settings.maxBodyBytes);
+    const body = await readJsonBody(request, {
+      maxBytes: settings.maxBodyBytes,
+    });
     const parsed = v.safeParse(SubmitRequest, body);
     if (!parsed.success) {
       throw new GpError("bad_request", parsed.issues[0].message);
--- a/src/entry/service_api.ts
+++ b/src/entry/service_api.ts
@@ -66,7 +66,8 @@
     member: ServiceCall["member"],
     kind: "check" | "order",
   ): Promise<ServiceCall> {
-    const body = await readBody(request, this.entry.settings.maxBodyBytes);
+    const { maxBodyBytes: maxBytes } = this.entry.settings;
+    const body = await readBody(request, { maxBytes });
     // Rejects a body that is not JSON; the runner gets the bytes unchanged.
     parseJson(body);
     const limitMs = kind === "check"
--- /dev/null
+++ b/src/http/request_limits.ts
@@ -0,0 +1,5 @@
+/** Limits on what the clients of a process make it hold. */
+export interface RequestLimits {
+  /** Of all requests under way, with their bodies as held. */
+  readonly heldBytes: number;
+}
--- a/src/http/send_error.ts
+++ b/src/http/send_error.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { GpError } from "../core/errors/gp_error.ts";
+import { retryAfterHeader } from "./retry_after_header.ts";
 import { sendJson } from "./send_json.ts";
 
 /**
@@ -18,9 +19,7 @@
   const { httpStatus, ran, retry, text } = error.descriptor;
   const { kind, retryAfterMs } = error;
   const detail = error.detail || text;
-  const headers: Record<string, string> = retryAfterMs > 0
-    ? { "retry-after": String(Math.ceil(retryAfterMs / 1_000)) }
-    : {};
+  const headers = retryAfterHeader(retryAfterMs);
   const body = {
     error: kind,
     detail,
--- a/src/rpc/unary_routes.ts
+++ b/src/rpc/unary_routes.ts
@@ -61,7 +61,7 @@
   response: ServerResponse,
 ): Promise<void> {
   try {
-    const body = await readBody(request, maxBodyBytes);
+    const body = await readBody(request, { maxBytes: maxBodyBytes });
     const reply = await handle(fromBinary(method.input, body));
     const bytes = toBinary(method.output, create(method.output, reply));
     response.writeHead(200, {
--- a/src/sidecar/create_announce_server.ts
+++ b/src/sidecar/create_announce_server.ts
@@ -17,7 +17,7 @@
       if (request.method !== "POST" || request.url !== "/announce") {
         throw new GpError("not_found", "expected POST /announce");
       }
-      const body = await readJsonBody(request, maxBodyBytes);
+      const body = await readJsonBody(request, { maxBytes: maxBodyBytes });
       const info = v.safeParse(RunnerInfo, body);
       if (!info.success) {
         throw new GpError("bad_request", info.issues[0].message);
