Idle connections give way to new ones, at every listener

Callers got no connection, and the process none to the store, once strangers held its descriptors: 600 idle connections to any listener left 552 to 632 open where 200 are for sockets. Nothing bounded them, and the port for keepers kept a connection that sent an empty line now and then.

At the bound a new connection takes the place of the one that has had no whole request for longest, then of one that does not read its answers, then of one with an unfinished body. Only if there is none it is refused. On the port for keepers those without a hello give way, and a hello has to come within 1.5 s.

A process counts only connections with a hello as its keeper's when it decides whether to announce its address again; a stranger's idle connection stopped that.

--- a/src/http/bounded_server.ts
+++ b/src/http/bounded_server.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import { parseEndpoint } from "../cli/parse_endpoint.ts";
 import { listen } from "../peer/listen.ts";
+import { ConnectionLimiter } from "./connection_limiter.ts";
 import type { RequestBounds } from "./request_bounds.ts";
 import type { RequestHold } from "./request_hold.ts";
 import { sendUnavailable } from "./send_unavailable.ts";
@@ -22,16 +23,28 @@
 const checkIntervalMs = 500;
 const headerTimeoutMs = 3_000;
 const idleTimeoutMs = 15_000;
+/** Of a listener for the few clients beside callers. */
+const sideConnections = 64;
 
 /** An HTTP server whose clients cannot make it hold more than its bounds. */
 export class BoundedServer {
   readonly #server: Server;
+  readonly #connections: ConnectionLimiter;
 
-  constructor(readonly bounds: RequestBounds, readonly handler: Handler) {
+  constructor(
+    readonly bounds: RequestBounds,
+    readonly handler: Handler,
+    maxConnections = sideConnections,
+  ) {
     const options = { connectionsCheckingInterval: checkIntervalMs };
     this.#server = createServer(options, (request, response) => {
       void this.#admit(request, response);
     });
+    this.#connections = new ConnectionLimiter(
+      maxConnections,
+      (reason) => bounds.recordLimit(reason),
+    );
+    this.#server.on("connection", (socket) => this.#connections.accept(socket));
     // The reader of a body has a time limit of its own.
     this.#server.requestTimeout = 0;
     this.setTimeouts(headerTimeoutMs, idleTimeoutMs);
@@ -57,6 +70,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.#connections.begin(request, response);
     const hold = this.bounds.admit();
     if (hold === undefined) {
       response.setHeader("connection", "close");
--- a/src/http/limit_reason.ts
+++ b/src/http/limit_reason.ts
@@ -5,4 +5,12 @@
   /** The body did not come within the caller's time. */
   | "body_late"
   /** All requests hold too much, and none of them waits for its body. */
-  | "requests_full";
+  | "requests_full"
+  /** The listener is full: a connection without a whole request gave way. */
+  | "connection_evicted"
+  /** The listener is full, and all its connections have requests under way. */
+  | "connections_full"
+  /** The port for keepers is full: a connection without a hello gave way. */
+  | "channel_evicted"
+  /** The port for keepers is full of connections that have sent a hello. */
+  | "channels_full";
--- a/src/http/request_bounds.ts
+++ b/src/http/request_bounds.ts
@@ -4,7 +4,10 @@
 import { RequestHold } from "./request_hold.ts";
 import type { RequestLimits } from "./request_limits.ts";
 
-const defaultLimits: RequestLimits = { heldBytes: 16_777_216 };
+const defaultLimits: RequestLimits = {
+  heldBytes: 16_777_216,
+  connections: 1_024,
+};
 
 /** The bounds that all servers of a process share. */
 export class RequestBounds {
--- a/src/http/request_limits.ts
+++ b/src/http/request_limits.ts
@@ -2,4 +2,6 @@
 export interface RequestLimits {
   /** Of all requests under way, with their bodies as held. */
   readonly heldBytes: number;
+  /** Callers' connections to an entry. */
+  readonly connections: number;
 }
--- a/src/nodes/entry_node.ts
+++ b/src/nodes/entry_node.ts
@@ -49,7 +49,7 @@
   #cellTail: StreamTail;
   #peersTail: StreamTail | undefined;
   #session: KeeperSession | undefined;
-  readonly #server: PeerServer;
+  readonly server: PeerServer;
   #announcer: PeerAnnouncer | undefined;
   /** Undefined until a configuration has been read. */
   #queues: readonly Queue[] | undefined;
@@ -87,7 +87,7 @@
     this.#cellTail = createCellTail(store, this.directory, log);
     this.#election = new Election(store, { node, incarnation }, log);
     this.#election.onWinner = () => this.#handleWinner();
-    this.#server = new PeerServer((channel, hello) =>
+    this.server = new PeerServer((channel, hello) =>
       this.#acceptKeeper(channel, hello)
     );
   }
@@ -95,13 +95,13 @@
   /** Accepts connections, announces this entry and follows the streams. */
   async start(): Promise<void> {
     const { node, host, peerPort: port, incarnation, strength } = this.options;
-    await this.#server.listen(host, port);
+    await this.server.listen(host, port);
     const row = { role: "entry", host, port, incarnation, strength } as const;
     this.#announcer = new PeerAnnouncer(
       this.store,
       node,
       row,
-      () => this.#session !== undefined || this.#server.openChannels > 0,
+      () => this.#session !== undefined || this.server.openChannels > 0,
       systemClock,
       this.log,
     );
@@ -138,7 +138,7 @@
     this.#isClosed = true;
     this.#announcer?.stop();
     this.#endSession();
-    this.#server.close();
+    this.server.close();
     this.jobTails.stop();
     for (const tail of [this.#cellTail, this.#election.tail]) tail.stop();
   }
--- a/src/nodes/peer_server.ts
+++ b/src/nodes/peer_server.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from "node:net";
+import type { LimitReason } from "../http/limit_reason.ts";
 import { Channel } from "../link/channel.ts";
 import { isKeeperMessage } from "../link/is_keeper_message.ts";
 import type { KeeperMessage } from "../link/keeper_message.ts";
@@ -6,10 +7,18 @@
 
 type KeeperChannel = Channel<PeerMessage, KeeperMessage>;
 
+/** Entries may be keeper one after the other; only one is at a time. */
+const maxChannels = 64;
+/** A keeper sends its hello as soon as it is connected. */
+const helloTimeoutMs = 1_500;
+
 /** Accepts keepers' connections; passes on each that begins with a hello. */
 export class PeerServer {
+  onLimit: (reason: LimitReason) => void = () => {};
   readonly #server: Server;
   readonly #channels = new Set<KeeperChannel>();
+  /** Channels without a hello, oldest first. */
+  readonly #strangers = new Set<KeeperChannel>();
 
   constructor(
     readonly onKeeper: (
@@ -18,19 +27,32 @@
     ) => void,
   ) {
     this.#server = createServer((socket) => {
+      if (this.#channels.size >= maxChannels && !this.#evict()) {
+        this.onLimit("channels_full");
+        socket.destroy();
+        return;
+      }
       const channel: KeeperChannel = new Channel(socket, isKeeperMessage);
       this.#channels.add(channel);
-      socket.once("close", () => this.#channels.delete(channel));
+      this.#strangers.add(channel);
+      const timer = setTimeout(() => channel.close("no hello"), helloTimeoutMs);
+      socket.once("close", () => {
+        clearTimeout(timer);
+        this.#channels.delete(channel);
+        this.#strangers.delete(channel);
+      });
       channel.onMessage = (message) => {
+        clearTimeout(timer);
+        this.#strangers.delete(channel);
         if (message.kind === "hello") this.onKeeper(channel, message);
         else channel.close("the first message was not a hello");
       };
     });
   }
 
-  /** How many channels are open. */
+  /** How many channels of keepers are open. */
   get openChannels(): number {
-    return this.#channels.size;
+    return this.#channels.size - this.#strangers.size;
   }
 
   async listen(host: string, port: number): Promise<void> {
@@ -40,6 +62,18 @@
     });
   }
 
+  /** Closes the oldest channel without a hello, if there is one. */
+  #evict(): boolean {
+    const [oldest] = this.#strangers;
+    if (oldest === undefined) return false;
+    this.onLimit("channel_evicted");
+    oldest.close("too many channels");
+    oldest.socket.destroy();
+    this.#channels.delete(oldest);
+    this.#strangers.delete(oldest);
+    return true;
+  }
+
   close(): void {
     this.#server.close();
     for (const channel of this.#channels) channel.close("leaving");
--- a/src/nodes/sidecar_node.ts
+++ b/src/nodes/sidecar_node.ts
@@ -16,7 +16,7 @@
 /** A sidecar: connects the gate of its runner to the cell's keeper. */
 export class SidecarNode {
   readonly gate: Gate;
-  readonly #server: PeerServer;
+  readonly server: PeerServer;
   #announcer: PeerAnnouncer | undefined;
 
   constructor(
@@ -34,7 +34,7 @@
     );
     this.gate.onEnded = (life, before) =>
       void this.#announcer?.announceEnd(life, before);
-    this.#server = new PeerServer((channel, hello) =>
+    this.server = new PeerServer((channel, hello) =>
       acceptKeeper(this.gate, channel, hello, log)
     );
   }
@@ -42,7 +42,7 @@
   /** Accepts connections, announces this sidecar and runs the gate. */
   async start(): Promise<void> {
     const { node, host, peerPort: port, incarnation, strength } = this.options;
-    await this.#server.listen(host, port);
+    await this.server.listen(host, port);
     const row = {
       role: "sidecar",
       host,
@@ -54,7 +54,7 @@
       this.store,
       node,
       row,
-      () => this.#server.openChannels > 0,
+      () => this.server.openChannels > 0,
       systemClock,
       this.log,
     );
@@ -87,6 +87,6 @@
   close(): void {
     this.gate.stop();
     this.#announcer?.stop();
-    this.#server.close();
+    this.server.close();
   }
 }
--- a/tests/request_budget_test.ts
+++ b/tests/request_budget_test.ts
@@ -12,7 +12,10 @@
 const log = new Logger("silent", {});
 const headerBytes = 16_384;
 const maxBytes = 20_000;
-const limits = { heldBytes: 3 * headerBytes + 2 * maxBytes };
+const limits = {
+  heldBytes: 3 * headerBytes + 2 * maxBytes,
+  connections: 10,
+};
 const forEverMs = 60_000;
 
 /** A client that sends part of a request, and collects its answer. */
