A connection has eight requests under way at most

Operators lost a process to clients that send requests ahead and read no answers: 20 connections with 2,000 requests for the metrics each ended an entry and a sidecar (SIGABRT). Each request of a read of the socket was handled at once, and their answers, some 30 KB each, waited for the first to be read.

The ninth request under way closes its connection; nothing is said about the others, which their caller may send again. Callers send one at a time, so none meets the bound. A response counts until it is sent or its connection has closed.

--- a/src/http/bounded_server.ts
+++ b/src/http/bounded_server.ts
@@ -70,7 +70,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.#connections.begin(request, response);
+    if (!this.#connections.begin(request, response)) return;
     const hold = this.bounds.admit();
     if (hold === undefined) {
       response.setHeader("connection", "close");
--- a/src/http/connection_limiter.ts
+++ b/src/http/connection_limiter.ts
@@ -1,5 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { LimitReason } from "./limit_reason.ts";
+
+/** Of one connection that have not been answered, or their answers not sent. */
+const maxRequestsAhead = 8;
 
 interface Exchange {
   readonly request: IncomingMessage;
@@ -18,9 +22,7 @@
 
   constructor(
     readonly maxConnections: number,
-    readonly onLimit: (
-      reason: "connection_evicted" | "connections_full",
-    ) => void,
+    readonly onLimit: (reason: LimitReason) => void,
   ) {}
 
   /** Admits a connection, or destroys it. */
@@ -38,18 +40,28 @@
     socket.once("close", () => this.#forget(socket));
   }
 
-  /** Notes a request that is under way until its response closes. */
-  begin(request: IncomingMessage, response: ServerResponse): void {
+  /**
+   * Notes a request that is under way until its response closes; false if its
+   * connection is closed, or is now for sending too many requests ahead.
+   */
+  begin(request: IncomingMessage, response: ServerResponse): boolean {
     const { socket } = request;
-    if (!this.#idle.delete(socket) && !this.#busy.has(socket)) return;
-    const exchange = { request, response };
+    if (socket.destroyed) return false;
     const exchanges = this.#busy.get(socket) ?? new Set();
+    if (exchanges.size >= maxRequestsAhead) {
+      this.onLimit("requests_ahead");
+      socket.destroy();
+      return false;
+    }
+    const exchange = { request, response };
+    this.#idle.delete(socket);
     this.#busy.set(socket, exchanges.add(exchange));
     response.once("close", () => {
       exchanges.delete(exchange);
       if (exchanges.size > 0 || !this.#busy.delete(socket)) return;
       if (!socket.destroyed) this.#idle.add(socket);
     });
+    return true;
   }
 
   #dispensable(): Socket | undefined {
@@ -70,6 +82,9 @@
 
   #forget(socket: Socket): void {
     this.#idle.delete(socket);
+    const exchanges = this.#busy.get(socket) ?? [];
     this.#busy.delete(socket);
+    // Node tells it only to the response that it was sending.
+    for (const { response } of exchanges) response.emit("close");
   }
 }
--- a/src/http/limit_reason.ts
+++ b/src/http/limit_reason.ts
@@ -6,6 +6,8 @@
   | "body_late"
   /** All requests hold too much, and none of them waits for its body. */
   | "requests_full"
+  /** One connection has sent too many requests ahead of their answers. */
+  | "requests_ahead"
   /** The listener is full: a connection without a whole request gave way. */
   | "connection_evicted"
   /** The listener is full, and all its connections have requests under way. */
--- a/tests/request_budget_test.ts
+++ b/tests/request_budget_test.ts
@@ -39,6 +39,12 @@
 }
 
 const whole = begin(5, 5);
+/** Requests that are sent ahead of their answers. */
+function ahead(count: number): string {
+  return "GET / HTTP/1.1\r\nhost: h\r\n\r\n".repeat(count - 1) +
+    "GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+}
+
 const chunkOverLimit = "POST / HTTP/1.1\r\nhost: h\r\n" +
   "transfer-encoding: chunked\r\n\r\n" +
   `${(maxBytes + 1).toString(16)}\r\n${"x".repeat(maxBytes + 1)}\r\n`;
@@ -110,3 +116,35 @@
     });
   }
 });
+
+describe("requests sent ahead on one connection", () => {
+  const cases = [
+    { name: "are answered up to a bound", count: 8, answers: 8 },
+    { name: "close it beyond", count: 9, answers: 0 },
+  ];
+  for (const { name, count, answers } of cases) {
+    it(name, async () => {
+      let wake = () => {};
+      const allHere = new Promise<void>((resolve) => wake = resolve);
+      let here = 0;
+      const server = new BoundedServer(
+        new RequestBounds({ ...limits, heldBytes: count * headerBytes }),
+        async (_request, response) => {
+          here += 1;
+          if (here === 8) wake();
+          await allHere;
+          sendJson(response, 200, {});
+        },
+      );
+      const address = `127.0.0.1:${await allocatePort()}`;
+      await server.listen(address);
+      const client = new Client(address, ahead(count));
+      await client.closed;
+      expect(client.answer.split(ok).length - 1).to.equal(answers);
+      const next = new Client(address, ahead(1));
+      await next.closed;
+      expect(next.answer).to.include(ok);
+      server.close();
+    });
+  }
+});
