One turn of the event loop takes bounded input from all connections

While 300 clients sent chunks of a byte, ordinary callers got no answer within 3 s, nor did anything else run: the longest turn of the entry's event loop took 7.0 s, longer than a lease. One read of a socket brings 64 KB, which are 11,000 such chunks or 700 requests, and every socket that was readable was read in the same turn. For the same reason connections that were closed for requests sent ahead kept these until the end of the turn: "counts of jobs" and "probes" of pipelined_requests_test ended with SIGABRT in one run each of five.

A turn has a bound: 4,096 chunks, or 256 requests. Beyond it the other connections are read in the next turn, and those that used the turn up in the one after. A connection that its own reader has paused is left alone.

--- a/src/http/bounded_server.ts
+++ b/src/http/bounded_server.ts
@@ -19,6 +19,8 @@
 
 /** How long the rest of a request may come after its answer. */
 const closeDelayMs = 200;
+/** A request takes about as much as so many chunks of a body. */
+const requestCost = 16;
 /** How often time-outs of headers are checked. */
 const checkIntervalMs = 500;
 const headerTimeoutMs = 3_000;
@@ -44,7 +46,10 @@
       maxConnections,
       (reason) => bounds.recordLimit(reason),
     );
-    this.#server.on("connection", (socket) => this.#connections.accept(socket));
+    this.#server.on("connection", (socket) => {
+      bounds.turn.add(socket);
+      this.#connections.accept(socket);
+    });
     // The reader of a body has a time limit of its own.
     this.#server.requestTimeout = 0;
     this.setTimeouts(headerTimeoutMs, idleTimeoutMs);
@@ -70,6 +75,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.bounds.turn.spend(request.socket, requestCost);
     if (!this.#connections.begin(request, response)) return;
     const hold = this.bounds.admit();
     if (hold === undefined) {
--- a/src/http/request_bounds.ts
+++ b/src/http/request_bounds.ts
@@ -3,6 +3,7 @@
 import { RequestBudget } from "./request_budget.ts";
 import { RequestHold } from "./request_hold.ts";
 import type { RequestLimits } from "./request_limits.ts";
+import { TurnBudget } from "./turn_budget.ts";
 
 const defaultLimits: RequestLimits = {
   heldBytes: 16_777_216,
@@ -11,6 +12,7 @@
 
 /** The bounds that all servers of a process share. */
 export class RequestBounds {
+  readonly turn = new TurnBudget();
   readonly #budget: RequestBudget;
 
   constructor(
@@ -24,6 +26,7 @@
   admit(): RequestHold | undefined {
     const hold = new RequestHold(
       this.#budget,
+      this.turn,
       (reason) => this.recordLimit(reason),
     );
     if (hold.admit()) return hold;
