Callers' requests share reads of the store

Each request for the state of a job that an entry does not know read the store on connections of its own: with 80 connections, four requests each, and a store that did not answer, an entry had 428 descriptors where 200 are for sockets; with 2,000 requests sent ahead on each of 100 it ended by itself (SIGABRT). Nothing bounded the reads, and a deadline of any length made them wait for half of it, also after the caller had gone.

Eight such reads run at once; further requests share the next one, which begins after each of them came, so that it returns what was stored before. A keeper that takes over still reads by itself. A request is handled for 60 s at most, whatever its Deadline-Ms, and stops waiting for a read when its connection closes.

--- a/src/http/caller_time_of.ts
+++ b/src/http/caller_time_of.ts
@@ -4,6 +4,8 @@
 const defaultDeadlineMs = 3_000;
 /** The part of a caller's deadline reserved for the answer to arrive. */
 const answerMarginMs = 150;
+/** The longest that a request is handled, whatever its caller states. */
+const maxWithinMs = 60_000;
 
 /** The time to handle a request, from the deadline that its caller states. */
 export function callerTimeOf(
@@ -17,7 +19,10 @@
   return {
     arrivedAtMs: performance.now(),
     deadlineMs,
-    withinMs: Math.max(answerMarginMs, deadlineMs - answerMarginMs),
+    withinMs: Math.min(
+      maxWithinMs,
+      Math.max(answerMarginMs, deadlineMs - answerMarginMs),
+    ),
     signal: closed.signal,
   };
 }
--- a/src/nodes/job_service.ts
+++ b/src/nodes/job_service.ts
@@ -41,7 +41,7 @@
     const isKnown = (id: JobId) => entry.directory.definitions.has(id);
     this.#admission = new JobAdmission(
       admission,
-      entry.jobTails,
+      { refresh: () => entry.jobTails.refreshShared() },
       isKnown,
       metrics,
       log,
@@ -96,12 +96,12 @@
   }
 
   /** Reads the newest jobs in a share of the caller's time, if the store answers. */
-  async #refresh({ withinMs }: CallerTime): Promise<boolean> {
+  async #refresh({ withinMs, signal }: CallerTime): Promise<boolean> {
     const { jobTails } = this.entry;
     if (jobTails.isUnreachable) return false;
     return await Promise.race([
-      jobTails.refresh(),
-      sleep(withinMs * readShare, false),
+      jobTails.refreshShared(),
+      sleep(withinMs * readShare, false, { signal }).catch(() => false),
     ]);
   }
 
--- a/src/nodes/submission_tails.ts
+++ b/src/nodes/submission_tails.ts
@@ -6,10 +6,14 @@
 
 /** How long a tail's read of the store waits for a new row. */
 const tailWaitMs = 2_000;
+/** Reads for callers at once; each takes a connection for each stream. */
+const maxSharedReads = 8;
 
 /** Follows all streams that hold jobs and cancellations. */
 export class SubmissionTails {
   readonly #tails: readonly StreamTail[];
+  readonly #sharedReads = new Set<Promise<boolean>>();
+  #nextSharedRead: Promise<boolean> | undefined;
 
   constructor(
     store: Store,
@@ -72,6 +76,27 @@
     for (const tail of this.#tails) tail.stop();
   }
 
+  /**
+   * As `refresh`, for callers' requests: beyond some reads at once, requests
+   * share the next one, which begins after each of them.
+   */
+  async refreshShared(): Promise<boolean> {
+    if (this.#sharedReads.size < maxSharedReads) {
+      return await this.#readShared();
+    }
+    this.#nextSharedRead ??= Promise.race(this.#sharedReads).then(() => {
+      this.#nextSharedRead = undefined;
+      return this.#readShared();
+    });
+    return await this.#nextSharedRead;
+  }
+
+  #readShared(): Promise<boolean> {
+    const read = this.refresh().finally(() => this.#sharedReads.delete(read));
+    this.#sharedReads.add(read);
+    return read;
+  }
+
   /**
    * Reads all rows stored so far, of all streams at once; returns whether every
    * stream could be read.
--- a/tests/pipelined_requests_test.ts
+++ b/tests/pipelined_requests_test.ts
@@ -78,3 +78,13 @@
     ],
   },
 }]);
+
+describeCrowds("reads of the store that requests set off are bounded", [{
+  role: "entry",
+  listener: "front",
+  ordinary: job,
+  name: "states of unknown jobs",
+  maxFds: 400,
+  isStoreHung: true,
+  plan: { ...pipelined(80, "/q/00000000000000bb", 4), reads: true },
+}]);
