Unfinished messages on the port for keepers are bounded

Strangers could end a process through the port for keepers: 40 connections with a line of 8 MB that did not end took an entry to 367 to 376 MB of 200, a sidecar to 269 to 375 of 150. A line may have 16 MB, on each connection, before any hello, and each piece that came was kept as an object.

Before its hello a connection may send lines of 4 KB. The unfinished lines of all connections take 32 MB at most, in which one of the greatest messages fits; beyond it the longest gives way. Pieces of a line are copied into one buffer.

--- a/src/http/limit_reason.ts
+++ b/src/http/limit_reason.ts
@@ -15,4 +15,6 @@
   /** The port for keepers is full: a connection without a hello gave way. */
   | "channel_evicted"
   /** The port for keepers is full of connections that have sent a hello. */
-  | "channels_full";
+  | "channels_full"
+  /** Unfinished messages to the port for keepers take too much: one gave way. */
+  | "line_evicted";
--- a/src/link/channel.ts
+++ b/src/link/channel.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { ByteBuffer } from "../http/byte_buffer.ts";
 
 /** An empty line is sent after this long without a message. */
 const pingIntervalMs = 300;
@@ -10,7 +11,7 @@
  */
 const maxUnsentBytes = 4_000_000;
 /** A longer line is not one of the system's messages. */
-const maxLineBytes = 16_000_000;
+const defaultMaxLineBytes = 16_000_000;
 /** How long a closed socket may take to send what is buffered. */
 const closeTimeoutMs = 200;
 const newlineByte = 10;
@@ -23,12 +24,14 @@
 export class Channel<Out, In> {
   onMessage: (message: In) => void = () => {};
   onClose: (reason: string) => void = () => {};
+  /** Called when the peer has sent more of a line that has not ended. */
+  onPartialLine: () => void = () => {};
+  maxLineBytes = defaultMaxLineBytes;
   /** When the peer last sent anything. */
   receivedAtMs = performance.now();
   #isOpen = true;
   #sentAtMs = 0;
-  #partialLine: Buffer[] = [];
-  #partialBytes = 0;
+  readonly #partialLine = new ByteBuffer();
   readonly #timer: NodeJS.Timeout;
 
   constructor(
@@ -46,6 +49,11 @@
     return this.#isOpen;
   }
 
+  /** The memory that a line takes which has not ended. */
+  get partialBytes(): number {
+    return this.#partialLine.capacityBytes;
+  }
+
   /** Sends a message, if the channel is still open. */
   send(message: Out): void {
     if (!this.#isOpen) return;
@@ -62,6 +70,7 @@
     if (!this.#isOpen) return;
     this.#isOpen = false;
     clearInterval(this.#timer);
+    this.#partialLine.take();
     // Buffered messages still go out, unless the peer does not read them.
     this.socket.end();
     setTimeout(() => this.socket.destroy(), closeTimeoutMs).unref();
@@ -93,19 +102,26 @@
     while (this.#isOpen) {
       const at = chunk.indexOf(newlineByte, from);
       if (at < 0) break;
-      this.#partialLine.push(chunk.subarray(from, at));
-      const line = this.#partialLine.length === 1
-        ? this.#partialLine[0]!.toString("utf8")
-        : Buffer.concat(this.#partialLine).toString("utf8");
-      this.#partialLine = [];
-      this.#partialBytes = 0;
+      const end = chunk.subarray(from, at);
+      const line = this.#takeLine(end).toString("utf8");
       from = at + 1;
       if (line !== "") this.#deliver(line);
     }
-    if (from === chunk.length) return;
-    this.#partialLine.push(chunk.subarray(from));
-    this.#partialBytes += chunk.length - from;
-    if (this.#partialBytes > maxLineBytes) this.close("message too long");
+    if (from === chunk.length || !this.#isOpen) return;
+    const addedBytes = chunk.length - from;
+    if (this.#partialLine.length + addedBytes > this.maxLineBytes) {
+      this.close("message too long");
+      return;
+    }
+    this.#partialLine.append(chunk.subarray(from));
+    this.onPartialLine();
+  }
+
+  /** Returns the line of which this is the end. */
+  #takeLine(end: Buffer): Buffer {
+    if (this.#partialLine.length === 0) return end;
+    this.#partialLine.append(end);
+    return this.#partialLine.take();
   }
 
   #deliver(line: string): void {
--- a/src/nodes/peer_server.ts
+++ b/src/nodes/peer_server.ts
@@ -9,6 +9,10 @@
 
 /** Entries may be keeper one after the other; only one is at a time. */
 const maxChannels = 64;
+/** A hello names an epoch and a keeper. */
+const maxHelloBytes = 4_096;
+/** Unfinished lines of all channels; one of the greatest messages fits. */
+const maxPartialBytes = 33_554_432;
 /** A keeper sends its hello as soon as it is connected. */
 const helloTimeoutMs = 1_500;
 
@@ -41,9 +45,13 @@
         this.#channels.delete(channel);
         this.#strangers.delete(channel);
       });
+      const { maxLineBytes } = channel;
+      channel.maxLineBytes = maxHelloBytes;
+      channel.onPartialLine = () => this.#boundPartialLines();
       channel.onMessage = (message) => {
         clearTimeout(timer);
         this.#strangers.delete(channel);
+        channel.maxLineBytes = maxLineBytes;
         if (message.kind === "hello") this.onKeeper(channel, message);
         else channel.close("the first message was not a hello");
       };
@@ -62,6 +70,16 @@
     });
   }
 
+  /** Closes the channel with the longest unfinished line, if need be. */
+  #boundPartialLines(): void {
+    const channels = [...this.#channels];
+    const bytes = channels.map(({ partialBytes }) => partialBytes);
+    const totalBytes = bytes.reduce((sum, each) => sum + each, 0);
+    if (totalBytes <= maxPartialBytes) return;
+    this.onLimit("line_evicted");
+    channels[bytes.indexOf(Math.max(...bytes))]?.close("too much unfinished");
+  }
+
   /** Closes the oldest channel without a hello, if there is one. */
   #evict(): boolean {
     const [oldest] = this.#strangers;
