Bodies of requests that need none are dropped as they come

An entry ended by itself (SIGABRT) when 40 clients asked for the state of a job, each with a body in chunks of a byte, while the store did not answer: nobody reads such a body, so Node keeps its first chunks, one object each, until the request is answered.

The server drops every body that its handler does not read, and counts each chunk towards the turn of the event loop, also those that come after a refusal.

unfinished_requests_test, "bodies of requests that need none, which wait for the store": SIGABRT before, passes after.

--- a/src/http/bounded_server.ts
+++ b/src/http/bounded_server.ts
@@ -19,6 +19,7 @@
 
 /** How long the rest of a request may come after its answer. */
 const closeDelayMs = 200;
+const chunkCost = 1;
 /** A request takes about as much as so many chunks of a body. */
 const requestCost = 16;
 /** How often time-outs of headers are checked. */
@@ -28,7 +29,10 @@
 /** Of a listener for the few clients beside callers. */
 const sideConnections = 64;
 
-/** An HTTP server whose clients cannot make it hold more than its bounds. */
+/**
+ * An HTTP server whose clients cannot make it hold more than its bounds. A
+ * handler reads a request's body from the beginning, or it is dropped.
+ */
 export class BoundedServer {
   readonly #server: Server;
   readonly #connections: ConnectionLimiter;
@@ -75,7 +79,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.bounds.turn.spend(request.socket, requestCost);
+    const { bounds: { turn } } = this;
+    turn.spend(request.socket, requestCost);
+    // Also drops the body of a request whose handler does not read it.
+    request.on("data", () => turn.spend(request.socket, chunkCost));
     if (!this.#connections.begin(request, response)) return;
     const hold = this.bounds.admit();
     if (hold === undefined) {
--- a/src/http/read_body.ts
+++ b/src/http/read_body.ts
@@ -5,7 +5,6 @@
 
 /** How long a connection stays open for the answer to a body that is not read. */
 const closeDelayMs = 200;
-const chunkCost = 1;
 const retryAfterMs = 1_000;
 
 /**
@@ -38,7 +37,6 @@
     };
     const receive = (chunk: Uint8Array) => {
       const { byteLength } = chunk;
-      hold?.turn.spend(request.socket, chunkCost);
       const isTooLarge = body.length + byteLength > maxBytes;
       if (isTooLarge) fail(tooLarge(maxBytes));
       else if (hold?.resizeBody(body.capacityAfter(byteLength)) === false) {
--- a/src/http/request_bounds.ts
+++ b/src/http/request_bounds.ts
@@ -26,7 +26,6 @@
   admit(): RequestHold | undefined {
     const hold = new RequestHold(
       this.#budget,
-      this.turn,
       (reason) => this.recordLimit(reason),
     );
     if (hold.admit()) return hold;
--- a/src/http/request_hold.ts
+++ b/src/http/request_hold.ts
@@ -1,6 +1,5 @@
 import type { LimitReason } from "./limit_reason.ts";
 import type { RequestBudget } from "./request_budget.ts";
-import type { TurnBudget } from "./turn_budget.ts";
 
 /** The greatest header that is accepted, which a request keeps. */
 const headerBytes = 16_384;
@@ -13,7 +12,6 @@
 
   constructor(
     readonly budget: RequestBudget,
-    readonly turn: TurnBudget,
     /** Receives why the body is not read to its end. */
     readonly onLimit: (reason: LimitReason) => void,
   ) {}
--- a/tests/crowd/unfinished_body.ts
+++ b/tests/crowd/unfinished_body.ts
@@ -8,6 +8,14 @@
 export const unfinishedBody = {
   byteChunks: (clients: number, path: string): CrowdPlan =>
     newPlan(clients, path, chunked, Buffer.from(chunk(1).repeat(131_072))),
+  unasked: (clients: number, path: string): CrowdPlan =>
+    newPlan(
+      clients,
+      path,
+      `${chunked}\r\ndeadline-ms: 60000`,
+      Buffer.from(chunk(1).repeat(131_072)),
+      "GET",
+    ),
   largeChunks: (clients: number, path: string): CrowdPlan =>
     newPlan(
       clients,
@@ -31,6 +39,7 @@
   path: string,
   length: string,
   bytes: Buffer,
+  method = "POST",
 ): CrowdPlan {
   return {
     clients,
@@ -38,7 +47,7 @@
       const id = client.toString(16).padStart(idDigits, "0");
       const target = path.replace("ID", id);
       return [
-        `POST ${target} HTTP/1.1\r\nhost: ${callersHost}\r\n${length}\r\n\r\n`,
+        `${method} ${target} HTTP/1.1\r\nhost: ${callersHost}\r\n${length}\r\n\r\n`,
         bytes,
       ];
     },
--- a/tests/unfinished_requests_test.ts
+++ b/tests/unfinished_requests_test.ts
@@ -33,6 +33,12 @@
     name: "bodies a byte short of their length",
     plan: unfinishedBody.withLength(800, jobPath),
   },
+  {
+    ...onFront,
+    name: "bodies of requests that need none, which wait for the store",
+    plan: unfinishedBody.unasked(40, jobPath),
+    isStoreHung: true,
+  },
   { ...onFront, name: "headers", plan: headers },
   {
     ...onFront,
