An answer that nobody reads does not keep its connection for ever

A connection whose client read no answer stayed open until its listener was full. It is closed after 75 s in which nothing moves, longer than a request is handled.

request_budget_test, "an answer that nobody reads" (with 50 ms): without the limit it timed out after 5 s, with it it passes.

--- a/src/http/bounded_server.ts
+++ b/src/http/bounded_server.ts
@@ -26,6 +26,8 @@
 const checkIntervalMs = 500;
 const headerTimeoutMs = 3_000;
 const idleTimeoutMs = 15_000;
+/** Longer than a request is handled: its client does not read the answer. */
+const stalledTimeoutMs = 75_000;
 /** Of a listener for the few clients beside callers. */
 const sideConnections = 64;
 
@@ -63,10 +65,18 @@
     await listen(this.#server, parseEndpoint(address));
   }
 
-  /** Sets how long a header may take, and how long a connection may be idle. */
-  setTimeouts(headersMs: number, idleMs: number): void {
+  /**
+   * Sets how long a header may take, how long a connection may be idle, and how
+   * long nothing may be sent or received on it while a request is under way.
+   */
+  setTimeouts(
+    headersMs: number,
+    idleMs: number,
+    stalledMs = stalledTimeoutMs,
+  ): void {
     this.#server.headersTimeout = headersMs;
     this.#server.keepAliveTimeout = idleMs;
+    this.#server.timeout = stalledMs;
   }
 
   /** Accepts no new connections and closes idle ones. */
--- a/tests/request_budget_test.ts
+++ b/tests/request_budget_test.ts
@@ -148,3 +148,26 @@
     });
   }
 });
+
+describe("an answer that nobody reads", () => {
+  it("does not keep its connection", async () => {
+    const server = new BoundedServer(
+      new RequestBounds(limits),
+      (_request, response) => {
+        response.once("close", closed);
+        response.end(Buffer.alloc(20_000_000));
+      },
+    );
+    let closed = () => {};
+    const isClosed = new Promise<void>((resolve) => closed = resolve);
+    server.setTimeouts(forEverMs, forEverMs, 50);
+    const address = `127.0.0.1:${await allocatePort()}`;
+    await server.listen(address);
+    const socket = connect(parseEndpoint(address));
+    socket.on("error", () => {});
+    socket.write(ahead(1));
+    await isClosed;
+    socket.destroy();
+    server.close();
+  });
+});
