--- a/tests/soak/guarantee_checker.ts
+++ b/tests/soak/guarantee_checker.ts
@@ -26,6 +26,8 @@
   /** Whether all faults have ended. */
   isCalm = false;
   readonly jobs = new Map<string, SoakJob>();
+  /** Called before a start on a runner counts: reports what others have ended. */
+  settle: (runner: string) => void = () => {};
   readonly #histories = new Map<string, TaskHistory>();
 
   fail(guarantee: string, detail: string): void {
@@ -43,6 +45,7 @@
       return;
     }
     job.hasRun = true;
+    this.settle(runner);
     const history = this.#task(task);
     if (history.runners.size > 0) {
       this.fail(
@@ -63,6 +66,13 @@
     history.runners.add(runner);
   }
 
+  /** The step of a task's job. */
+  stepOf(task: string): SoakJob["steps"][number] | undefined {
+    const position = parseTaskName(task);
+    if (position === undefined) return undefined;
+    return this.jobs.get(position.job)?.steps[position.step];
+  }
+
   /** Whether a run of the task is active. */
   isRunning(task: string): boolean {
     return (this.#histories.get(task)?.runners.size ?? 0) > 0;
--- a/tests/soak/soak_deployment.ts
+++ b/tests/soak/soak_deployment.ts
@@ -21,6 +21,8 @@
 const subnetCount = 200;
 const leaseMs = 6_000;
 const graceS = 3;
+/** The runners' clocks run 1 to 2 % slow. */
+const clockRates = [0.99, 0.987, 0.984, 0.981];
 
 /** Real entries and sidecars on loopback; runners and store are stand-ins. */
 export class SoakDeployment {
@@ -47,6 +49,11 @@
     for (let index = 0; index < counts.sidecars; index++) {
       this.#addSidecar(index);
     }
+    checker.settle = (name) => {
+      for (const runner of this.runners) {
+        if (runner.name !== name) runner.observer.settleLease();
+      }
+    };
   }
 
   get entries(): readonly SoakProcess[] {
@@ -96,6 +103,7 @@
         control,
         this.checker,
         `zone-${index}`,
+        clockRates[index % clockRates.length]!,
       ),
     );
     this.#add("sidecar", index, ip, {
