--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -14,6 +14,7 @@
 import { Job } from "./job.ts";
 import { RunMoves } from "./run_moves.ts";
 import { releaseClaimsOfOtherLives } from "./release_claims_of_other_lives.ts";
+import { releaseLapsedClaims } from "./release_lapsed_claims.ts";
 import type { EvacuationPlanner } from "../evacuate/evacuation_planner.ts";
 import { stopUnseenStart } from "../evacuate/stop_unseen_start.ts";
 import { DemandIndex } from "./demand_index.ts";
@@ -132,8 +133,7 @@
    */
   *handleReport(node: NodeId, report: SidecarReport, nowMs: number): Effects {
     const worker = this.worker(node);
-    const isNewLife = worker.report?.life !== report.life;
-    if (isNewLife) {
+    if (worker.report?.life !== report.life) {
       yield* recordCrash(this, worker, report, "next_life", nowMs);
       worker.lastEnd = 0;
       worker.statuses.clear();
@@ -148,10 +148,7 @@
     }
     yield* applyEnds(this, worker, report, nowMs);
     if (report.isLapsed) {
-      if (report.isGone && !report.isDraining) {
-        yield* recordCrash(this, worker, report, "gone", nowMs);
-      }
-      yield* this.handleWorkerLost(node, nowMs);
+      yield* releaseLapsedClaims(this, worker, report, nowMs);
       return;
     }
     if (!report.isUp) {
@@ -167,13 +164,15 @@
     if (isSampled && this.mayMove) yield* moveFillers(this, worker, nowMs);
   }
 
-  /** Releases all claims of a worker whose lease has certainly expired. */
-  *handleWorkerLost(node: NodeId, nowMs: number): Effects {
+  /** Releases a worker's claims, of which certainly nothing runs any more. */
+  *handleWorkerLost(
+    node: NodeId,
+    nowMs: number,
+    tasks: readonly Task[] = [...this.worker(node).claims.values()],
+  ): Effects {
     const worker = this.worker(node);
     worker.isReconciled = false;
-    for (const task of [...worker.claims.values()]) {
-      yield* this.releaseClaim(worker, task, nowMs);
-    }
+    for (const task of tasks) yield* this.releaseClaim(worker, task, nowMs);
   }
 
   /** Sets the data centres to evacuate, and withdraws the starts there. */
