--- a/tests/soak/run_recut_soak.ts
+++ b/tests/soak/run_recut_soak.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync } from "node:fs";
+import { mkdtempSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -60,16 +60,26 @@
     await deployment.close();
   }
   checker.checkFinalStates();
-  for (const task of brokenTasks(checker).slice(0, maxTasksInNotes)) {
+  const broken = brokenTasks(checker);
+  const runs = new Map(broken.map((task) => {
     const lines = deployment.runners
       .flatMap(({ observer }) => observer.trace.linesOf(task)).sort();
-    notes.push(`the runs of ${task}:`, ...lines);
+    return [task, [`the runs of ${task}:`, ...lines]];
+  }));
+  for (const [task, lines] of [...runs].slice(0, maxTasksInNotes)) {
+    notes.push(...lines);
     notes.push(`the logs of ${task}:`, ...logLinesOfJob(folder, task));
   }
+  const report = [
+    ...notes,
+    ...checker.violations,
+    ...[...runs.values()].flat(),
+  ];
+  writeFileSync(join(folder, "notes.txt"), report.join("\n"));
   const jobs = [...checker.jobs.values()];
   const tasks = jobs.flatMap(({ steps }) => steps)
     .reduce((sum, { count }) => sum + count, 0);
-  notes.push(`${tasks} tasks, ${brokenTasks(checker).length} of them broken`);
+  notes.push(`${tasks} tasks, ${broken.length} of them broken`);
   return {
     broken: checker.violations,
     jobs: jobs.length,
