Stand-ins: a runner takes the lease of each start in time, also of a repeated one

It also kept runs whose lease had ended if a start came before the next list. The 212 tests that use it and the 14 cases of cell_histories_test pass.

--- a/stand_ins/runner/runner_model.ts
+++ b/stand_ins/runner/runner_model.ts
@@ -142,6 +142,7 @@
   ): Promise<RunnerResult<undefined>> {
     return this.#execute(command.epoch, () => {
       if (command.leaseEndClockMs <= this.clockMs) return "late";
+      this.#extendLease(command.leaseEndClockMs);
       const highestEnded = this.#highestEnded.get(command.task) ?? 0;
       const active = this.running.get(command.task)?.run ?? 0;
       if (active === command.run) return undefined;
@@ -156,7 +157,6 @@
         pace: 100,
       };
       this.running.set(task, started);
-      this.#extendLease(command.leaseEndClockMs);
       this.startCount += 1;
       this.observer.onStarted?.(started, command.payload);
       return undefined;
@@ -210,6 +210,7 @@
   }
 
   #extendLease(untilClockMs: number): void {
+    this.endIfLapsed();
     if (this.clockMs >= this.leaseEndClockMs) this.lapseCount += 1;
     const longest = Math.min(untilClockMs, this.clockMs + maxHoldMs);
     this.leaseEndClockMs = Math.max(this.leaseEndClockMs, longest);
