A report in which nothing is up does not prolong the wait for a lost worker

A new keeper counted a lease from the first report of a worker, though the keepers before it had ended by then and it had renewed nothing itself.

The lease now ends by the earliest of what is known: the first report, the end of the earlier keepers, and the row of leases. A renewal of its own replaces these.

lease_handover_test, "is waited for no longer than without the report", failed before: 9,400 ms in place of 6,370 to 6,570.

--- a/src/cellhost/lease_tracker.ts
+++ b/src/cellhost/lease_tracker.ts
@@ -14,10 +14,9 @@
 
 /** Tracks which leases a keeper may renew, and which have expired. */
 export class LeaseTracker {
-  /**
-   * When the lease of each worker that has reported was last renewed, by the
-   * monotonic clock.
-   */
+  /** When each worker first reported, by the monotonic clock. */
+  readonly #reportedAtMs = new Map<NodeId, number>();
+  /** When the lease of each worker was last renewed by this keeper. */
   readonly #renewedAtMs = new Map<NodeId, number>();
 
   constructor(
@@ -39,8 +38,8 @@
 
   /** Records a report, after which no earlier keeper renews the lease. */
   recordReport(node: NodeId): void {
-    if (this.#renewedAtMs.has(node)) return;
-    this.#renewedAtMs.set(node, this.clock.nowMs());
+    if (this.#reportedAtMs.has(node)) return;
+    this.#reportedAtMs.set(node, this.clock.nowMs());
   }
 
   /** Records that a worker's lease is renewed now. */
@@ -75,7 +74,11 @@
     const { earlier } = this;
     const renewedAtMs = this.#renewedAtMs.get(node);
     if (renewedAtMs !== undefined) return renewedAtMs + this.#maxLeaseMs;
-    return earlier.endsAtMs(node) ?? earlier.untilMs + this.#maxLeaseMs;
+    const reportedAtMs = this.#reportedAtMs.get(node) ?? Infinity;
+    return Math.min(
+      earlier.endsAtMs(node) ?? Infinity,
+      Math.min(earlier.untilMs, reportedAtMs) + this.#maxLeaseMs,
+    );
   }
 
   get #maxLeaseMs(): number {
--- a/tests/lease_handover_test.ts
+++ b/tests/lease_handover_test.ts
@@ -5,6 +5,7 @@
 import type { NodeId } from "../src/core/jobs/node_id.ts";
 import { VirtualClock } from "../stand_ins/clock/virtual_clock.ts";
 import { StoreModel } from "../stand_ins/store/store_model.ts";
+import { idleReport } from "./idle_report.ts";
 import { KeeperTerm } from "./keeper_term.ts";
 
 const log = new Logger("silent", {});
@@ -83,6 +84,23 @@
   }
 });
 
+// Guards against a wait that begins anew with a report in which nothing is up.
+describe("a lost worker whose sidecar reports to a new keeper", () => {
+  it("is waited for no longer than without the report", async () => {
+    const { store, clock } = await afterFirstTerm();
+    const before = predecessor(1, clock.nowMs());
+    const term = await KeeperTerm.begin(store, clock, 2, before);
+    const reportedAfterMs = await term.awaitStart(3_000);
+    const report = idleReport(lostWorker, { isUp: false });
+    term.receive(lostWorker, { kind: "report", number: 1, report });
+    const waitedMs = reportedAfterMs +
+      await term.awaitStart(20_000, otherWorker);
+    expect(waitedMs).to.be.within(longestLeaseMs, longestLeaseMs + 4 * stepMs);
+    expect(term.starts()).to.eql([otherWorker]);
+    term.session.close();
+  });
+});
+
 // Guards against a wait for a lease that begins anew with each keeper.
 describe("a keeper that follows one which waited for a lost worker's lease", () => {
   const waitedBeforeMs = 4_000;
