--- a/review/deployment-3.mjs
+++ b/review/deployment-3.mjs
@@ -174,12 +174,14 @@
 export class Deployment {
   constructor(
     record,
-    { entries = 3, runners = 4, kinds = [], cpu = 16000 } = {},
+    { entries = 3, runners = 4, kinds = [], cpu = 16000, settings = {} } = {},
   ) {
     this.record = record;
     this.counts = { entries, runners };
     this.kinds = kinds;
     this.cpu = cpu;
+    /** The site's settings where they differ from those of `ikenna-lunch`. */
+    this.settings = settings;
     this.isClosed = false;
     this.onOutput = () => {};
     this.entries = [];
@@ -238,6 +240,8 @@
           service: "menu-desk",
           labels: [this.kinds[i] ?? "a", `r${i % 3}`],
           cpu: this.cpu,
+          maxHoldMs: this.settings["bounds.maxHoldMs"] ??
+            settingsOfSite["bounds.maxHoldMs"],
           note: (line) => this.record.add(line),
         }),
       );
@@ -259,6 +263,7 @@
       orders: "rpc",
       "platform.address": `${this.subnet}.1:8169`,
       ...settingsOfSite,
+      ...this.settings,
     };
   }
 
--- a/review/runner-3.mjs
+++ b/review/runner-3.mjs
@@ -4,7 +4,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
 const heartbeatMs = 1_100;
-const maxHoldMs = 6_000;
 const answerMs = 1;
 const checkMs = 10;
 const stopMs = 50;
@@ -75,7 +74,7 @@
     await this.#beat();
   }
 
-  /** Crashes; it is back under its id after a time. */
+  /** Crashes; it is back under its id after a time, if one is given. */
   crash(downMs) {
     if (!this.isUp) return;
     const names = [...this.running.values()].map(({ task, run }) =>
@@ -87,6 +86,7 @@
     for (const wake of this.#waiters) wake();
     this.server.close();
     this.server.closeAllConnections();
+    if (downMs === undefined) return;
     setTimeout(() => {
       if (!this.#isClosed) void this.#begin();
     }, downMs);
@@ -131,7 +131,7 @@
 
   #extend(deadlineMs) {
     if (typeof deadlineMs !== "number") return;
-    const endMs = Math.min(deadlineMs, this.clockMs + maxHoldMs);
+    const endMs = Math.min(deadlineMs, this.clockMs + this.maxHoldMs);
     this.#leaseEndMs = Math.max(this.#leaseEndMs, endMs);
   }
 
