--- a/review/deployment-3.mjs
+++ b/review/deployment-3.mjs
@@ -396,6 +396,16 @@
   record.add(isTroubled ? "with the disruption" : "without the disruption");
   const deployment = new Deployment(record, options);
   let code = 2;
+  // A fault of the script itself says nothing of the rule.
+  const giveUp = async (why) => {
+    record.add(`the case could not run: ${why}`);
+    await deployment.close().catch(() => {});
+    process.exit(2);
+  };
+  process.on("uncaughtException", (cause) => void giveUp(cause.stack));
+  for (const name of ["SIGINT", "SIGTERM", "SIGHUP"]) {
+    process.once(name, () => void giveUp(name));
+  }
   try {
     await deployment.prepare();
     const broken = await play(deployment, record, isTroubled);
